--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Types shared by every module: clock, random source and identities.
+ */
+@NullMarked
+package org.lovagevale.base;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The bench module.
+ */
+@NullMarked
+package org.lovagevale.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The ctl module.
+ */
+@NullMarked
+package org.lovagevale.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The settings module.
+ */
+@NullMarked
+package org.lovagevale.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The standins module.
+ */
+@NullMarked
+package org.lovagevale.standins;
+
+import org.jspecify.annotations.NullMarked;
