--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/AccountName.java
@@ -0,0 +1,32 @@
+package org.lovagevale.base;
+
+/**
+ * The name of a client account.
+ *
+ * <p>
+ * Invariant: the value satisfies {@link Names#isValid(String)}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name as in settings
+ */
+public record AccountName(String value) implements Comparable<AccountName> {
+
+	/**
+	 * Checks the name.
+	 * @throws IllegalArgumentException if the name is invalid
+	 */
+	public AccountName {
+		Names.check("client account", value);
+	}
+
+	@Override
+	public int compareTo(AccountName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/FailureDomain.java
@@ -0,0 +1,32 @@
+package org.lovagevale.base;
+
+/**
+ * The name of a failure domain, unique in the deployment.
+ *
+ * <p>
+ * Invariant: the value satisfies {@link Names#isValid(String)}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name as in settings
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+
+	/**
+	 * Checks the name.
+	 * @throws IllegalArgumentException if the name is invalid
+	 */
+	public FailureDomain {
+		Names.check("failure domain", value);
+	}
+
+	@Override
+	public int compareTo(FailureDomain other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/Region.java
@@ -0,0 +1,32 @@
+package org.lovagevale.base;
+
+/**
+ * The name of a region.
+ *
+ * <p>
+ * Invariant: the value satisfies {@link Names#isValid(String)}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name as in settings
+ */
+public record Region(String value) implements Comparable<Region> {
+
+	/**
+	 * Checks the name.
+	 * @throws IllegalArgumentException if the name is invalid
+	 */
+	public Region {
+		Names.check("region", value);
+	}
+
+	@Override
+	public int compareTo(Region other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/SeededRandom.java
@@ -0,0 +1,33 @@
+package org.lovagevale.base;
+
+import java.util.SplittableRandom;
+
+/**
+ * A random source that yields the same sequence for the same seed.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+public final class SeededRandom implements RandomSource {
+
+	private final SplittableRandom random;
+
+	/**
+	 * Creates a source.
+	 * @param seed the seed
+	 */
+	public SeededRandom(long seed) {
+		this.random = new SplittableRandom(seed);
+	}
+
+	@Override
+	public int nextInt(int bound) {
+		return this.random.nextInt(bound);
+	}
+
+	@Override
+	public long nextLong() {
+		return this.random.nextLong();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/VmName.java
@@ -0,0 +1,32 @@
+package org.lovagevale.base;
+
+/**
+ * The name of an entry VM.
+ *
+ * <p>
+ * Invariant: the value satisfies {@link Names#isValid(String)}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name as in settings
+ */
+public record VmName(String value) implements Comparable<VmName> {
+
+	/**
+	 * Checks the name.
+	 * @throws IllegalArgumentException if the name is invalid
+	 */
+	public VmName {
+		Names.check("VM", value);
+	}
+
+	@Override
+	public int compareTo(VmName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/RequestHead.java
@@ -0,0 +1,24 @@
+package org.lovagevale.core;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+
+/**
+ * The head of a request from a caller.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param method the HTTP method
+ * @param path the path without query, starting with a slash
+ * @param query the query without question mark, empty if there is none
+ * @param account the client account, or null if none was given
+ * @param key the idempotency key as received, or null if none was given
+ * @param timeoutMs the time that the caller waits in milliseconds, 0 if it gave none
+ * @param retried whether the caller says that this call is itself a retry
+ * @param contentLength the length of the body in bytes, -1 if not known in advance
+ * @param callerAddress the IP number of the caller
+ */
+public record RequestHead(String method, String path, String query, @Nullable AccountName account, @Nullable String key,
+		long timeoutMs, boolean retried, long contentLength, String callerAddress) {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/decision/AbortAnswer.java
@@ -0,0 +1,14 @@
+package org.lovagevale.core.decision;
+
+import org.lovagevale.core.RequestId;
+
+/**
+ * Close the connection to the caller, since the answer cannot be completed.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id the request
+ */
+public record AbortAnswer(RequestId id) implements Decision {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/decision/ReadSettings.java
@@ -0,0 +1,13 @@
+package org.lovagevale.core.decision;
+
+/**
+ * Read the settings service once.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param afterVersion the version in force, 0 if none
+ * @param waitMs how long the service may wait for a newer version, in milliseconds
+ */
+public record ReadSettings(long afterVersion, long waitMs) implements Decision {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/event/CallerGone.java
@@ -0,0 +1,14 @@
+package org.lovagevale.core.event;
+
+import org.lovagevale.core.RequestId;
+
+/**
+ * The caller closed its connection before its answer was complete.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id the request
+ */
+public record CallerGone(RequestId id) implements Event {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/event/OutcomeAsked.java
@@ -0,0 +1,15 @@
+package org.lovagevale.core.event;
+
+import org.lovagevale.core.RequestId;
+
+/**
+ * A caller asked for the outcome of an idempotency key.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id identifies the question
+ * @param key the key as received
+ */
+public record OutcomeAsked(RequestId id, String key) implements Event {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/event/PrefixArrived.java
@@ -0,0 +1,16 @@
+package org.lovagevale.core.event;
+
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.RequestId;
+
+/**
+ * The first bytes of the body of a request arrived.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id the request
+ * @param fingerprint the fingerprint made of head and prefix
+ */
+public record PrefixArrived(RequestId id, Fingerprint fingerprint) implements Event {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/event/Ticked.java
@@ -0,0 +1,10 @@
+package org.lovagevale.core.event;
+
+/**
+ * Time passed; sent at least every 50 ms.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ */
+public record Ticked() implements Event {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/event/VmListReceived.java
@@ -0,0 +1,15 @@
+package org.lovagevale.core.event;
+
+import java.util.Set;
+
+/**
+ * The platform sent its list of VMs.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param leaving names of VMs and backend servers that are leaving
+ * @param live names of VMs and backend servers that are live
+ */
+public record VmListReceived(Set<String> leaving, Set<String> live) implements Event {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/WorkPermission.java
@@ -0,0 +1,20 @@
+package org.lovagevale.core.fleet;
+
+/**
+ * Whether a process may start new work.
+ */
+public enum WorkPermission {
+
+	/** New work may start. */
+	OPEN,
+
+	/** No settings are in force yet, or it is not known whether they are the latest. */
+	STARTING,
+
+	/** The settings may be outdated and others may know better. */
+	FENCED,
+
+	/** The process no longer takes new work. */
+	STOPPED
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/KeyArchive.java
@@ -0,0 +1,20 @@
+package org.lovagevale.core.message;
+
+import java.util.List;
+
+/**
+ * The outcomes of all keys of a process that stops.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param vm the process
+ * @param incarnation its incarnation
+ * @param ran keys that ran
+ * @param unknown keys whose outcome is unknown; all others did not run
+ * @param validMs how long the archive is needed in milliseconds
+ * @param regions the regions that may keep it, empty for all
+ */
+public record KeyArchive(String vm, String incarnation, List<String> ran, List<String> unknown, long validMs,
+		List<String> regions) implements PeerMessage {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/NoticeAck.java
@@ -0,0 +1,12 @@
+package org.lovagevale.core.message;
+
+/**
+ * Acknowledges a notice.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id the notice
+ */
+public record NoticeAck(long id) implements PeerMessage {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/ServerEntry.java
@@ -0,0 +1,15 @@
+package org.lovagevale.core.message;
+
+/**
+ * What a process knows of a backend server.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param server the name
+ * @param state the name of its {@code ServerState}
+ * @param boot the identifier of its run, empty if not known
+ * @param ageMs time since that was observed in milliseconds
+ */
+public record ServerEntry(String server, String state, String boot, long ageMs) {
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SettingsRequest.java
@@ -0,0 +1,12 @@
+package org.lovagevale.core.message;
+
+/**
+ * Asks for the settings.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param haveVersion the version that the sender has, 0 if none
+ */
+public record SettingsRequest(long haveVersion) implements PeerMessage {
+}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/package-info.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The core module.
+ * Decision logic of an entry process: events in, decisions out, without I/O, threads or
+ * wall clock of its own.
  */
 @NullMarked
 package org.lovagevale.core;
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/model/EntryVm.java
@@ -0,0 +1,24 @@
+package org.lovagevale.settings.model;
+
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+
+/**
+ * An entry VM as published.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param name the name, kept when the machine behind it is replaced
+ * @param domain its failure domain
+ * @param region its region
+ * @param host its IP number
+ * @param callerPort the TCP port for callers
+ * @param peerPort the TCP port for other entry processes
+ * @param adminPort the TCP port for operators
+ * @param out whether it, its failure domain or its region is out of service
+ */
+public record EntryVm(VmName name, FailureDomain domain, Region region, String host, int callerPort, int peerPort,
+		int adminPort, boolean out) {
+}
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/model/ExchangeSettings.java
@@ -0,0 +1,36 @@
+package org.lovagevale.settings.model;
+
+/**
+ * How entry processes exchange state, read settings and judge their own freshness.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param peerLinks links that a process opens to others
+ * @param digestMs time between digests in milliseconds
+ * @param unreachableMs silence after which a VM counts as unreachable, in milliseconds
+ * @param peerBytesPerSecond the most bytes a second sent on one link
+ * @param fenceMs age of the last confirmation after which settings count as unconfirmed,
+ * in milliseconds
+ * @param settingsReaders processes that watch the settings service at a time
+ * @param readerWindowMs length of the time window for which readers are chosen, in
+ * milliseconds
+ * @param watchMs wait of one watch in milliseconds
+ * @param selfReadMs age of confirmation after which a process reads for itself, in
+ * milliseconds
+ * @param noticeWaitMs longest wait for acknowledgements of a notice, in milliseconds
+ * @param clockSkewMs largest difference between wall clocks of VMs and servers, in
+ * milliseconds
+ */
+public record ExchangeSettings(int peerLinks, long digestMs, long unreachableMs, int peerBytesPerSecond, long fenceMs,
+		int settingsReaders, long readerWindowMs, long watchMs, long selfReadMs, long noticeWaitMs, long clockSkewMs) {
+
+	/**
+	 * Returns the defaults.
+	 * @return the values used where the tree gives none
+	 */
+	public static ExchangeSettings defaults() {
+		return new ExchangeSettings(6, 250, 3_000, 20_000, 2_500, 4, 10_000, 1_000, 1_500, 150, 250);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/model/Route.java
@@ -0,0 +1,36 @@
+package org.lovagevale.settings.model;
+
+/**
+ * A part of a service, matched by method and path prefix.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param name the name shown to operators, for example "POST /transfers"
+ * @param method the HTTP method, or "*" for any
+ * @param pathPrefix the path prefix, starting with a slash
+ * @param idempotent whether a request may run more than once
+ * @param policy the effective policy
+ */
+public record Route(String name, String method, String pathPrefix, boolean idempotent, Policy policy) {
+
+	/**
+	 * Tells whether this route covers a request.
+	 * @param method the HTTP method
+	 * @param path the path without query
+	 * @return {@code true} if method and path match
+	 */
+	public boolean isMatch(String method, String path) {
+		boolean methodMatches = this.method.equals("*") || this.method.equals(method);
+		return methodMatches && isPathMatch(path);
+	}
+
+	private boolean isPathMatch(String path) {
+		if (!path.startsWith(this.pathPrefix)) {
+			return false;
+		}
+		return path.length() == this.pathPrefix.length() || this.pathPrefix.endsWith("/")
+				|| path.charAt(this.pathPrefix.length()) == '/';
+	}
+
+}
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/package-info.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The settings module.
+ * Parser, checks, inheritance and differences of the settings tree.
  */
 @NullMarked
 package org.lovagevale.settings;
