--- /dev/null
+++ b/lovagevale-base/src/test/java/org/lovagevale/base/NamesTests.java
@@ -0,0 +1,33 @@
+package org.lovagevale.base;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+/**
+ * Guards against names that could break keys, logs or paths in the settings tree.
+ */
+class NamesTests {
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "-a", "A", "a.b", "a b", "a/b", "ä" })
+	void rejectsInvalidNames(String text) {
+		assertThatIllegalArgumentException().isThrownBy(() -> new VmName(text))
+			.withMessageContaining("invalid VM name");
+	}
+
+	@Test
+	void acceptsLettersDigitsAndHyphens() {
+		assertThat(new ServerName("transfers-01").value()).isEqualTo("transfers-01");
+	}
+
+	@Test
+	void rejectsNamesOverTheLimit() {
+		assertThat(Names.isValid("a".repeat(63))).isTrue();
+		assertThat(Names.isValid("a".repeat(64))).isFalse();
+	}
+
+}
