--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/keys/KeyHistoryTests.java
@@ -0,0 +1,179 @@
+package org.lovagevale.core.keys;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Histories;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.Self;
+import org.lovagevale.settings.model.KeySettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a key that is accepted twice, or reported as not run and run later, when
+ * messages are lost, delayed and repeated and processes pause and restart.
+ */
+class KeyHistoryTests {
+
+	private static final int STEPS = 300;
+
+	@Property(seed = "20261204", tries = 1_000)
+	void keyRunsAtMostOnceAndNeverAfterNotRun(@ForAll long seed) {
+		Histories.run(seed, (one) -> new History(one).run());
+	}
+
+	/**
+	 * Three processes and one caller that sends its keys to any of them.
+	 */
+	private static final class History {
+
+		private final SplittableRandom random;
+
+		private final List<Process> processes = new ArrayList<>();
+
+		private final List<IdempotencyKey> keys = new ArrayList<>();
+
+		private final List<IdempotencyKey> inFlight = new ArrayList<>();
+
+		private final Map<IdempotencyKey, Outcome> reported = new HashMap<>();
+
+		private final Set<IdempotencyKey> ran = new HashSet<>();
+
+		History(long seed) {
+			this.random = new SplittableRandom(seed);
+			for (int i = 0; i < 3; i++) {
+				this.processes.add(new Process(i, 0));
+			}
+		}
+
+		void run() {
+			for (int i = 0; i < STEPS; i++) {
+				step();
+			}
+		}
+
+		private void step() {
+			Process process = this.processes.get(this.random.nextInt(3));
+			switch (this.random.nextInt(12)) {
+				case 0, 1 -> create(process);
+				case 2, 3 -> resend();
+				case 4, 5, 6 -> deliver(process);
+				case 7 -> process.finish(this.random);
+				case 8 -> process.clock.advance(this.random.nextInt(700));
+				case 9 -> ask(process);
+				case 10 -> rarely(() -> process.clock.advance(5_000));
+				default -> rarely(() -> replace(process));
+			}
+		}
+
+		private void rarely(Runnable action) {
+			if (this.random.nextInt(6) == 0) {
+				action.run();
+			}
+		}
+
+		private void create(Process process) {
+			long epoch = process.table.currentEpoch() + ((this.random.nextInt(10) == 0) ? 1 : 0);
+			IdempotencyKey key = new IdempotencyKey(process.self.vm(), process.self.incarnation(), epoch,
+					"k" + this.keys.size());
+			this.keys.add(key);
+			this.inFlight.add(key);
+		}
+
+		private void resend() {
+			if (!this.keys.isEmpty()) {
+				this.inFlight.add(this.keys.get(this.random.nextInt(this.keys.size())));
+			}
+		}
+
+		private void deliver(Process process) {
+			if (this.inFlight.isEmpty()) {
+				return;
+			}
+			IdempotencyKey key = this.inFlight.get(this.random.nextInt(this.inFlight.size()));
+			if (this.random.nextInt(4) > 0) {
+				this.inFlight.remove(key);
+			}
+			KeyVerdict verdict = process.table.admit(key, new Fingerprint(key.unique()), null);
+			if (verdict instanceof KeyVerdict.Accepted) {
+				accept(process, key);
+			}
+			else if (verdict instanceof KeyVerdict.Rejected rejected) {
+				report(key, rejected.refusal().outcome());
+			}
+		}
+
+		private void accept(Process process, IdempotencyKey key) {
+			assertThat(this.reported.get(key)).as("accepted after not run: %s", key).isNotEqualTo(Outcome.NOT_RUN);
+			assertThat(this.ran.add(key)).as("accepted twice: %s", key).isTrue();
+			process.running.add(key);
+		}
+
+		private void ask(Process process) {
+			if (!this.keys.isEmpty()) {
+				IdempotencyKey key = this.keys.get(this.random.nextInt(this.keys.size()));
+				report(key, process.table.outcome(key));
+			}
+		}
+
+		private void report(IdempotencyKey key, Outcome outcome) {
+			if (outcome == Outcome.NOT_RUN) {
+				assertThat(this.ran).as("not run, but it did: %s", key).doesNotContain(key);
+				this.reported.put(key, outcome);
+			}
+		}
+
+		private void replace(Process process) {
+			int index = this.processes.indexOf(process);
+			this.processes.set(index, new Process(index, process.self.incarnation().startEpochMillis() + 1));
+		}
+
+	}
+
+	/**
+	 * One incarnation of one VM.
+	 */
+	private static final class Process {
+
+		private final ManualClock clock = new ManualClock(0, 0);
+
+		private final Self self;
+
+		private final KeyTable table;
+
+		private final List<IdempotencyKey> running = new ArrayList<>();
+
+		Process(int index, long start) {
+			this.self = new Self(new VmName("entry-" + index), new Incarnation(start, 0));
+			this.table = new KeyTable(this.self, this.clock);
+			this.table.configure(new KeySettings(5, 1_000, 3, 4));
+		}
+
+		void finish(SplittableRandom random) {
+			if (this.running.isEmpty()) {
+				return;
+			}
+			IdempotencyKey key = this.running.remove(random.nextInt(this.running.size()));
+			if (random.nextBoolean()) {
+				this.table.recordRan(key, null);
+			}
+			else {
+				this.table.recordUnknown(key);
+			}
+		}
+
+	}
+
+}
