Add the fleet logic, first version

Members, settings versions, fencing, ownership, notices, key queries, addresses and planned stops were interfaces only. FleetLogic wires one small class for each of them.

A digest proves when it was written by returning the receiver's heartbeat counter. Confirmations and members count from that time, so a process that was paused does not take messages that waited in its buffers for fresh news. A confirmation by the platform counts from the read, or from the end of its wait.

No tests of the fleet yet, so no behaviour is proved.

--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/CallerAddresses.java
@@ -0,0 +1,122 @@
+package org.lovagevale.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Region;
+import org.lovagevale.core.CallerAddress;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.MemberPhase;
+import org.lovagevale.core.decision.AnswerAddresses;
+import org.lovagevale.core.event.AddressesAsked;
+import org.lovagevale.core.keys.IdempotencyKey;
+import org.lovagevale.core.message.MemberEntry;
+import org.lovagevale.settings.model.AccountSettings;
+import org.lovagevale.settings.model.AddressSettings;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.settings.model.Settings;
+
+/**
+ * Chooses the entry VMs that callers are told to use.
+ *
+ * <p>
+ * The own region comes first. Within a region, callers are spread by rendezvous hashing.
+ * If there is a choice, the addresses are not all in one failure domain, so that a caller
+ * is left with one when a failure domain is lost. Not thread-safe.
+ */
+final class CallerAddresses {
+
+	private final Published published;
+
+	private final Members members;
+
+	private final LeavingMarks leaving;
+
+	CallerAddresses(Published published, Members members, LeavingMarks leaving) {
+		this.published = published;
+		this.members = members;
+		this.leaving = leaving;
+	}
+
+	/**
+	 * Answers a question for addresses.
+	 * @param question the question
+	 * @param own the entry of this process, whose key epoch is up to date
+	 * @return the answer, without addresses if no VM may be used
+	 */
+	AnswerAddresses answer(AddressesAsked question, MemberEntry own) {
+		Settings settings = this.published.settings();
+		if (settings == null) {
+			return new AnswerAddresses(question.id(), List.of(), 0, 0);
+		}
+		Set<Region> homeRegions = homeRegions(settings, question);
+		List<EntryVm> usable = settings.entryVms()
+			.stream()
+			.filter((vm) -> !vm.out() && (homeRegions.isEmpty() || homeRegions.contains(vm.region())))
+			.filter((vm) -> isUsable(vm, own))
+			.toList();
+		AddressSettings limits = settings.addresses();
+		List<CallerAddress> addresses = choose(question.callerAddress(), usable, limits.count()).stream()
+			.map((vm) -> new CallerAddress(vm, keyPrefix(vm, own)))
+			.toList();
+		return new AnswerAddresses(question.id(), addresses, limits.validForMs(), settings.version());
+	}
+
+	private static Set<Region> homeRegions(Settings settings, AddressesAsked question) {
+		Set<Region> service = settings.service(question.service())
+			.map((found) -> found.policy().homeRegions())
+			.orElse(Set.of());
+		Set<Region> account = Optional.ofNullable(question.account())
+			.flatMap(settings::account)
+			.map(AccountSettings::homeRegions)
+			.orElse(Set.of());
+		if (service.isEmpty() || account.isEmpty()) {
+			return service.isEmpty() ? account : service;
+		}
+		Set<Region> both = new HashSet<>(service);
+		both.retainAll(account);
+		return both;
+	}
+
+	private boolean isUsable(EntryVm vm, MemberEntry own) {
+		MemberEntry entry = entry(vm, own);
+		return entry != null && entry.phase().equals(MemberPhase.LIVE.name()) && !entry.fenced()
+				&& !this.leaving.isLeaving(vm.name().value());
+	}
+
+	private @Nullable MemberEntry entry(EntryVm vm, MemberEntry own) {
+		if (vm.name().value().equals(own.vm())) {
+			return own;
+		}
+		Member member = this.members.find(vm.name());
+		boolean isHeard = member != null && this.members.isHeard(member, this.published.exchange().unreachableMs());
+		return (member != null && isHeard) ? member.entry() : null;
+	}
+
+	private List<EntryVm> choose(String caller, List<EntryVm> usable, int count) {
+		Region own = this.published.ownRegion();
+		List<EntryVm> ranked = Rendezvous.rank(caller, usable)
+			.stream()
+			.sorted(Comparator.comparing((EntryVm vm) -> !vm.region().equals(own)))
+			.toList();
+		List<EntryVm> chosen = new ArrayList<>(ranked.subList(0, Math.min(count, ranked.size())));
+		if (chosen.size() > 1 && chosen.stream().map(EntryVm::domain).distinct().count() == 1) {
+			Predicate<EntryVm> isElsewhere = (vm) -> !vm.domain().equals(chosen.getFirst().domain());
+			ranked.stream().filter(isElsewhere).findFirst().ifPresent((vm) -> chosen.set(chosen.size() - 1, vm));
+		}
+		return chosen;
+	}
+
+	private String keyPrefix(EntryVm vm, MemberEntry own) {
+		MemberEntry entry = entry(vm, own);
+		return (entry != null)
+				? IdempotencyKey.prefix(vm.name(), Incarnation.parse(entry.incarnation()), entry.keyEpoch()) : "";
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DigestWriter.java
@@ -0,0 +1,153 @@
+package org.lovagevale.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.message.Digest;
+import org.lovagevale.core.message.MemberEntry;
+import org.lovagevale.core.message.ServerEntry;
+import org.lovagevale.core.message.SuspectEntry;
+
+/**
+ * Writes digests: what changed since the last digest to that peer, cut to the budget of
+ * the link.
+ *
+ * <p>
+ * The own entry and that of the receiver are always included; the latter proves to the
+ * receiver when the digest was written. Suspects come next, then members in turn, then
+ * server states, the oldest of which are dropped first. Not thread-safe.
+ */
+final class DigestWriter {
+
+	// Leaves a quarter of the budget for server states when there are many members.
+	private static final int MEMBER_PERCENT = 75;
+
+	private static final int PERCENT = 100;
+
+	private final Clock clock;
+
+	private final Published published;
+
+	private final SettingsFreshness freshness;
+
+	private final Members members;
+
+	private final ServerReports reports;
+
+	private final LeavingMarks leaving;
+
+	private final Suspects suspects;
+
+	private final Supplier<MemberEntry> own;
+
+	DigestWriter(Clock clock, Published published, SettingsFreshness freshness, Members members, ServerReports reports,
+			LeavingMarks leaving, Suspects suspects, Supplier<MemberEntry> own) {
+		this.clock = clock;
+		this.published = published;
+		this.freshness = freshness;
+		this.members = members;
+		this.reports = reports;
+		this.leaving = leaving;
+		this.suspects = suspects;
+		this.own = own;
+	}
+
+	/**
+	 * Writes the next digest for a peer.
+	 * @param peer the peer
+	 * @param link what was sent to it
+	 * @param bytes the bytes that may be sent; the two fixed entries are sent in any case
+	 * @return the digest
+	 */
+	Digest write(VmName peer, PeerLink link, long bytes) {
+		List<MemberEntry> entries = new ArrayList<>();
+		entries.add(this.own.get());
+		Member receiver = this.members.find(peer);
+		if (receiver != null) {
+			entries.add(receiver.entry());
+		}
+		if (!link.isGreeted()) {
+			return digest(entries, List.of(), List.of());
+		}
+		link.startDigest(this.clock.millis(), this.suspects.changes());
+		long left = bytes - MessageSize.FRAME - entries.stream().mapToInt(MessageSize::of).sum();
+		List<SuspectEntry> suspectEntries = suspects(peer, link, left);
+		left -= suspectEntries.stream().mapToInt(MessageSize::of).sum();
+		List<MemberEntry> others = members(peer, link, left * MEMBER_PERCENT / PERCENT);
+		left -= others.stream().mapToInt(MessageSize::of).sum();
+		entries.addAll(others);
+		return digest(entries, servers(link, left), suspectEntries);
+	}
+
+	private Digest digest(List<MemberEntry> entries, List<ServerEntry> servers, List<SuspectEntry> suspectEntries) {
+		return new Digest(entries, this.published.version(), this.freshness.ageMs(), servers, suspectEntries);
+	}
+
+	private List<SuspectEntry> suspects(VmName peer, PeerLink link, long bytes) {
+		List<SuspectEntry> entries = new ArrayList<>();
+		long left = bytes;
+		for (Suspect suspect : this.suspects.changedAfter(link.suspectChange())) {
+			if (mayKnow(peer, suspect)) {
+				SuspectEntry entry = this.suspects.toEntry(suspect);
+				left -= MessageSize.of(entry);
+				if (left < 0 && !entries.isEmpty()) {
+					return entries;
+				}
+				entries.add(entry);
+			}
+			link.setSuspectChange(suspect.change());
+		}
+		link.setSuspectChange(this.suspects.changes());
+		return entries;
+	}
+
+	private boolean mayKnow(VmName peer, Suspect suspect) {
+		Set<Region> regions = suspect.regions().stream().map(Region::new).collect(Collectors.toSet());
+		return this.published.mayKnow(peer, regions);
+	}
+
+	// Takes turns among the members when the budget is too small for all.
+	private List<MemberEntry> members(VmName peer, PeerLink link, long bytes) {
+		List<Member> due = due(peer, link);
+		List<MemberEntry> entries = new ArrayList<>();
+		long left = bytes;
+		for (int i = 0; i < due.size(); i++) {
+			Member member = due.get((link.cursor() + i) % due.size());
+			left -= MessageSize.of(member.entry());
+			if (left < 0) {
+				link.setCursor((link.cursor() + i) % due.size());
+				break;
+			}
+			entries.add(member.entry());
+			link.memberSent(member);
+		}
+		return entries;
+	}
+
+	// A member that was not heard lately is not passed on, so that old news about it do
+	// not go round.
+	private List<Member> due(VmName peer, PeerLink link) {
+		long withinMs = this.published.exchange().unreachableMs();
+		return this.members.all()
+			.stream()
+			.filter((member) -> !member.vm().equals(peer) && link.isMemberDue(member))
+			.filter((member) -> this.members.isHeard(member, withinMs))
+			.toList();
+	}
+
+	private List<ServerEntry> servers(PeerLink link, long bytes) {
+		List<ServerEntry> entries = new ArrayList<>(this.leaving.changedAfter(link.leavingChange()));
+		link.setLeavingChange(this.leaving.changes());
+		long left = bytes - entries.stream().mapToInt(MessageSize::of).sum();
+		entries.addAll(this.reports.changedAfter(link.serverChange(), left));
+		link.setServerChange(this.reports.changes());
+		return entries;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Member.java
@@ -0,0 +1,88 @@
+package org.lovagevale.core.fleet;
+
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.MemberPhase;
+import org.lovagevale.core.message.MemberEntry;
+
+/**
+ * What this process knows of another entry process.
+ *
+ * <p>
+ * Invariant: incarnation, then heartbeat counter, never decrease. Not thread-safe.
+ */
+final class Member {
+
+	private final VmName vm;
+
+	private Incarnation incarnation;
+
+	private MemberPhase phase;
+
+	private MemberEntry entry;
+
+	private long heardAt = Heartbeat.NEVER;
+
+	private long change;
+
+	private boolean reachable;
+
+	Member(VmName vm, Incarnation incarnation, MemberPhase phase, MemberEntry entry) {
+		this.vm = vm;
+		this.incarnation = incarnation;
+		this.phase = phase;
+		this.entry = entry;
+	}
+
+	VmName vm() {
+		return this.vm;
+	}
+
+	Incarnation incarnation() {
+		return this.incarnation;
+	}
+
+	MemberPhase phase() {
+		return this.phase;
+	}
+
+	MemberEntry entry() {
+		return this.entry;
+	}
+
+	long heardAt() {
+		return this.heardAt;
+	}
+
+	long change() {
+		return this.change;
+	}
+
+	boolean isReachable() {
+		return this.reachable;
+	}
+
+	void setReachable(boolean reachable) {
+		this.reachable = reachable;
+	}
+
+	boolean isNewer(Incarnation incarnation, long beat) {
+		int order = incarnation.compareTo(this.incarnation);
+		return order > 0 || (order == 0 && beat > this.entry.beat());
+	}
+
+	void update(Incarnation incarnation, MemberPhase phase, MemberEntry entry, long change) {
+		if (!incarnation.equals(this.incarnation)) {
+			this.heardAt = Heartbeat.NEVER;
+		}
+		this.incarnation = incarnation;
+		this.phase = phase;
+		this.entry = entry;
+		this.change = change;
+	}
+
+	void heard(long at) {
+		this.heardAt = Math.max(this.heardAt, at);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/MessageSize.java
@@ -0,0 +1,79 @@
+package org.lovagevale.core.fleet;
+
+import java.util.List;
+
+import org.lovagevale.core.message.Digest;
+import org.lovagevale.core.message.Hello;
+import org.lovagevale.core.message.KeyArchive;
+import org.lovagevale.core.message.MemberEntry;
+import org.lovagevale.core.message.Notice;
+import org.lovagevale.core.message.NoticeAck;
+import org.lovagevale.core.message.OutcomeAnswer;
+import org.lovagevale.core.message.OutcomeQuery;
+import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.ServerEntry;
+import org.lovagevale.core.message.SettingsBody;
+import org.lovagevale.core.message.SettingsRequest;
+import org.lovagevale.core.message.SuspectEntry;
+
+/**
+ * Estimates the bytes of a peer message, for the budget of a link.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class MessageSize {
+
+	/** Frame length, message type, array header and two numbers. */
+	static final int FRAME = 24;
+
+	private static final int TEXT = 2;
+
+	private static final int NUMBER = 9;
+
+	private MessageSize() {
+	}
+
+	static int of(MemberEntry entry) {
+		return text(entry.vm()) + text(entry.incarnation()) + text(entry.phase()) + 2 * NUMBER + TEXT;
+	}
+
+	static int of(ServerEntry entry) {
+		return text(entry.server()) + text(entry.state()) + text(entry.boot()) + NUMBER;
+	}
+
+	static int of(SuspectEntry entry) {
+		return text(entry.fingerprint()) + texts(entry.regions()) + 3 * NUMBER;
+	}
+
+	static int of(PeerMessage message) {
+		return FRAME + switch (message) {
+			case Hello hello -> text(hello.deployment()) + text(hello.vm()) + text(hello.incarnation());
+			case Digest digest -> of(digest);
+			case SettingsRequest request -> 0;
+			case SettingsBody body -> text(body.content());
+			case Notice notice -> of(notice.suspect());
+			case NoticeAck ack -> 0;
+			case OutcomeQuery query -> text(query.key()) + texts(query.regions());
+			case OutcomeAnswer answer -> text(answer.key()) + text(answer.outcome());
+			case KeyArchive archive -> text(archive.vm()) + text(archive.incarnation()) + texts(archive.ran())
+					+ texts(archive.unknown()) + texts(archive.regions());
+		};
+	}
+
+	private static int of(Digest digest) {
+		int members = digest.members().stream().mapToInt(MessageSize::of).sum();
+		int servers = digest.servers().stream().mapToInt(MessageSize::of).sum();
+		int suspects = digest.suspects().stream().mapToInt(MessageSize::of).sum();
+		return members + servers + suspects;
+	}
+
+	private static int text(String text) {
+		return TEXT + text.length();
+	}
+
+	private static int texts(List<String> texts) {
+		return texts.stream().mapToInt(MessageSize::text).sum();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Outbox.java
@@ -0,0 +1,69 @@
+package org.lovagevale.core.fleet;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.DecisionSink;
+import org.lovagevale.core.decision.SendToPeer;
+import org.lovagevale.core.message.PeerMessage;
+
+/**
+ * The links to peers; charges every message to the budget of its link.
+ *
+ * <p>
+ * Messages are never held back here: digests are cut to the budget, and all others have
+ * priority over them. Not thread-safe.
+ */
+final class Outbox {
+
+	private final Clock clock;
+
+	private final DecisionSink sink;
+
+	private final Published published;
+
+	private final Map<VmName, PeerLink> links = new TreeMap<>();
+
+	Outbox(Clock clock, DecisionSink sink, Published published) {
+		this.clock = clock;
+		this.sink = sink;
+		this.published = published;
+	}
+
+	void connected(VmName peer) {
+		this.links.put(peer, new PeerLink(new ByteBudget(this.clock.millis(), bytesPerSecond())));
+	}
+
+	void lost(VmName peer) {
+		this.links.remove(peer);
+	}
+
+	@Nullable PeerLink link(VmName peer) {
+		return this.links.get(peer);
+	}
+
+	Map<VmName, PeerLink> links() {
+		return Collections.unmodifiableMap(this.links);
+	}
+
+	long available(PeerLink link) {
+		return link.budget().available(this.clock.millis(), bytesPerSecond());
+	}
+
+	void send(VmName peer, PeerMessage message) {
+		PeerLink link = this.links.get(peer);
+		if (link != null) {
+			link.budget().charge(MessageSize.of(message), bytesPerSecond());
+		}
+		this.sink.add(new SendToPeer(peer, message));
+	}
+
+	private int bytesPerSecond() {
+		return this.published.exchange().peerBytesPerSecond();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/OutcomeQueries.java
@@ -0,0 +1,170 @@
+package org.lovagevale.core.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.keys.IdempotencyKey;
+import org.lovagevale.core.keys.Keys;
+import org.lovagevale.core.message.OutcomeAnswer;
+import org.lovagevale.core.message.OutcomeQuery;
+
+/**
+ * Queries for the outcomes of keys, to their owners or to the holders of their archives.
+ *
+ * <p>
+ * Invariant: only the owner of a key or its archive decides that it did not run; without
+ * their answer the outcome is unknown. Not thread-safe.
+ */
+final class OutcomeQueries {
+
+	/** Longest wait for an answer. */
+	static final long TIMEOUT_MS = 500;
+
+	private static final long KEEP_MS = 60_000;
+
+	private final Self self;
+
+	private final Clock clock;
+
+	private final Keys keys;
+
+	private final Published published;
+
+	private final Members members;
+
+	private final Archives archives;
+
+	private final ArchiveHolders holders;
+
+	private final Outbox outbox;
+
+	private final Map<Long, Query> queries = new HashMap<>();
+
+	private long nextId;
+
+	OutcomeQueries(Self self, Clock clock, RandomSource random, Keys keys, Published published, Members members,
+			Archives archives, Outbox outbox) {
+		this.self = self;
+		this.clock = clock;
+		this.keys = keys;
+		this.published = published;
+		this.members = members;
+		this.archives = archives;
+		this.holders = new ArchiveHolders(self.vm(), published, members);
+		this.outbox = outbox;
+		this.nextId = random.nextLong() >>> 1;
+	}
+
+	long ask(IdempotencyKey key, Set<Region> regions) {
+		long id = this.nextId++;
+		Outcome known = localOutcome(key);
+		Query query = new Query(key, this.clock.millis() + TIMEOUT_MS, known);
+		this.queries.put(id, query);
+		if (known == null) {
+			send(id, query, regions);
+		}
+		return id;
+	}
+
+	/**
+	 * Returns the answer to a query.
+	 * @param id the query
+	 * @return the outcome, or {@code null} while it is awaited
+	 */
+	@Nullable Outcome outcomeOf(long id) {
+		Query query = this.queries.get(id);
+		if (query == null) {
+			return Outcome.UNKNOWN;
+		}
+		if (query.outcome == null && this.clock.millis() >= query.deadline) {
+			query.outcome = Outcome.UNKNOWN;
+		}
+		return query.outcome;
+	}
+
+	void answered(VmName from, OutcomeAnswer answer) {
+		Outcome outcome = Outcome.valueOf(answer.outcome());
+		Query query = this.queries.get(answer.id());
+		if (query == null || query.outcome != null || !query.key.toString().equals(answer.key())
+				|| !query.awaited.remove(from)) {
+			return;
+		}
+		if (outcome != Outcome.UNKNOWN || query.awaited.isEmpty()) {
+			query.outcome = outcome;
+		}
+	}
+
+	/**
+	 * Answers a query of a peer from the own keys or an archive.
+	 * @param from the peer
+	 * @param query the query
+	 * @throws IllegalArgumentException if the key is malformed
+	 */
+	void answer(VmName from, OutcomeQuery query) {
+		Outcome known = localOutcome(IdempotencyKey.parse(query.key()));
+		Outcome outcome = (known != null) ? known : Outcome.UNKNOWN;
+		this.outbox.send(from, new OutcomeAnswer(query.id(), query.key(), outcome.name()));
+	}
+
+	void expire() {
+		long now = this.clock.millis();
+		this.queries.values().removeIf((query) -> now - query.deadline > KEEP_MS);
+	}
+
+	private @Nullable Outcome localOutcome(IdempotencyKey key) {
+		boolean isOwn = key.vm().equals(this.self.vm()) && key.incarnation().equals(this.self.incarnation());
+		return isOwn ? this.keys.outcome(key) : this.archives.outcome(key);
+	}
+
+	private void send(long id, Query query, Set<Region> regions) {
+		List<String> names = regions.stream().sorted().map(Region::value).toList();
+		for (VmName peer : peersToAsk(query.key)) {
+			if (this.published.mayKnow(peer, regions)) {
+				query.awaited.add(peer);
+				this.outbox.send(peer, new OutcomeQuery(id, query.key.toString(), names));
+			}
+		}
+		if (query.awaited.isEmpty()) {
+			query.outcome = Outcome.UNKNOWN;
+		}
+	}
+
+	private List<VmName> peersToAsk(IdempotencyKey key) {
+		Member owner = this.members.find(key.vm());
+		boolean isOwnerThere = owner != null && owner.incarnation().equals(key.incarnation())
+				&& this.members.isHeard(owner, this.published.exchange().unreachableMs());
+		return isOwnerThere ? List.of(key.vm()) : this.holders.of(key.vm(), key.incarnation());
+	}
+
+	/**
+	 * A query that was sent.
+	 */
+	private static final class Query {
+
+		private final IdempotencyKey key;
+
+		private final long deadline;
+
+		private final Set<VmName> awaited = new HashSet<>();
+
+		private @Nullable Outcome outcome;
+
+		Query(IdempotencyKey key, long deadline, @Nullable Outcome outcome) {
+			this.key = key;
+			this.deadline = deadline;
+			this.outcome = outcome;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PlannedStop.java
@@ -0,0 +1,137 @@
+package org.lovagevale.core.fleet;
+
+import java.util.List;
+
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.DecisionSink;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.decision.Exit;
+import org.lovagevale.core.decision.StopAccepting;
+import org.lovagevale.core.keys.Keys;
+import org.lovagevale.core.message.KeyArchive;
+
+/**
+ * The steps of a planned stop: announce, wait until callers have moved, accept nothing
+ * new, complete what runs, hand over the key archive, exit.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class PlannedStop {
+
+	/** Time for the links to send the archive. Chosen, not measured. */
+	static final long ARCHIVE_MS = 500;
+
+	private final Self self;
+
+	private final Clock clock;
+
+	private final DecisionSink sink;
+
+	private final Keys keys;
+
+	private final Published published;
+
+	private final ArchiveHolders holders;
+
+	private final Outbox outbox;
+
+	private final Audit audit;
+
+	private Step step = Step.NONE;
+
+	private long nextAt;
+
+	PlannedStop(Self self, Clock clock, DecisionSink sink, Keys keys, Published published, Members members,
+			Outbox outbox, Audit audit) {
+		this.self = self;
+		this.clock = clock;
+		this.sink = sink;
+		this.keys = keys;
+		this.published = published;
+		this.holders = new ArchiveHolders(self.vm(), published, members);
+		this.outbox = outbox;
+		this.audit = audit;
+	}
+
+	void begin(String reason, long waitMs) {
+		if (this.step == Step.NONE) {
+			this.step = Step.ANNOUNCED;
+			this.nextAt = this.clock.millis() + waitMs;
+			this.audit.add("stop.announced", "reason", reason, "waitMs", waitMs);
+		}
+	}
+
+	boolean isLeaving() {
+		return this.step != Step.NONE;
+	}
+
+	boolean isClosed() {
+		return this.step.compareTo(Step.CLOSED) >= 0;
+	}
+
+	void tick(int running) {
+		switch (this.step) {
+			case ANNOUNCED -> close();
+			case CLOSED -> archive(running);
+			case ARCHIVED -> exit();
+			case NONE, EXITED -> {
+			}
+		}
+	}
+
+	private void close() {
+		if (this.clock.millis() >= this.nextAt) {
+			this.step = Step.CLOSED;
+			this.sink.add(new StopAccepting());
+		}
+	}
+
+	private void archive(int running) {
+		if (running > 0) {
+			return;
+		}
+		this.step = Step.ARCHIVED;
+		this.nextAt = this.clock.millis() + ARCHIVE_MS;
+		Region region = this.published.ownRegion();
+		if (region != null) {
+			KeyArchive archive = this.keys.seal(List.of(region.value()));
+			for (VmName holder : this.holders.of(this.self.vm(), this.self.incarnation())) {
+				this.outbox.send(holder, archive);
+			}
+		}
+	}
+
+	private void exit() {
+		if (this.clock.millis() >= this.nextAt) {
+			this.step = Step.EXITED;
+			this.audit.add("stop.completed");
+			this.sink.add(new Exit());
+		}
+	}
+
+	/**
+	 * The last step taken.
+	 */
+	private enum Step {
+
+		/** No stop was asked for. */
+		NONE,
+
+		/** Other VMs no longer name this one. */
+		ANNOUNCED,
+
+		/** Nothing new is accepted. */
+		CLOSED,
+
+		/** The key archive was sent. */
+		ARCHIVED,
+
+		/** The process was told to end. */
+		EXITED
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PlatformReads.java
@@ -0,0 +1,139 @@
+package org.lovagevale.core.fleet;
+
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.RandomSource;
+import org.lovagevale.core.DecisionSink;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.decision.ReadSettings;
+import org.lovagevale.core.decision.ReadVmList;
+
+/**
+ * Decides when to read the settings service and the list of VMs.
+ *
+ * <p>
+ * Invariant: at most one read of the settings is outstanding. The executor answers each
+ * {@code ReadSettings} with exactly one event. Not thread-safe.
+ */
+final class PlatformReads {
+
+	/**
+	 * Least time between two reads of a process that is no reader, and after a failure.
+	 */
+	static final long PAUSE_MS = 1_000;
+
+	private static final int JITTER_MS = 500;
+
+	// Bounds the rate of a reader if the service answers a watch at once.
+	private static final long READER_PAUSE_MS = 200;
+
+	private static final long VM_LIST_MS = 2_000;
+
+	private final Self self;
+
+	private final Clock clock;
+
+	private final RandomSource random;
+
+	private final DecisionSink sink;
+
+	private final Published published;
+
+	private final SettingsFreshness freshness;
+
+	private final ReaderChoice readers;
+
+	private boolean outstanding;
+
+	private long issuedAt;
+
+	private long waitMs;
+
+	private long nextAt = Heartbeat.NEVER;
+
+	private long nextVmListAt = Heartbeat.NEVER;
+
+	PlatformReads(Self self, Clock clock, RandomSource random, DecisionSink sink, Published published,
+			SettingsFreshness freshness) {
+		this.self = self;
+		this.clock = clock;
+		this.random = random;
+		this.sink = sink;
+		this.published = published;
+		this.freshness = freshness;
+		this.readers = new ReaderChoice(clock, published);
+	}
+
+	void tick(boolean starting) {
+		boolean isReader = this.readers.isReader(this.self.vm());
+		readSettings(isReader);
+		readVmList(isReader || starting);
+	}
+
+	/**
+	 * Ends the outstanding read with an answer that may have been given at any time since
+	 * the read was issued.
+	 * @return the time for which the answer is good, {@link Heartbeat#NEVER} if no read
+	 * was outstanding
+	 */
+	long answered() {
+		long at = this.outstanding ? this.issuedAt : Heartbeat.NEVER;
+		this.outstanding = false;
+		return at;
+	}
+
+	/**
+	 * Ends the outstanding read with the answer that nothing newer appeared while the
+	 * service waited.
+	 * @return the time for which the answer is good, {@link Heartbeat#NEVER} if no read
+	 * was outstanding; at most the end of the wait, since this process may have been
+	 * paused after that
+	 */
+	long answeredAfterWait() {
+		long waitedUntil = this.issuedAt + this.waitMs;
+		return (answered() == Heartbeat.NEVER) ? Heartbeat.NEVER : Math.min(this.clock.millis(), waitedUntil);
+	}
+
+	void failed() {
+		this.outstanding = false;
+		this.nextAt = this.clock.millis() + PAUSE_MS + this.random.nextInt(JITTER_MS);
+	}
+
+	private void readSettings(boolean isReader) {
+		if (this.outstanding || this.clock.millis() < this.nextAt) {
+			return;
+		}
+		if (this.published.settings() == null) {
+			read(0, PAUSE_MS + this.random.nextInt(JITTER_MS));
+		}
+		else if (isReader) {
+			read(watchMs(), READER_PAUSE_MS);
+		}
+		else if (!this.freshness.isConfirmed(this.published.exchange().selfReadMs())) {
+			read(0, PAUSE_MS + this.random.nextInt(JITTER_MS));
+		}
+	}
+
+	private void read(long waitMs, long pauseMs) {
+		this.outstanding = true;
+		this.issuedAt = this.clock.millis();
+		this.waitMs = waitMs;
+		this.nextAt = this.issuedAt + pauseMs;
+		this.sink.add(new ReadSettings(this.published.version(), waitMs));
+	}
+
+	// A random part of the watch keeps the readers out of step, so that the youngest
+	// confirmation in the fleet is a fraction of a watch old.
+	private long watchMs() {
+		int half = (int) Math.max(1, this.published.exchange().watchMs() / 2);
+		return half + this.random.nextInt(half + 1);
+	}
+
+	private void readVmList(boolean isDue) {
+		long now = this.clock.millis();
+		if (isDue && now >= this.nextVmListAt) {
+			this.nextVmListAt = now + VM_LIST_MS;
+			this.sink.add(new ReadVmList());
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Rendezvous.java
@@ -0,0 +1,68 @@
+package org.lovagevale.core.fleet;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.lovagevale.settings.model.EntryVm;
+
+/**
+ * Rendezvous hashing: every process computes the same order of VMs for a subject, and a
+ * change of one VM moves only what that VM had.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class Rendezvous {
+
+	// FNV-1a, 64 bits.
+	private static final long OFFSET = 0xcbf29ce484222325L;
+
+	private static final long PRIME = 0x100000001b3L;
+
+	// Finalizer of SplitMix64. FNV alone orders names that differ only in their last
+	// character in the same way for every subject.
+	private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
+
+	private static final long MIX_2 = 0x94d049bb133111ebL;
+
+	private Rendezvous() {
+	}
+
+	static long score(String subject, String candidate) {
+		long hash = add(add(add(OFFSET, subject), "\0"), candidate);
+		hash = (hash ^ (hash >>> 30)) * MIX_1;
+		hash = (hash ^ (hash >>> 27)) * MIX_2;
+		return hash ^ (hash >>> 31);
+	}
+
+	static List<EntryVm> rank(String subject, List<EntryVm> candidates) {
+		return candidates.stream()
+			.map((vm) -> new Scored(vm, score(subject, vm.name().value())))
+			.sorted(Scored.BEST_FIRST)
+			.map(Scored::vm)
+			.toList();
+	}
+
+	private static long add(long hash, String text) {
+		long result = hash;
+		for (int i = 0; i < text.length(); i++) {
+			result = (result ^ text.charAt(i)) * PRIME;
+		}
+		return result;
+	}
+
+	/**
+	 * A candidate with its score.
+	 *
+	 * @param vm the candidate
+	 * @param score its score, higher is better
+	 */
+	private record Scored(EntryVm vm, long score) {
+
+		static final Comparator<Scored> BEST_FIRST = Comparator.comparingLong(Scored::score)
+			.reversed()
+			.thenComparing((scored) -> scored.vm().name());
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspect.java
@@ -0,0 +1,116 @@
+package org.lovagevale.core.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.lovagevale.base.VmName;
+
+/**
+ * What is known of a request that crashed backend servers.
+ *
+ * <p>
+ * Invariant: strikes never decrease. They are counted for each process and added up, so
+ * that simultaneous crashes at different processes count separately. Not thread-safe.
+ */
+final class Suspect {
+
+	private final String fingerprint;
+
+	private final List<String> regions;
+
+	private final Map<String, Integer> strikesByOrigin = new HashMap<>();
+
+	private final Map<VmName, Long> trials = new HashMap<>();
+
+	private int strikesHeard;
+
+	private long crashedAt = Heartbeat.NEVER;
+
+	private long change;
+
+	private boolean quarantined;
+
+	Suspect(String fingerprint, List<String> regions) {
+		this.fingerprint = fingerprint;
+		this.regions = List.copyOf(regions);
+	}
+
+	String fingerprint() {
+		return this.fingerprint;
+	}
+
+	List<String> regions() {
+		return this.regions;
+	}
+
+	int strikes() {
+		int sum = this.strikesByOrigin.values().stream().mapToInt(Integer::intValue).sum();
+		return Math.max(sum, this.strikesHeard);
+	}
+
+	int strikesOf(String origin) {
+		return this.strikesByOrigin.getOrDefault(origin, 0);
+	}
+
+	long crashedAt() {
+		return this.crashedAt;
+	}
+
+	long change() {
+		return this.change;
+	}
+
+	void setChange(long change) {
+		this.change = change;
+	}
+
+	boolean isQuarantined() {
+		return this.quarantined;
+	}
+
+	void setQuarantined() {
+		this.quarantined = true;
+	}
+
+	void crashed(long at) {
+		this.crashedAt = Math.max(this.crashedAt, at);
+	}
+
+	void count(String origin, int strikes) {
+		this.strikesByOrigin.merge(origin, strikes, Math::max);
+	}
+
+	void countHeard(int strikes) {
+		this.strikesHeard = Math.max(this.strikesHeard, strikes);
+	}
+
+	void setTrial(VmName vm, long until) {
+		this.trials.put(vm, until);
+	}
+
+	void endTrial(VmName vm) {
+		this.trials.remove(vm);
+	}
+
+	long trialUntil(VmName vm) {
+		return this.trials.getOrDefault(vm, Heartbeat.NEVER);
+	}
+
+	boolean isOnTrial(long now) {
+		return this.trials.values().stream().anyMatch((until) -> until > now);
+	}
+
+	/**
+	 * Tells whether a trial elsewhere takes precedence over one here.
+	 * @param self this process
+	 * @param now the time in monotonic milliseconds
+	 * @return {@code true} if a trial runs at a VM with a lower name
+	 */
+	boolean isTrialElsewhere(VmName self, long now) {
+		return this.trials.entrySet()
+			.stream()
+			.anyMatch((trial) -> trial.getKey().compareTo(self) < 0 && trial.getValue() > now);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspects.java
@@ -0,0 +1,235 @@
+package org.lovagevale.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.message.SuspectEntry;
+
+/**
+ * Requests that crashed backend servers.
+ *
+ * <p>
+ * Entries expire some time after the last crash and are bounded in number; the oldest
+ * that is not quarantined is dropped first. Not thread-safe.
+ */
+final class Suspects {
+
+	private final Self self;
+
+	private final Clock clock;
+
+	private final Published published;
+
+	private final Audit audit;
+
+	private final Map<String, Suspect> suspects = new HashMap<>();
+
+	private long changes;
+
+	Suspects(Self self, Clock clock, Published published, Audit audit) {
+		this.self = self;
+		this.clock = clock;
+		this.published = published;
+		this.audit = audit;
+	}
+
+	SuspectStatus status(Fingerprint fingerprint) {
+		Suspect suspect = find(fingerprint.value());
+		if (suspect == null) {
+			return SuspectStatus.CLEAR;
+		}
+		if (isQuarantined(suspect)) {
+			return SuspectStatus.QUARANTINED;
+		}
+		return suspect.isOnTrial(this.clock.millis()) ? SuspectStatus.ON_TRIAL : SuspectStatus.SUSPECT;
+	}
+
+	/**
+	 * Records a crash at this process, which ends a trial of it here.
+	 * @param fingerprint the request
+	 * @param regions the regions that may know of it, empty for all
+	 * @return what to tell peers
+	 */
+	SuspectEntry strike(Fingerprint fingerprint, Set<Region> regions) {
+		Suspect suspect = findOrAdd(fingerprint.value(), names(regions), this.clock.millis());
+		suspect.count(ownOrigin(), suspect.strikesOf(ownOrigin()) + 1);
+		suspect.crashed(this.clock.millis());
+		suspect.endTrial(this.self.vm());
+		changed(suspect);
+		return toNotice(suspect);
+	}
+
+	SuspectEntry startTrial(Fingerprint fingerprint, long trialMs, Set<Region> regions) {
+		Suspect suspect = findOrAdd(fingerprint.value(), names(regions), this.clock.millis());
+		suspect.setTrial(this.self.vm(), this.clock.millis() + trialMs);
+		changed(suspect);
+		return toNotice(suspect);
+	}
+
+	@Nullable SuspectEntry endTrial(Fingerprint fingerprint) {
+		Suspect suspect = find(fingerprint.value());
+		if (suspect == null) {
+			return null;
+		}
+		suspect.endTrial(this.self.vm());
+		changed(suspect);
+		return toNotice(suspect);
+	}
+
+	boolean isTrialElsewhere(String fingerprint) {
+		Suspect suspect = find(fingerprint);
+		return suspect != null && suspect.isTrialElsewhere(this.self.vm(), this.clock.millis());
+	}
+
+	/**
+	 * Merges a notice.
+	 * @param from the sender
+	 * @param origin the sender with its incarnation
+	 * @param entry what the sender itself saw
+	 */
+	void noticed(VmName from, String origin, SuspectEntry entry) {
+		Suspect suspect = merge(from, entry, this.clock.millis());
+		if (suspect != null) {
+			suspect.count(origin, Math.max(0, entry.strikes()));
+			changed(suspect);
+		}
+	}
+
+	/**
+	 * Merges an entry of a digest.
+	 * @param from the sender
+	 * @param entry the entry
+	 * @param sentAt a time at or before the sending, in monotonic milliseconds
+	 */
+	void heard(VmName from, SuspectEntry entry, long sentAt) {
+		Suspect suspect = merge(from, entry, sentAt);
+		if (suspect != null && entry.strikes() > suspect.strikes()) {
+			suspect.countHeard(entry.strikes());
+			changed(suspect);
+		}
+	}
+
+	long changes() {
+		return this.changes;
+	}
+
+	List<Suspect> changedAfter(long afterChange) {
+		if (afterChange >= this.changes) {
+			return List.of();
+		}
+		return this.suspects.values()
+			.stream()
+			.filter((suspect) -> suspect.change() > afterChange && !isExpired(suspect))
+			.sorted(Comparator.comparingLong(Suspect::change))
+			.toList();
+	}
+
+	SuspectEntry toEntry(Suspect suspect) {
+		return toEntry(suspect, suspect.strikes());
+	}
+
+	List<SuspectEntry> entries() {
+		return this.suspects.values()
+			.stream()
+			.filter((suspect) -> !isExpired(suspect))
+			.sorted(Comparator.comparing(Suspect::fingerprint))
+			.map(this::toEntry)
+			.toList();
+	}
+
+	void expire() {
+		this.suspects.values().removeIf(this::isExpired);
+	}
+
+	private @Nullable Suspect merge(VmName from, SuspectEntry entry, long sentAt) {
+		long at = sentAt - Math.max(0, entry.ageMs());
+		if (this.clock.millis() - at > this.published.quarantine().forgetMs()) {
+			return null;
+		}
+		Suspect suspect = findOrAdd(entry.fingerprint(), entry.regions(), at);
+		suspect.crashed(at);
+		if (entry.trialMs() > 0) {
+			suspect.setTrial(from, this.clock.millis() + entry.trialMs());
+		}
+		else {
+			suspect.endTrial(from);
+		}
+		return suspect;
+	}
+
+	private @Nullable Suspect find(String fingerprint) {
+		Suspect suspect = this.suspects.get(fingerprint);
+		return (suspect == null || isExpired(suspect)) ? null : suspect;
+	}
+
+	private Suspect findOrAdd(String fingerprint, List<String> regions, long crashedAt) {
+		Suspect known = find(fingerprint);
+		if (known != null) {
+			return known;
+		}
+		if (this.suspects.size() >= Math.max(1, this.published.quarantine().capacity())) {
+			dropOne();
+		}
+		Suspect added = new Suspect(fingerprint, regions);
+		added.crashed(crashedAt);
+		this.suspects.put(fingerprint, added);
+		return added;
+	}
+
+	private void dropOne() {
+		Comparator<Suspect> order = Comparator.comparing(this::isQuarantined).thenComparingLong(Suspect::crashedAt);
+		this.suspects.values().stream().min(order).ifPresent((oldest) -> this.suspects.remove(oldest.fingerprint()));
+	}
+
+	private boolean isExpired(Suspect suspect) {
+		return this.clock.millis() - suspect.crashedAt() > this.published.quarantine().forgetMs();
+	}
+
+	private boolean isQuarantined(Suspect suspect) {
+		return suspect.strikes() >= this.published.quarantine().strikes();
+	}
+
+	private void changed(Suspect suspect) {
+		suspect.setChange(++this.changes);
+		if (isQuarantined(suspect) && !suspect.isQuarantined()) {
+			suspect.setQuarantined();
+			this.audit.add("request.quarantined", "fingerprint", suspect.fingerprint(), "strikes", suspect.strikes());
+		}
+	}
+
+	private SuspectEntry toNotice(Suspect suspect) {
+		return toEntry(suspect, suspect.strikesOf(ownOrigin()));
+	}
+
+	private SuspectEntry toEntry(Suspect suspect, int strikes) {
+		long now = this.clock.millis();
+		long trialMs = Math.max(0, suspect.trialUntil(this.self.vm()) - now);
+		return new SuspectEntry(suspect.fingerprint(), strikes, Math.max(0, now - suspect.crashedAt()), trialMs,
+				suspect.regions());
+	}
+
+	private String ownOrigin() {
+		return origin(this.self.vm(), this.self.incarnation().toString());
+	}
+
+	static String origin(VmName vm, String incarnation) {
+		return vm + "." + incarnation;
+	}
+
+	private static List<String> names(Set<Region> regions) {
+		List<String> names = new ArrayList<>();
+		regions.stream().sorted().forEach((region) -> names.add(region.value()));
+		return names;
+	}
+
+}
