--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServiceAverages.java
@@ -0,0 +1,49 @@
+package org.lovagevale.core.request;
+
+import org.lovagevale.settings.model.Priority;
+
+/**
+ * Averages over the backend servers of a service.
+ *
+ * <p>
+ * Response times are kept for each priority, since background requests take longer. Not
+ * thread-safe.
+ */
+final class ServiceAverages {
+
+	private static final double WEIGHT = 0.02;
+
+	private final double[] responseMs = new double[Priority.values().length];
+
+	private double othersInFlight;
+
+	/**
+	 * Adds a response time.
+	 * @param priority the priority of the request
+	 * @param ms the response time in milliseconds
+	 */
+	void addResponse(Priority priority, double ms) {
+		int i = priority.ordinal();
+		this.responseMs[i] = (this.responseMs[i] != 0) ? this.responseMs[i] + WEIGHT * (ms - this.responseMs[i]) : ms;
+	}
+
+	/**
+	 * Compares a response time with the average.
+	 * @param priority the priority of the request
+	 * @param ms the response time in milliseconds
+	 * @return the quotient, 1 without an average
+	 */
+	double ratio(Priority priority, double ms) {
+		double mean = this.responseMs[priority.ordinal()];
+		return (mean != 0) ? ms / Math.max(1, mean) : 1;
+	}
+
+	void addOthersInFlight(double others) {
+		this.othersInFlight += WEIGHT * (others - this.othersInFlight);
+	}
+
+	double othersInFlight() {
+		return this.othersInFlight;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Stage.java
@@ -0,0 +1,35 @@
+package org.lovagevale.core.request;
+
+/**
+ * How far a request has come.
+ */
+enum Stage {
+
+	/** The first bytes of its body are read. */
+	READING,
+
+	/** The owner of its idempotency key is asked. */
+	WAITING_FOR_OUTCOME,
+
+	/** Peers are told that it runs as a trial. */
+	WAITING_FOR_TRIAL,
+
+	/** It waits for a backend server. */
+	QUEUED,
+
+	/** At least one attempt is running and none is answered. */
+	RUNNING,
+
+	/** A connection was lost, and other losses may show that it was not the cause. */
+	WAITING_FOR_CAUSE,
+
+	/** Peers are told that it crashed a backend server. */
+	WAITING_FOR_NOTICE,
+
+	/** The answer of an attempt is passed on. */
+	ANSWERING,
+
+	/** The caller has its answer or is gone. */
+	ENDED
+
+}
