Test the fleet with generated histories

The invariants across processes hold only if every rule on freshness does, so five FleetLogic objects run in a simulated network with loss, delay, reordering, repetition, partitions, pauses, restarts, clock differences and three settings versions.

--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetHistoryTests.java
@@ -0,0 +1,39 @@
+package org.lovagevale.core.fleet;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.lovagevale.core.Histories;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against settings that go back, two owners of a server, work on outdated news
+ * after a pause, and a fleet that does not agree after healing.
+ */
+class FleetHistoryTests {
+
+	private static final AtomicLong OWNED = new AtomicLong();
+
+	private static final AtomicLong FENCED = new AtomicLong();
+
+	@Property(seed = "20261204", tries = 60)
+	void fleetKeepsItsPromises(@ForAll long seed) {
+		Histories.run(seed, (one) -> {
+			SimulatedFleet fleet = new SimulatedFleet(one);
+			fleet.run();
+			OWNED.addAndGet(fleet.owned);
+			FENCED.addAndGet(fleet.fenced);
+		});
+	}
+
+	// Without this the property would hold for a fleet that never owns or fences.
+	@AfterContainer
+	static void historiesReachedOwnershipAndFence() {
+		assertThat(OWNED.get()).isPositive();
+		assertThat(FENCED.get()).isPositive();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/SimulatedFleet.java
@@ -0,0 +1,337 @@
+package org.lovagevale.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.KeepLinks;
+import org.lovagevale.core.decision.ReadSettings;
+import org.lovagevale.core.decision.ReadVmList;
+import org.lovagevale.core.decision.SendToPeer;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.PeerConnected;
+import org.lovagevale.core.event.PeerLost;
+import org.lovagevale.core.event.PeerMessageReceived;
+import org.lovagevale.core.event.PeerRefused;
+import org.lovagevale.core.event.SettingsConfirmed;
+import org.lovagevale.core.event.SettingsReceived;
+import org.lovagevale.core.event.SettingsUnavailable;
+import org.lovagevale.core.event.VmListReceived;
+import org.lovagevale.core.message.SettingsBody;
+import org.lovagevale.settings.model.BackendServer;
+import org.lovagevale.settings.model.Settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A few fleet logics with a network that loses, delays, reorders, repeats and partitions,
+ * and a platform that publishes versions and may be out of reach. Checks after each step
+ * what must always hold.
+ */
+final class SimulatedFleet {
+
+	static final long STEP_MS = 50;
+
+	private static final long FENCE_MS = 2_500;
+
+	private static final long FAULTS_UNTIL_MS = 60_000;
+
+	private static final long END_MS = 85_000;
+
+	private static final List<BackendServer> SERVERS = List.of(TestSettings.server("west"),
+			TestSettings.server("east"));
+
+	private static final String[] VMS = { "west/a/e1", "west/b/e2", "east/a/e3", "east/b/e4", "east/b/e5" };
+
+	// Names without a process: they change the owners and the majority.
+	private static final String[] MORE_VMS = { "west/a/e1", "west/b/e2", "east/a/e3", "east/b/e4", "east/b/e5",
+			"west/a/x1", "east/a/x2" };
+
+	private final SplittableRandom random;
+
+	private final Map<VmName, SimulatedNode> nodes = new TreeMap<>();
+
+	private final PriorityQueue<SimulatedNode.Delivery> network = new PriorityQueue<>(
+			Comparator.comparingLong(SimulatedNode.Delivery::at));
+
+	private final List<Watch> watches = new ArrayList<>();
+
+	private final Set<Set<VmName>> links = new HashSet<>();
+
+	private final TreeMap<Long, Settings> versionsByTime = new TreeMap<>();
+
+	private final Map<String, Grant> grants = new HashMap<>();
+
+	private Map<VmName, Integer> sides = new HashMap<>();
+
+	private boolean isPlatformDown;
+
+	private long now = 1_000;
+
+	long owned;
+
+	long fenced;
+
+	SimulatedFleet(long seed) {
+		this.random = new SplittableRandom(seed);
+		this.versionsByTime.put(Long.MIN_VALUE, TestSettings.settings(7, VMS));
+		long second = 15_000 + this.random.nextInt(20_000);
+		this.versionsByTime.put(second, TestSettings.settings(8, MORE_VMS));
+		this.versionsByTime.put(second + this.random.nextInt(25_000), TestSettings.settings(9, VMS));
+		for (int i = 1; i <= VMS.length; i++) {
+			start("e" + i);
+		}
+	}
+
+	void run() {
+		while (this.now < END_MS) {
+			this.now += STEP_MS;
+			this.nodes.values().forEach((node) -> node.clock.advance(STEP_MS));
+			if (this.now < FAULTS_UNTIL_MS) {
+				inject();
+			}
+			else {
+				heal();
+			}
+			connect();
+			deliver();
+			answerWatches();
+			runNodes();
+		}
+		for (SimulatedNode node : this.nodes.values()) {
+			assertThat(node.version).as("version of %s after healing", node.vm()).isEqualTo(9);
+			assertThat(node.logic.permission()).as("permission of %s", node.vm()).isEqualTo(WorkPermission.OPEN);
+		}
+	}
+
+	private void start(String vm) {
+		long offset = this.random.nextInt(251) - 125;
+		SimulatedNode node = new SimulatedNode(vm, this.now, offset, this.random.nextLong());
+		this.nodes.put(node.vm(), node);
+		this.watches.removeIf((watch) -> watch.node().vm().equals(node.vm()));
+		for (Set<VmName> link : List.copyOf(this.links)) {
+			if (link.contains(node.vm())) {
+				cut(link);
+			}
+		}
+	}
+
+	private void inject() {
+		if (!isOneIn(40)) {
+			return;
+		}
+		SimulatedNode node = new ArrayList<>(this.nodes.values()).get(this.random.nextInt(this.nodes.size()));
+		switch (this.random.nextInt(6)) {
+			case 0 -> node.pausedUntil = this.now + this.random.nextInt(12_000);
+			case 1 -> start(node.vm().value());
+			case 2 -> this.nodes.keySet().forEach((vm) -> this.sides.put(vm, this.random.nextInt(2)));
+			case 3 -> this.sides = new HashMap<>();
+			case 4 -> this.isPlatformDown = this.random.nextInt(3) > 0;
+			default -> this.links.stream().findAny().ifPresent(this::cut);
+		}
+	}
+
+	private void heal() {
+		this.sides = new HashMap<>();
+		this.isPlatformDown = false;
+		this.nodes.values().forEach((node) -> node.pausedUntil = Math.min(node.pausedUntil, this.now));
+	}
+
+	private boolean isCut(VmName one, VmName other) {
+		return !this.sides.getOrDefault(one, 0).equals(this.sides.getOrDefault(other, 0));
+	}
+
+	private void connect() {
+		for (SimulatedNode node : this.nodes.values()) {
+			for (VmName peer : node.wanted) {
+				SimulatedNode other = this.nodes.get(peer);
+				if (other == null) {
+					if (isOneIn(20)) {
+						arrive(node, new PeerRefused(peer), 1);
+					}
+				}
+				else if (!isCut(node.vm(), peer) && isOneIn(10) && this.links.add(Set.of(node.vm(), peer))) {
+					arrive(node, new PeerConnected(peer, other.self.incarnation()), 1);
+					arrive(other, new PeerConnected(node.vm(), node.self.incarnation()), 1);
+				}
+			}
+		}
+		List.copyOf(this.links).stream().filter((link) -> isCut(link) && isOneIn(40)).forEach(this::cut);
+	}
+
+	private boolean isCut(Set<VmName> link) {
+		return link.stream().map((vm) -> this.sides.getOrDefault(vm, 0)).distinct().count() > 1;
+	}
+
+	private void cut(Set<VmName> link) {
+		this.links.remove(link);
+		for (VmName end : link) {
+			link.stream()
+				.filter((peer) -> !peer.equals(end))
+				.forEach((peer) -> arrive(this.nodes.get(end), new PeerLost(peer), 1));
+		}
+	}
+
+	private void arrive(SimulatedNode node, Event event, long delay) {
+		this.network.add(new SimulatedNode.Delivery(this.now + delay, this.now, node, event));
+	}
+
+	private void deliver() {
+		while (!this.network.isEmpty() && this.network.peek().at() <= this.now) {
+			SimulatedNode.Delivery delivery = this.network.poll();
+			delivery.to().inbox.add(delivery);
+		}
+	}
+
+	private void runNodes() {
+		for (SimulatedNode node : List.copyOf(this.nodes.values())) {
+			if (!node.isPaused(this.now)) {
+				checkPermission(node);
+				node.run().forEach((decision) -> execute(node, decision));
+				check(node);
+			}
+		}
+	}
+
+	private void execute(SimulatedNode node, Decision decision) {
+		switch (decision) {
+			case KeepLinks keep -> node.wanted = keep.peers();
+			case ReadSettings read -> {
+				assertThat(this.watches).as("one read at a time").noneMatch((watch) -> watch.node() == node);
+				this.watches.add(new Watch(node, read.afterVersion(), this.now + read.waitMs()));
+			}
+			case ReadVmList read ->
+				arrive(node, new VmListReceived(Set.of(), Set.of("e1", "e2", "e3", "e4", "e5")), 500);
+			case SendToPeer send -> send(node, send);
+			default -> {
+			}
+		}
+	}
+
+	private void send(SimulatedNode from, SendToPeer send) {
+		SimulatedNode to = this.nodes.get(send.to());
+		boolean isFaulty = this.now < FAULTS_UNTIL_MS;
+		if (to == null || isCut(from.vm(), send.to()) || (isFaulty && isOneIn(10))) {
+			return;
+		}
+		int copies = (isFaulty && isOneIn(10)) ? 2 : 1;
+		for (int i = 0; i < copies; i++) {
+			long delay = 1 + this.random.nextInt(isFaulty ? (isOneIn(20) ? 8_000 : 400) : 60);
+			arrive(to, new PeerMessageReceived(from.vm(), send.message()), delay);
+			if (send.message() instanceof SettingsBody body) {
+				Settings settings = version(body.version());
+				arrive(to, new SettingsReceived(settings, body.content(), false), delay + 1);
+			}
+		}
+	}
+
+	private Settings version(long version) {
+		return this.versionsByTime.values()
+			.stream()
+			.filter((settings) -> settings.version() == version)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private Settings latestAt(long time) {
+		return this.versionsByTime.floorEntry(time).getValue();
+	}
+
+	private void answerWatches() {
+		for (Watch watch : List.copyOf(this.watches)) {
+			Settings latest = latestAt(this.now);
+			if (this.isPlatformDown) {
+				answer(watch, new SettingsUnavailable("down"));
+			}
+			else if (latest.version() > watch.after()) {
+				answer(watch, new SettingsReceived(latest, "v" + latest.version(), true));
+			}
+			else if (this.now >= watch.until()) {
+				answer(watch, new SettingsConfirmed(watch.after()));
+			}
+		}
+	}
+
+	private void answer(Watch watch, Event event) {
+		this.watches.remove(watch);
+		arrive(watch.node(), event, 1 + this.random.nextInt(100));
+	}
+
+	private void check(SimulatedNode node) {
+		checkVersion(node);
+		checkPermission(node);
+		for (BackendServer server : SERVERS) {
+			checkOwner(node, server);
+		}
+	}
+
+	private void checkVersion(SimulatedNode node) {
+		Settings settings = node.logic.settings();
+		long version = (settings != null) ? settings.version() : 0;
+		assertThat(version).as("version of %s", node.vm()).isGreaterThanOrEqualTo(node.version);
+		node.version = version;
+		long ageMs = node.logic.confirmedAgeMs();
+		if (ageMs >= 0) {
+			assertThat(latestAt(this.now - ageMs).version()).as("confirmed version of %s", node.vm())
+				.isLessThanOrEqualTo(version);
+		}
+	}
+
+	// Whoever is open heard something that was written within the fence.
+	private void checkPermission(SimulatedNode node) {
+		if (node.logic.permission() == WorkPermission.OPEN) {
+			assertThat(this.now - node.newestEvidence).as("age of the news of %s, which is open", node.vm())
+				.isLessThanOrEqualTo(FENCE_MS);
+		}
+		else if (node.logic.permission() == WorkPermission.FENCED) {
+			this.fenced++;
+		}
+	}
+
+	private void checkOwner(SimulatedNode node, BackendServer server) {
+		long ownedMs = node.logic.ownedForMs(server);
+		if (ownedMs == 0) {
+			return;
+		}
+		this.owned++;
+		Grant last = this.grants.get(server.name().value());
+		boolean isFree = last == null || last.node() == node || last.until() <= this.now;
+		assertThat(isFree).as("%s owned by %s and %s", server.name(), node.vm(), last).isTrue();
+		this.grants.put(server.name().value(), new Grant(node, this.now + ownedMs));
+	}
+
+	private boolean isOneIn(int count) {
+		return this.random.nextInt(count) == 0;
+	}
+
+	/**
+	 * A read of the settings service.
+	 *
+	 * @param node the process
+	 * @param after its version
+	 * @param until when the service answers in any case
+	 */
+	private record Watch(SimulatedNode node, long after, long until) {
+
+	}
+
+	/**
+	 * A server that a process owns.
+	 *
+	 * @param node the process
+	 * @param until when the requests that it may send now have ended
+	 */
+	private record Grant(SimulatedNode node, long until) {
+
+	}
+
+}
