Test each rule of the fleet logic

Every rule of the fleet has a test that names the failure it guards against, with one FleetLogic and peers that the test speaks for.

--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetRequestsTests.java
@@ -0,0 +1,226 @@
+package org.lovagevale.core.fleet;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.MemberPhase;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.decision.AnswerOutcome;
+import org.lovagevale.core.decision.Exit;
+import org.lovagevale.core.decision.StopAccepting;
+import org.lovagevale.core.event.OutcomeAsked;
+import org.lovagevale.core.event.StopRequested;
+import org.lovagevale.core.event.VmListReceived;
+import org.lovagevale.core.keys.IdempotencyKey;
+import org.lovagevale.core.message.Digest;
+import org.lovagevale.core.message.KeyArchive;
+import org.lovagevale.core.message.Notice;
+import org.lovagevale.core.message.NoticeAck;
+import org.lovagevale.core.message.OutcomeAnswer;
+import org.lovagevale.core.message.OutcomeQuery;
+import org.lovagevale.core.message.SuspectEntry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against crashes that spread, keys that get a wrong outcome, data outside its
+ * home regions and stops that lose something.
+ */
+class FleetRequestsTests {
+
+	private static final Fingerprint BAD = new Fingerprint("aa");
+
+	private static final Set<Region> WEST = Set.of(new Region("west"));
+
+	private final FleetHarness fleet = FleetHarness
+		.serving(TestSettings.settings(7, "west/a/e1", "west/b/e2", "west/a/e3", "east/a/e5"), "e2", "e3", "e5");
+
+	@Test
+	void noticeIsSettledByAllAcknowledgementsOrTime() {
+		long first = this.fleet.logic.strike(BAD, WEST);
+		assertThat(this.fleet.sent("e5", Notice.class)).isEmpty();
+		this.fleet.receive("e2", new NoticeAck(first));
+		assertThat(this.fleet.logic.isNoticeSettled(first)).isFalse();
+		this.fleet.receive("e3", new NoticeAck(first));
+		assertThat(this.fleet.logic.isNoticeSettled(first)).isTrue();
+		long second = this.fleet.logic.strike(BAD, WEST);
+		assertThat(this.fleet.logic.isNoticeSettled(second)).isFalse();
+		this.fleet.clock.advance(150);
+		assertThat(this.fleet.logic.isNoticeSettled(second)).isTrue();
+	}
+
+	@Test
+	void strikesOfSeveralProcessesAddUpAndRepeatsDoNot() {
+		this.fleet.receive("e2", new Notice(1, suspect(1, 0)));
+		this.fleet.receive("e2", new Notice(1, suspect(1, 0)));
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.SUSPECT);
+		assertThat(this.fleet.sent("e2", NoticeAck.class)).hasSize(2);
+		this.fleet.receive("e3", new Notice(9, suspect(1, 0)));
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.QUARANTINED);
+		assertThat(this.fleet.audit()).contains("request.quarantined");
+		this.fleet.clock.advance(600_001);
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.CLEAR);
+	}
+
+	@Test
+	void quarantineTravelsWithDigests() {
+		this.fleet.receive("e2", this.fleet.digest("e2", List.of(), List.of(suspect(2, 0))));
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.QUARANTINED);
+		this.fleet.advance(500);
+		assertThat(this.fleet.sent("e3", Digest.class)).flatExtracting(Digest::suspects)
+			.extracting(SuspectEntry::strikes)
+			.contains(2);
+		assertThat(this.fleet.sent("e5", Digest.class)).flatExtracting(Digest::suspects).isEmpty();
+	}
+
+	@Test
+	void onlyOneOfTwoSimultaneousTrialsRuns() {
+		this.fleet.logic.strike(BAD, Set.of());
+		long trial = this.fleet.logic.startTrial(BAD, 1_000, Set.of());
+		this.fleet.receive("e2", new Notice(4, suspect(0, 1_000)));
+		this.fleet.clock.advance(200);
+		assertThat(this.fleet.logic.isNoticeSettled(trial)).as("e1 comes before e2").isTrue();
+		this.fleet.receive("e0", new Notice(4, suspect(0, 1_000)));
+		assertThat(this.fleet.logic.isNoticeSettled(trial)).as("e0 comes before e1").isFalse();
+		this.fleet.receive("e0", new Notice(5, suspect(0, 0)));
+		assertThat(this.fleet.logic.isNoticeSettled(trial)).isTrue();
+		this.fleet.receive("e2", new Notice(5, suspect(0, 0)));
+		this.fleet.logic.endTrial(BAD, Set.of());
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.SUSPECT);
+	}
+
+	@Test
+	void fullQuarantineDropsTheOldestSuspectFirst() {
+		this.fleet.receive("e2", new Notice(1, suspect(2, 0)));
+		for (int i = 0; i < 10_000; i++) {
+			this.fleet.logic.strike(new Fingerprint("f" + i), Set.of());
+		}
+		assertThat(this.fleet.logic.suspects()).hasSize(10_000);
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.QUARANTINED);
+	}
+
+	@Test
+	void messagesForOtherRegionsAreDroppedAndCounted() {
+		List<String> east = List.of("east");
+		this.fleet.receive("e5", new Notice(1, new SuspectEntry("aa", 2, 0, 0, east)));
+		this.fleet.receive("e5", new OutcomeQuery(1, key("e1", "a").toString(), east));
+		this.fleet.receive("e5", new KeyArchive("e5", incarnation(), List.of(), List.of(), 60_000, east));
+		this.fleet.receive("e5", this.fleet.digest("e5", List.of(), List.of(new SuspectEntry("aa", 2, 0, 0, east))));
+		assertThat(this.fleet.logic.counters().outsideHome()).isEqualTo(4);
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.CLEAR);
+		assertThat(this.fleet.sent("e5", OutcomeAnswer.class)).isEmpty();
+		assertThat(this.fleet.logic.outcomeOf(this.fleet.logic.queryOutcome(key("e5", "b"), WEST)))
+			.isEqualTo(Outcome.UNKNOWN);
+		assertThat(this.fleet.sent("e5", OutcomeQuery.class)).isEmpty();
+	}
+
+	@Test
+	void onlyTheOwnerDecidesTheOutcome() {
+		IdempotencyKey key = key("e2", "a");
+		long query = this.fleet.logic.queryOutcome(key, WEST);
+		assertThat(this.fleet.logic.outcomeOf(query)).isNull();
+		long id = this.fleet.sent("e2", OutcomeQuery.class).getFirst().id();
+		this.fleet.receive("e3", new OutcomeAnswer(id, key.toString(), "RAN"));
+		assertThat(this.fleet.logic.outcomeOf(query)).isNull();
+		this.fleet.receive("e2", new OutcomeAnswer(id, key.toString(), "NOT_RUN"));
+		assertThat(this.fleet.logic.outcomeOf(query)).isEqualTo(Outcome.NOT_RUN);
+	}
+
+	@Test
+	void silentOrReplacedOwnerMeansUnknown() {
+		long query = this.fleet.logic.queryOutcome(key("e2", "a"), Set.of());
+		this.fleet.clock.advance(500);
+		assertThat(this.fleet.logic.outcomeOf(query)).isEqualTo(Outcome.UNKNOWN);
+		IdempotencyKey ofPredecessor = new IdempotencyKey(new VmName("e2"), new Incarnation(1, 1), 0, "a");
+		this.fleet.apply(new OutcomeAsked(new RequestId(5), ofPredecessor.toString()));
+		this.fleet.apply(new OutcomeAsked(new RequestId(6), "nonsense"));
+		this.fleet.advance(600);
+		assertThat(this.fleet.made(AnswerOutcome.class)).hasSize(2)
+			.allMatch((answer) -> answer.outcome() == Outcome.UNKNOWN);
+	}
+
+	@Test
+	void archiveAnswersForItsOwner() {
+		String forgotten = IdempotencyKey.prefix(new VmName("e2"), FleetHarness.INCARNATION, 3) + KeyArchive.EARLIER;
+		this.fleet.receive("e2", new KeyArchive("e2", incarnation(), List.of(key("e2", "ran").toString()),
+				List.of(key("e2", "lost").toString(), forgotten), 60_000, List.of("west")));
+		assertThat(archived("ran", 5)).isEqualTo("RAN");
+		assertThat(archived("lost", 5)).isEqualTo("UNKNOWN");
+		assertThat(archived("other", 5)).isEqualTo("NOT_RUN");
+		assertThat(archived("other", 3)).isEqualTo("UNKNOWN");
+		this.fleet.clock.advance(60_001);
+		assertThat(archived("other", 5)).isEqualTo("UNKNOWN");
+	}
+
+	@Test
+	void plannedStopAnnouncesWaitsArchivesAndExits() {
+		this.fleet.logic.runningRequests(1);
+		this.fleet.apply(new StopRequested());
+		assertThat(this.fleet.logic.phase()).isEqualTo(MemberPhase.LEAVING);
+		stay(9_500);
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.OPEN);
+		assertThat(this.fleet.made(StopAccepting.class)).isEmpty();
+		stay(5_000);
+		assertThat(this.fleet.made(StopAccepting.class)).hasSize(1);
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.STOPPED);
+		assertThat(this.fleet.sent("e2", KeyArchive.class)).isEmpty();
+		this.fleet.logic.runningRequests(0);
+		stay(1_000);
+		assertThat(this.fleet.sent("e2", KeyArchive.class)).hasSize(1);
+		assertThat(this.fleet.sent("e3", KeyArchive.class)).hasSize(1);
+		assertThat(this.fleet.sent("e5", KeyArchive.class)).isEmpty();
+		assertThat(this.fleet.made(Exit.class)).hasSize(1);
+	}
+
+	@Test
+	void listOfPredecessorDoesNotStopNewProcess() {
+		this.fleet.apply(new VmListReceived(Set.of("e1"), Set.of()));
+		this.fleet.advance(1_000);
+		assertThat(this.fleet.logic.phase()).isEqualTo(MemberPhase.LIVE);
+		this.fleet.advance(60_000);
+		this.fleet.apply(new VmListReceived(Set.of("e1"), Set.of()));
+		this.fleet.advance(50);
+		assertThat(this.fleet.logic.phase()).isEqualTo(MemberPhase.LEAVING);
+	}
+
+	@Test
+	void processThatWasReplacedStopsAtOnce() {
+		Digest digest = new Digest(List.of(this.fleet.entry("e1", new Incarnation(101, 0), MemberPhase.LIVE, false)), 0,
+				-1, List.of(), List.of());
+		this.fleet.receive("e2", digest);
+		this.fleet.advance(50);
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.STOPPED);
+	}
+
+	private void stay(long millis) {
+		for (long i = 0; i < millis; i += 250) {
+			this.fleet.hear("e2", "e3", "e5");
+			this.fleet.advance(250);
+		}
+	}
+
+	private String archived(String unique, long epoch) {
+		IdempotencyKey key = new IdempotencyKey(new VmName("e2"), FleetHarness.INCARNATION, epoch, unique);
+		this.fleet.receive("e3", new OutcomeQuery(1, key.toString(), List.of("west")));
+		return this.fleet.sent("e3", OutcomeAnswer.class).getLast().outcome();
+	}
+
+	private static IdempotencyKey key(String vm, String unique) {
+		return new IdempotencyKey(new VmName(vm), FleetHarness.INCARNATION, 5, unique);
+	}
+
+	private static String incarnation() {
+		return FleetHarness.INCARNATION.toString();
+	}
+
+	private static SuspectEntry suspect(int strikes, long trialMs) {
+		return new SuspectEntry("aa", strikes, 0, trialMs, List.of("west"));
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetSettingsTests.java
@@ -0,0 +1,177 @@
+package org.lovagevale.core.fleet;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.decision.ReadSettings;
+import org.lovagevale.core.event.PeerRefused;
+import org.lovagevale.core.event.SettingsConfirmed;
+import org.lovagevale.core.event.SettingsReceived;
+import org.lovagevale.core.event.SettingsUnavailable;
+import org.lovagevale.core.event.Ticked;
+import org.lovagevale.core.event.VmListReceived;
+import org.lovagevale.core.message.Digest;
+import org.lovagevale.core.message.SettingsBody;
+import org.lovagevale.core.message.SettingsRequest;
+import org.lovagevale.settings.model.Settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against outdated settings in use, and against too many reads of the platform.
+ */
+class FleetSettingsTests {
+
+	private static final String[] THREE = { "west/a/e1", "west/b/e2", "east/a/e3" };
+
+	private final FleetHarness fleet = FleetHarness.serving(settings(7), "e2");
+
+	@Test
+	void lowerVersionIsNeverAdopted() {
+		this.fleet.apply(new SettingsReceived(settings(6), "old", true));
+		this.fleet.apply(new SettingsReceived(settings(6), "old", false));
+		assertThat(this.fleet.logic.settings().version()).isEqualTo(7);
+		assertThat(this.fleet.logic.counters().staleVersions()).isGreaterThanOrEqualTo(2);
+	}
+
+	@Test
+	void newerVersionIsRequestedFromPeerAndItsAgeKept() {
+		this.fleet.receive("e2", this.fleet.digest("e2", 8, 100));
+		this.fleet.receive("e3", this.fleet.digest("e3", 8, 100));
+		assertThat(this.fleet.sent("e2", SettingsRequest.class)).containsExactly(new SettingsRequest(7));
+		assertThat(this.fleet.sent("e3", SettingsRequest.class)).isEmpty();
+		this.fleet.apply(new SettingsReceived(settings(8), "new", false));
+		assertThat(this.fleet.logic.confirmedAgeMs()).isBetween(100L, 500L);
+		this.fleet.receive("e2", new SettingsRequest(7));
+		this.fleet.receive("e2", new SettingsRequest(8));
+		assertThat(this.fleet.sent("e2", SettingsBody.class)).containsExactly(new SettingsBody(8, 0, "new"));
+	}
+
+	@Test
+	void oneReadIsOutstandingAndFailuresAreSpaced() {
+		FleetHarness starting = new FleetHarness();
+		starting.advance(3_000);
+		assertThat(starting.reads()).isEqualTo(1);
+		starting.apply(new SettingsUnavailable("down"));
+		starting.advance(950);
+		assertThat(starting.reads()).isEqualTo(1);
+		starting.advance(600);
+		assertThat(starting.reads()).isEqualTo(2);
+	}
+
+	@Test
+	void confirmationThatWaitedDuringPauseIsOld() {
+		this.fleet.advance(2_000);
+		this.fleet.clock.advance(30_000);
+		ReadSettings read = this.fleet.made(ReadSettings.class).getLast();
+		this.fleet.apply(new SettingsConfirmed(read.afterVersion()));
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.FENCED);
+		assertThat(this.fleet.logic.confirmedAgeMs()).isGreaterThan(29_000);
+	}
+
+	@Test
+	void digestThatWaitedDuringPauseProvesNothing() {
+		Digest waited = this.fleet.digest("e2", 7, 100);
+		this.fleet.clock.advance(30_000);
+		this.fleet.receive("e2", waited);
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.FENCED);
+		this.fleet.advance(50);
+		this.fleet.hear("e2");
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.OPEN);
+	}
+
+	@Test
+	void majorityIsOpenUnlessItKnowsOfNewerSettings() {
+		this.fleet.clock.advance(10_000);
+		this.fleet.advance(50);
+		assertThat(this.fleet.audit()).contains("fleet.fenced");
+		this.fleet.hear("e3");
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.OPEN);
+		this.fleet.receive("e3", this.fleet.digest("e3", 8, -1));
+		assertThat(this.fleet.logic.permission()).isEqualTo(WorkPermission.FENCED);
+	}
+
+	@Test
+	void startNeedsEveryVmOrMajority() {
+		FleetHarness starting = FleetHarness.serving(settings(7));
+		assertThat(starting.logic.permission()).isEqualTo(WorkPermission.STARTING);
+		starting.apply(new PeerRefused(new VmName("e2")));
+		starting.advance(50);
+		assertThat(starting.logic.permission()).isEqualTo(WorkPermission.STARTING);
+		starting.apply(new VmListReceived(Set.of(), Set.of("e1", "e2")));
+		starting.advance(50);
+		assertThat(starting.logic.permission()).isEqualTo(WorkPermission.OPEN);
+	}
+
+	@Test
+	void startWaitsForNewerVersionOfPeer() {
+		FleetHarness starting = FleetHarness.serving(settings(7));
+		starting.receive("e2", starting.digest("e2", 8, -1));
+		starting.advance(50);
+		assertThat(starting.logic.permission()).isEqualTo(WorkPermission.STARTING);
+		starting.apply(new SettingsReceived(settings(8), "new", false));
+		starting.advance(50);
+		assertThat(starting.audit()).contains("fleet.started");
+	}
+
+	@Test
+	void readersAreFewAndInEveryRegion() {
+		String[] vms = IntStream.range(0, 20)
+			.mapToObj((i) -> "r" + i % 3 + "/" + "ab".charAt(i / 3 % 2) + "/e" + i)
+			.toArray(String[]::new);
+		Published published = new Published(new VmName("e1"));
+		published.adopt(TestSettings.settings(1, vms), "");
+		ManualClock clock = new ManualClock(0, 0);
+		ReaderChoice choice = new ReaderChoice(clock, published);
+		for (int window = 0; window < 50; window++) {
+			List<String> regions = published.entryVms()
+				.stream()
+				.filter((vm) -> choice.isReader(vm.name()))
+				.map((vm) -> vm.region().value())
+				.toList();
+			assertThat(regions).hasSize(4).contains("r0", "r1", "r2");
+			clock.advance(10_000);
+		}
+	}
+
+	@Test
+	void nobodyElseReadsWhilePeersConfirm() {
+		FleetHarness quiet = FleetHarness.serving(settings(7), "e2");
+		Published published = new Published(quiet.self.vm());
+		published.adopt(settings(7), "");
+		assertThat(new ReaderChoice(quiet.clock, published).isReader(quiet.self.vm())).isTrue();
+		// With 3 VMs and 4 readers everybody reads, but each watch lasts at least 500 ms.
+		int before = quiet.reads();
+		for (int i = 0; i < 100; i++) {
+			quiet.advance(100);
+			if (i % 10 == 9) {
+				quiet.apply(new SettingsConfirmed(7));
+			}
+		}
+		assertThat(quiet.reads() - before).isBetween(9, 11);
+	}
+
+	@Test
+	void changesOfDomainsAreAudited() {
+		Settings out = TestSettings.settings(8, "!west/a/e1", "west/b/e2", "east/a/e3");
+		this.fleet.apply(new SettingsReceived(out, "out", false));
+		this.fleet.apply(new SettingsReceived(settings(9), "back", false));
+		assertThat(this.fleet.audit()).containsSubsequence("domain.out", "settings.adopted", "domain.back");
+	}
+
+	@Test
+	void firstReadNeedsNoSettings() {
+		FleetHarness starting = new FleetHarness();
+		starting.apply(new Ticked());
+		assertThat(starting.made(ReadSettings.class)).containsExactly(new ReadSettings(0, 0));
+	}
+
+	private static Settings settings(long version) {
+		return TestSettings.settings(version, THREE);
+	}
+
+}
