Read and check settings trees, add the demo example

Cause: every module needs settings, and so far only the model existed.

Change: JsonSettingsReader parses JSON with comments into a tree that knows its lines, checks it against one table of settings and reports all errors at once.

Conclusion: the demo tree reads without errors (1 test).

--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/FleetReader.java
@@ -0,0 +1,112 @@
+package org.lovagevale.settings;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the regions, failure domains and entry VMs of a tree.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class FleetReader {
+
+	private static final List<String> PORTS = List.of("callerPort", "peerPort", "adminPort");
+
+	private final ErrorList errors;
+
+	private final GroupReader reader;
+
+	private final UniqueNames domainNames;
+
+	private final UniqueNames machines;
+
+	private final UniqueNames addresses;
+
+	private final List<Place> regions = new ArrayList<>();
+
+	private final Map<String, Place> domains = new LinkedHashMap<>();
+
+	private final List<Place> entryVms = new ArrayList<>();
+
+	FleetReader(ErrorList errors, GroupReader reader, UniqueNames machines, UniqueNames addresses) {
+		this.errors = errors;
+		this.reader = reader;
+		this.domainNames = new UniqueNames("failure domain", errors);
+		this.machines = machines;
+		this.addresses = addresses;
+	}
+
+	void read(TreeObject root) {
+		this.reader.forEachNamed(root, "regions", this::readRegion);
+		TreeNode node = root.member("regions");
+		if (node instanceof TreeObject && this.entryVms.isEmpty()) {
+			this.errors.add(node.location(), "no entry VM in any region; expected at least one");
+		}
+	}
+
+	List<Place> regions() {
+		return this.regions;
+	}
+
+	List<Place> domains() {
+		return List.copyOf(this.domains.values());
+	}
+
+	List<Place> entryVms() {
+		return this.entryVms;
+	}
+
+	Set<String> domainNames() {
+		return this.domains.keySet();
+	}
+
+	@Nullable Place domain(String name) {
+		return this.domains.get(name);
+	}
+
+	private void readRegion(String name, TreeObject region) {
+		this.reader.checkName(name, region.location());
+		Values values = this.reader.read(region, SettingsTable.REGION, Values.defaultsOf(SettingsTable.REGION));
+		Place place = new Place(region.location(), name, values);
+		this.regions.add(place);
+		this.reader.forEachNamed(region, "domains", (domain, node) -> readDomain(place, domain, node));
+	}
+
+	private void readDomain(Place region, String name, TreeObject domain) {
+		if (this.reader.checkName(name, domain.location())) {
+			this.domainNames.add(name, domain.location());
+		}
+		Values inherited = Values.defaultsOf(SettingsTable.DOMAIN).with("out", region.values().get("out"));
+		Values values = this.reader.read(domain, SettingsTable.DOMAIN, inherited)
+			.with("region", new Value(region.name(), List.of(region.location())));
+		Place place = new Place(domain.location(), name, values);
+		this.domains.putIfAbsent(name, place);
+		this.reader.forEachNamed(domain, "entryVms", (vm, node) -> readEntryVm(place, vm, node));
+	}
+
+	private void readEntryVm(Place domain, String name, TreeObject vm) {
+		if (this.reader.checkName(name, vm.location())) {
+			this.machines.add(name, vm.location());
+		}
+		Values inherited = Values.defaultsOf(SettingsTable.ENTRY_VM).with("out", domain.values().get("out"));
+		Values values = this.reader.read(vm, SettingsTable.ENTRY_VM, inherited)
+			.with("domain", new Value(domain.name(), List.of(domain.location())))
+			.with("region", domain.values().get("region"));
+		PORTS.forEach((port) -> addAddress(values, port));
+		this.entryVms.add(new Place(vm.location(), name, values));
+	}
+
+	private void addAddress(Values values, String port) {
+		if (values.has("host") && values.has(port)) {
+			this.addresses.add(Endpoints.toText(values.text("host"), values.integer(port)),
+					values.get(port).origins().getFirst());
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/NearestName.java
@@ -0,0 +1,62 @@
+package org.lovagevale.settings;
+
+import java.util.Collection;
+import java.util.Comparator;
+
+/**
+ * Finds the known name that was probably meant by an unknown one.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class NearestName {
+
+	/** Longer names are not compared, which bounds the time for hostile input. */
+	private static final int MAX_LENGTH = 64;
+
+	private NearestName() {
+	}
+
+	/**
+	 * Words a suggestion for an error message.
+	 * @param name the unknown name
+	 * @param known the known names
+	 * @return a question with the nearest name, or an empty text if none is near
+	 */
+	static String suggestion(String name, Collection<String> known) {
+		if (name.length() > MAX_LENGTH) {
+			return "";
+		}
+		int limit = Math.max(2, name.length() / 3);
+		return known.stream()
+			.filter((candidate) -> Math.abs(candidate.length() - name.length()) <= limit)
+			.min(Comparator.comparingInt((candidate) -> distance(name, candidate)))
+			.filter((candidate) -> distance(name, candidate) <= limit)
+			.map((candidate) -> "; did you mean \"" + candidate + "\"?")
+			.orElse("");
+	}
+
+	// Levenshtein distance without regard to case.
+	private static int distance(String left, String right) {
+		int[] row = new int[right.length() + 1];
+		for (int j = 0; j < row.length; j++) {
+			row[j] = j;
+		}
+		for (int i = 1; i <= left.length(); i++) {
+			int diagonal = row[0];
+			row[0] = i;
+			for (int j = 1; j < row.length; j++) {
+				int above = row[j];
+				int replaced = diagonal + (isSame(left.charAt(i - 1), right.charAt(j - 1)) ? 0 : 1);
+				row[j] = Math.min(replaced, 1 + Math.min(above, row[j - 1]));
+				diagonal = above;
+			}
+		}
+		return row[row.length - 1];
+	}
+
+	private static boolean isSame(char left, char right) {
+		return Character.toLowerCase(left) == Character.toLowerCase(right);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/ServicesReader.java
@@ -0,0 +1,125 @@
+package org.lovagevale.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Reads the services with their policies, routes and backend servers.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class ServicesReader {
+
+	private final ErrorList errors;
+
+	private final GroupReader reader;
+
+	private final FleetReader fleet;
+
+	private final UniqueNames routeNames;
+
+	private final UniqueNames machines;
+
+	private final UniqueNames addresses;
+
+	private final List<ServicePlace> services = new ArrayList<>();
+
+	ServicesReader(ErrorList errors, GroupReader reader, FleetReader fleet, UniqueNames machines,
+			UniqueNames addresses) {
+		this.errors = errors;
+		this.reader = reader;
+		this.fleet = fleet;
+		this.routeNames = new UniqueNames("route", errors);
+		this.machines = machines;
+		this.addresses = addresses;
+	}
+
+	/**
+	 * Reads all services.
+	 * @param root the root of the tree
+	 * @param defaults the policy at the root
+	 * @return the services in the order of the text
+	 */
+	List<ServicePlace> read(TreeObject root, Values defaults) {
+		this.reader.forEachNamed(root, "services", (name, service) -> readService(name, service, defaults));
+		return this.services;
+	}
+
+	private void readService(String name, TreeObject service, Values defaults) {
+		this.reader.checkName(name, service.location());
+		this.reader.read(service, SettingsTable.SERVICE, Values.defaultsOf(SettingsTable.SERVICE));
+		Values policy = this.reader.read(service.member("policy"), SettingsTable.POLICY, defaults);
+		new PolicyChecks(this.errors).checkService(policy);
+		List<Place> routes = readRoutes(service, policy);
+		List<Place> servers = new ArrayList<>();
+		this.reader.forEachNamed(service, "servers", (server, node) -> servers.add(readServer(server, node)));
+		this.services.add(new ServicePlace(new Place(service.location(), name, policy), routes, servers));
+	}
+
+	private List<Place> readRoutes(TreeObject service, Values policy) {
+		List<Place> routes = new ArrayList<>();
+		TreeNode node = service.member("routes");
+		if (node == null) {
+			this.errors.add(service.location(), "missing member \"routes\"; a service needs at least one route");
+			return routes;
+		}
+		if (node instanceof TreeObject object && object.members().isEmpty()) {
+			this.errors.add(node.location(), "no routes; a service needs at least one route");
+		}
+		this.reader.forEachNamed(service, "routes", (name, route) -> routes.add(readRoute(name, route, policy)));
+		return routes;
+	}
+
+	private Place readRoute(String name, TreeObject route, Values servicePolicy) {
+		Optional<RouteName> parsed = RouteName.parse(name);
+		checkRouteName(name, parsed, route.location());
+		boolean idempotent = parsed.isPresent() && parsed.get().isIdempotentByDefault();
+		Values inherited = Values.defaultsOf(SettingsTable.ROUTE)
+			.with("idempotent", new Value(idempotent, List.of(Location.BUILT_IN)));
+		Values own = this.reader.read(route, SettingsTable.ROUTE, inherited);
+		Values policy = this.reader.read(route.member("policy"), SettingsTable.POLICY, servicePolicy);
+		if (route.member("policy") instanceof TreeObject object) {
+			new PolicyChecks(this.errors).checkRoute(object);
+		}
+		return new Place(route.location(), name, own.withAll(policy.toMap()));
+	}
+
+	private void checkRouteName(String name, Optional<RouteName> parsed, Location location) {
+		if (parsed.isEmpty()) {
+			this.errors.add(location, "invalid route; expected \"METHOD /prefix\" or \"* /prefix\"");
+			return;
+		}
+		if (parsed.get().isReserved()) {
+			this.errors.add(location, "paths under /.lovagevale are reserved for the entry process");
+		}
+		this.routeNames.add(name, location);
+	}
+
+	private Place readServer(String name, TreeObject server) {
+		if (this.reader.checkName(name, server.location())) {
+			this.machines.add(name, server.location());
+		}
+		Values own = this.reader.read(server, SettingsTable.SERVER, Values.defaultsOf(SettingsTable.SERVER));
+		if (own.has("host") && own.has("port")) {
+			this.addresses.add(Endpoints.toText(own.text("host"), own.integer("port")),
+					own.get("port").origins().getFirst());
+		}
+		return new Place(server.location(), name, own.has("domain") ? withDomain(own) : own);
+	}
+
+	private Values withDomain(Values own) {
+		String name = own.text("domain");
+		Place domain = this.fleet.domain(name);
+		if (domain == null) {
+			this.errors.add(own.get("domain").origins().getFirst(),
+					"unknown failure domain \"" + name + "\"" + NearestName.suggestion(name, this.fleet.domainNames()));
+			return own;
+		}
+		Values placed = own.with("region", domain.values().get("region"));
+		return domain.values().flag("out") ? placed.withAll(Map.of("out", domain.values().get("out"))) : placed;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeScalar.java
@@ -0,0 +1,25 @@
+package org.lovagevale.settings;
+
+import com.fasterxml.jackson.core.JsonToken;
+
+/**
+ * A string, number, boolean or null of a parsed settings tree.
+ *
+ * @param location its place
+ * @param token the kind of value
+ * @param text the value as text, without quotation marks
+ */
+record TreeScalar(Location location, JsonToken token, String text) implements TreeNode {
+
+	@Override
+	public String kind() {
+		return switch (this.token) {
+			case VALUE_STRING -> "a string";
+			case VALUE_NUMBER_INT -> "an integer";
+			case VALUE_NUMBER_FLOAT -> "a fractional number";
+			case VALUE_TRUE, VALUE_FALSE -> "a boolean";
+			default -> "null";
+		};
+	}
+
+}
