--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/Standins.java
@@ -0,0 +1,39 @@
+package org.lovagevale.standins;
+
+import org.lovagevale.standins.backend.BackendCommand;
+import org.lovagevale.standins.caller.CallerCommand;
+import org.lovagevale.standins.platform.PlatformCommand;
+import org.lovagevale.standins.relay.RelayCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * The stand-ins as processes.
+ */
+@Command(name = "standins", mixinStandardHelpOptions = true,
+		description = "Stand-ins for tests and demonstrations on loopback addresses.",
+		subcommands = { BackendCommand.class, PlatformCommand.class, RelayCommand.class, CallerCommand.class })
+public final class Standins {
+
+	private static final int ENVIRONMENT = 3;
+
+	private Standins() {
+	}
+
+	/**
+	 * Runs a command.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		// The library prints to standard output at debug level without a configuration.
+		System.setProperty("logback.configurationFile", "logback-standins.xml");
+		CommandLine line = new CommandLine(new Standins());
+		line.setCaseInsensitiveEnumValuesAllowed(true);
+		line.setExecutionExceptionHandler((ex, command, result) -> {
+			command.getErr().println("standins: " + ex.getMessage());
+			return ENVIRONMENT;
+		});
+		System.exit(line.execute(args));
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/backend/BackendGroup.java
@@ -0,0 +1,172 @@
+package org.lovagevale.standins.backend;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.standins.http.Control;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * Backend servers that share a record of runs and a control port.
+ *
+ * <p>
+ * Thread-safe once all servers have been added.
+ */
+public final class BackendGroup implements AutoCloseable {
+
+	private static final int LISTED_RUNS = 1_000;
+
+	private final Clock clock = new SystemClock();
+
+	private final Map<String, BackendStandIn> servers = new LinkedHashMap<>();
+
+	private final RunLog runs = new RunLog();
+
+	private @Nullable DisposableServer control;
+
+	/**
+	 * Adds a server and begins to listen.
+	 * @param name its name
+	 * @param host the address to listen on
+	 * @param port the port to listen on, 0 for any
+	 * @param behaviour what it does
+	 * @param cold whether it begins with a cold start
+	 * @return the server
+	 */
+	public BackendStandIn add(String name, String host, int port, Behaviour behaviour, boolean cold) {
+		BackendStandIn server = new BackendStandIn(name, host, port, behaviour, cold, this.clock, this.runs);
+		if (this.servers.putIfAbsent(name, server) != null) {
+			throw new IllegalArgumentException("there is already a server named \"" + name + "\"");
+		}
+		server.start();
+		return server;
+	}
+
+	/**
+	 * Returns a server.
+	 * @param name its name
+	 * @return the server
+	 * @throws IllegalArgumentException if there is none
+	 */
+	public BackendStandIn server(String name) {
+		BackendStandIn server = this.servers.get(name);
+		if (server == null) {
+			throw new IllegalArgumentException("no server named \"" + name + "\"");
+		}
+		return server;
+	}
+
+	/**
+	 * Returns all servers.
+	 * @return the servers, in the order in which they were added
+	 */
+	public Collection<BackendStandIn> servers() {
+		return List.copyOf(this.servers.values());
+	}
+
+	/**
+	 * Returns the record of runs.
+	 * @return every run on a server of this group
+	 */
+	public RunLog runs() {
+		return this.runs;
+	}
+
+	/**
+	 * Opens the control port.
+	 * @param host the address to listen on
+	 * @param port the port, 0 for any
+	 * @return the port in use
+	 */
+	public int openControl(String host, int port) {
+		DisposableServer opened = HttpServer.create()
+			.bindAddress(() -> new InetSocketAddress(host, port))
+			.route(this::addRoutes)
+			.bindNow();
+		this.control = opened;
+		return opened.port();
+	}
+
+	@Override
+	public void close() {
+		this.servers.values().forEach(BackendStandIn::close);
+		if (this.control != null) {
+			this.control.dispose();
+		}
+	}
+
+	private void addRoutes(HttpServerRoutes routes) {
+		new Control(routes).get("/control/stats", (query) -> stats())
+			.get("/control/runs", this::listRuns)
+			.post("/control/set", this::set)
+			.post("/control/crash", (body) -> onChosen(body, BackendStandIn::crash))
+			.post("/control/stop", (body) -> onChosen(body, BackendStandIn::stop))
+			.post("/control/start", (body) -> onChosen(body, (server) -> server.restart(server.port())))
+			.post("/control/warm", (body) -> onChosen(body, BackendStandIn::warm))
+			.post("/control/chill", (body) -> onChosen(body, BackendStandIn::chill))
+			.post("/control/clear", (body) -> clear());
+	}
+
+	private GroupStats stats() {
+		List<BackendStats> list = new ArrayList<>();
+		this.servers.values().forEach((server) -> list.add(server.stats()));
+		return new GroupStats(list, this.runs.total(), this.runs.duplicateKeys(), this.runs.duplicateRequests().size());
+	}
+
+	private List<Run> listRuns(QueryStringDecoder query) {
+		Predicate<Run> filter = (run) -> isMatch(query, "key", run.key()) && isMatch(query, "request", run.requestId())
+				&& isMatch(query, "server", run.server());
+		List<Run> found = this.runs.find(filter);
+		return found.subList(Math.max(0, found.size() - LISTED_RUNS), found.size());
+	}
+
+	private static boolean isMatch(QueryStringDecoder query, String name, String value) {
+		List<String> wanted = query.parameters().get(name);
+		return wanted == null || wanted.contains(value);
+	}
+
+	private GroupStats set(JsonNode body) {
+		ObjectNode changes = body.deepCopy();
+		changes.remove("server");
+		return onChosen(body, (server) -> server.change(changes));
+	}
+
+	private GroupStats clear() {
+		this.runs.clear();
+		return stats();
+	}
+
+	private GroupStats onChosen(JsonNode body, Consumer<BackendStandIn> action) {
+		JsonNode name = body.path("server");
+		Collection<BackendStandIn> chosen = name.isMissingNode() ? servers() : List.of(server(name.asText()));
+		chosen.forEach(action);
+		return stats();
+	}
+
+	/**
+	 * What a group reports to tests.
+	 *
+	 * @param servers the servers
+	 * @param runs runs on all servers
+	 * @param duplicateKeys idempotency keys that ran more than once, with their runs
+	 * @param duplicateRequests requests that ran more than once
+	 */
+	public record GroupStats(List<BackendStats> servers, long runs, Map<String, Integer> duplicateKeys,
+			int duplicateRequests) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/backend/BackendStandIn.java
@@ -0,0 +1,459 @@
+package org.lovagevale.standins.backend;
+
+import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.UnaryOperator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.standins.http.Counters;
+import org.lovagevale.standins.http.GeneratedBody;
+import org.lovagevale.standins.http.Json;
+import org.lovagevale.standins.http.ReceivedBody;
+import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.util.retry.Retry;
+
+/**
+ * A backend server of a service, as far as a load balancer can tell.
+ *
+ * <p>
+ * It runs requests in slots, queues and sheds, reports its load, starts cold, drains,
+ * crashes on marked requests and enforces deadlines. A request counts as run from the
+ * moment it occupies a slot and its body has arrived. Thread-safe.
+ */
+public final class BackendStandIn implements AutoCloseable {
+
+	private static final Logger log = LoggerFactory.getLogger(BackendStandIn.class);
+
+	private static final Duration BIND_RETRY = Duration.ofMillis(50);
+
+	private static final int BIND_RETRIES = 100;
+
+	private static final int INTERNAL_ERROR = 500;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final String LOAD_HEADER = "Lovagevale-Load";
+
+	private final String name;
+
+	private final String host;
+
+	private final int port;
+
+	private final Clock clock;
+
+	private final RunLog runs;
+
+	private final Counters<BackendCounter> counters = new Counters<>(BackendCounter.class);
+
+	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+	private final LoadHistory history = new LoadHistory();
+
+	private volatile Behaviour behaviour;
+
+	private volatile Life life;
+
+	private volatile @Nullable DisposableServer server;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param name its name
+	 * @param host the address to listen on
+	 * @param port the port to listen on, 0 for any
+	 * @param behaviour what it does
+	 * @param cold whether it begins with a cold start
+	 * @param clock the clock
+	 * @param runs receives each run
+	 */
+	public BackendStandIn(String name, String host, int port, Behaviour behaviour, boolean cold, Clock clock,
+			RunLog runs) {
+		this.name = name;
+		this.host = host;
+		this.port = port;
+		this.clock = clock;
+		this.runs = runs;
+		this.behaviour = behaviour;
+		this.life = newLife(cold);
+	}
+
+	/**
+	 * Begins to listen and returns when it does.
+	 */
+	public void start() {
+		this.server = listener(this.port).bindNow();
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name of the server
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port that it listens on, also while it is down
+	 */
+	public int port() {
+		DisposableServer current = this.server;
+		return (current != null) ? current.port() : this.port;
+	}
+
+	/**
+	 * Returns a counter.
+	 * @param counter its name
+	 * @return the value
+	 */
+	public long count(BackendCounter counter) {
+		return this.counters.get(counter);
+	}
+
+	/**
+	 * Returns what it does.
+	 * @return the behaviour
+	 */
+	public Behaviour behaviour() {
+		return this.behaviour;
+	}
+
+	/**
+	 * Changes what it does from now on.
+	 * @param change returns the new behaviour
+	 */
+	public synchronized void change(UnaryOperator<Behaviour> change) {
+		this.behaviour = change.apply(this.behaviour);
+	}
+
+	/**
+	 * Changes members of the behaviour by name.
+	 * @param members the members to replace
+	 * @throws IllegalArgumentException if there is no such member
+	 */
+	public void change(JsonNode members) {
+		change((current) -> Json.change(current, Behaviour.class, members));
+	}
+
+	/**
+	 * Ends the cold start.
+	 */
+	public void warm() {
+		this.life.slots().warm();
+	}
+
+	/**
+	 * Becomes cold at once, without any sign but the next report.
+	 */
+	public void chill() {
+		this.life = new Life(this.life.boot(), new WorkSlots(() -> this.behaviour, this.clock, true));
+	}
+
+	/**
+	 * Closes all connections, stops listening and starts again, cold and with a new boot
+	 * identifier, after {@link Behaviour#restartMs()}.
+	 */
+	public void crash() {
+		this.counters.increment(BackendCounter.CRASHES);
+		int usedPort = port();
+		stop();
+		long delay = this.behaviour.restartMs();
+		Mono.delay(Duration.ofMillis(delay)).subscribe((tick) -> restart(usedPort));
+	}
+
+	/**
+	 * Closes all connections and stops listening until {@link #restart(int)}.
+	 */
+	public void stop() {
+		DisposableServer current = this.server;
+		if (current != null) {
+			current.dispose();
+		}
+		this.connections.close();
+	}
+
+	/**
+	 * Begins a new run, cold and with a new boot identifier.
+	 * @param usedPort the port to listen on
+	 */
+	public void restart(int usedPort) {
+		if (this.closed) {
+			return;
+		}
+		this.life = newLife(true);
+		listener(usedPort).bind()
+			.retryWhen(Retry.fixedDelay(BIND_RETRIES, BIND_RETRY))
+			.subscribe(this::restarted, (ex) -> log.error("event=backend.restart-failed server={} error=\"{}\"",
+					this.name, ex.getMessage()));
+	}
+
+	/**
+	 * Returns what tests want to know.
+	 * @return the state and the counters
+	 */
+	public BackendStats stats() {
+		Life now = this.life;
+		DisposableServer current = this.server;
+		return new BackendStats(this.name, port(), now.boot(), trueState(now), current != null && !current.isDisposed(),
+				now.slots().inFlight(), now.slots().highest(), this.connections.size(), this.counters.toMap());
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		stop();
+	}
+
+	private void restarted(DisposableServer bound) {
+		this.server = bound;
+		if (this.closed) {
+			bound.dispose();
+		}
+		log.info("event=backend.restarted server={} port={} boot={}", this.name, bound.port(), this.life.boot());
+	}
+
+	private Life newLife(boolean cold) {
+		String boot = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextInt());
+		return new Life(boot, new WorkSlots(() -> this.behaviour, this.clock, cold));
+	}
+
+	private HttpServer listener(int listenPort) {
+		return HttpServer.create()
+			.bindAddress(() -> new InetSocketAddress(this.host, listenPort))
+			.doOnChannelInit((observer, channel, remote) -> accept(channel))
+			.handle(this::handle);
+	}
+
+	private void accept(Channel channel) {
+		this.counters.increment(BackendCounter.CONNECTIONS);
+		if (this.connections.size() >= this.behaviour.maxConnections()) {
+			this.counters.increment(BackendCounter.CONNECTIONS_REFUSED);
+			channel.close();
+			return;
+		}
+		this.connections.add(channel);
+	}
+
+	private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+		if (request.fullPath().equals("/health")) {
+			return health(response);
+		}
+		this.counters.increment(BackendCounter.REQUESTS);
+		Exchange exchange = new Exchange(this.life, BackendRequest.read(request), response, new Work());
+		Behaviour now = this.behaviour;
+		if (now.draining()) {
+			this.counters.increment(BackendCounter.DRAIN_ARRIVALS);
+			return reject(exchange, "draining");
+		}
+		if (isExpired(exchange)) {
+			this.counters.increment(BackendCounter.EXPIRED);
+			return reject(exchange, "deadline passed");
+		}
+		if (now.failFast()) {
+			this.counters.increment(BackendCounter.FAILED_FAST);
+			return withLoad(exchange).status(INTERNAL_ERROR).sendString(Mono.just("failed\n"));
+		}
+		return admit(exchange, request.receive());
+	}
+
+	private Publisher<Void> health(HttpServerResponse response) {
+		this.counters.increment(BackendCounter.HEALTH_READS);
+		response.header(LOAD_HEADER, report(this.life, this.life.slots().inFlight()));
+		return switch (this.behaviour.health()) {
+			case OK -> response.sendString(Mono.just("ok\n"));
+			case ERROR -> response.status(INTERNAL_ERROR).sendString(Mono.just("error\n"));
+			case HANG -> Mono.never();
+		};
+	}
+
+	private Publisher<Void> admit(Exchange exchange, Flux<ByteBuf> body) {
+		WorkSlots slots = exchange.life().slots();
+		WorkSlots.Admission admission = slots.offer(exchange.work());
+		if (admission.coldViolation()) {
+			this.counters.increment(BackendCounter.COLD_VIOLATIONS);
+		}
+		if (!admission.accepted()) {
+			this.counters.increment(BackendCounter.SHED);
+			return reject(exchange, "queue full");
+		}
+		sample(exchange);
+		return Mono.zip(ReceivedBody.read(body), exchange.work().started())
+			.flatMap((ready) -> run(exchange, ready.getT1()))
+			.doFinally((signal) -> finished(exchange, signal));
+	}
+
+	private Mono<Void> run(Exchange exchange, ReceivedBody body) {
+		if (isExpired(exchange)) {
+			this.counters.increment(BackendCounter.EXPIRED);
+			release(exchange, false);
+			return Mono.from(reject(exchange, "deadline passed"));
+		}
+		this.counters.increment(BackendCounter.RUNS);
+		this.runs.add(toRun(exchange));
+		if (exchange.request().crashHeader() || body.text().contains(BackendRequest.CRASH_MARK)) {
+			crash();
+			return Mono.error(new ClosedChannelException());
+		}
+		Duration time = serviceTime(exchange);
+		Mono<Long> served = time.isZero() ? Mono.just(0L) : Mono.delay(time, Schedulers.parallel());
+		return served.flatMap((tick) -> Mono.from(answer(exchange, body)));
+	}
+
+	private Duration serviceTime(Exchange exchange) {
+		Behaviour now = this.behaviour;
+		double factor = now.latencyFactor() * exchange.life().slots().slowdown();
+		long asked = exchange.request().options().serviceMs();
+		ServiceTime time = (asked >= 0) ? ServiceTime.fixed(asked) : now.serviceTime(exchange.request().path());
+		return time.next(ThreadLocalRandom.current(), factor);
+	}
+
+	private Publisher<Void> answer(Exchange exchange, ReceivedBody body) {
+		BackendRequest.Options options = exchange.request().options();
+		HttpServerResponse response = withLoad(exchange).status(options.status());
+		if (options.bytes() < 0) {
+			String json = Json.write(toAnswer(exchange, body));
+			return response.header("Content-Type", "application/json").sendString(Mono.just(json + "\n"));
+		}
+		response.header("Content-Length", Long.toString(options.bytes()));
+		Flux<ByteBuf> chunks = new GeneratedBody(options.seed(), options.bytes()).chunks();
+		return response.send((options.cutAfter() < 0) ? chunks : cut(chunks, options.cutAfter()));
+	}
+
+	private static Flux<ByteBuf> cut(Flux<ByteBuf> chunks, long after) {
+		long whole = after / GeneratedBody.CHUNK_BYTES;
+		return chunks.take(whole).concatWith(Flux.error(new ClosedChannelException()));
+	}
+
+	private Publisher<Void> reject(Exchange exchange, String reason) {
+		return withLoad(exchange).status(UNAVAILABLE)
+			.header("Lovagevale-Not-Run", "true")
+			.sendString(Mono.just(reason + "\n"));
+	}
+
+	private HttpServerResponse withLoad(Exchange exchange) {
+		WorkSlots slots = exchange.life().slots();
+		int own = (exchange.work().stage() == Work.Stage.RUNNING) ? 1 : 0;
+		String report = report(exchange.life(), Math.max(0, slots.inFlight() - own));
+		return exchange.response().header(LOAD_HEADER, report);
+	}
+
+	private String report(Life now, int trueInFlight) {
+		Behaviour current = this.behaviour;
+		int inFlight = trueInFlight;
+		if (current.reportInFlight() >= 0) {
+			inFlight = current.reportInFlight();
+		}
+		else if (current.reportDelayMs() > 0) {
+			inFlight = this.history.at(this.clock.millis() - current.reportDelayMs());
+		}
+		String state = current.reportState().isEmpty() ? trueState(now) : current.reportState();
+		return "inflight=" + inFlight + "; slots=" + current.slots() + "; state=" + state + "; boot=" + now.boot();
+	}
+
+	private String trueState(Life now) {
+		if (this.behaviour.draining()) {
+			return "draining";
+		}
+		return now.slots().isCold() ? "cold" : "warm";
+	}
+
+	private boolean isExpired(Exchange exchange) {
+		long now = this.clock.epochMillis() + this.behaviour.clockOffsetMs();
+		return now >= exchange.request().deadlineMs();
+	}
+
+	private void finished(Exchange exchange, SignalType signal) {
+		Work.Stage stage = release(exchange, signal == SignalType.ON_COMPLETE);
+		if (signal == SignalType.ON_COMPLETE && stage == Work.Stage.RUNNING) {
+			this.counters.increment(BackendCounter.ANSWERS);
+		}
+		if (signal == SignalType.CANCEL && stage == Work.Stage.QUEUED) {
+			this.counters.increment(BackendCounter.CANCELLED_QUEUED);
+		}
+		if (signal == SignalType.CANCEL && stage == Work.Stage.RUNNING) {
+			this.counters.increment(BackendCounter.CANCELLED_RUNNING);
+		}
+	}
+
+	private Work.Stage release(Exchange exchange, boolean answered) {
+		Work.Stage stage = exchange.life().slots().finish(exchange.work(), answered);
+		sample(exchange);
+		return stage;
+	}
+
+	private void sample(Exchange exchange) {
+		this.history.add(this.clock.millis(), exchange.life().slots().inFlight());
+	}
+
+	private Run toRun(Exchange exchange) {
+		BackendRequest request = exchange.request();
+		return new Run(this.name, exchange.life().boot(), request.method(), request.uri(), request.key(),
+				request.requestId(), request.attempt(), request.account(), this.clock.epochMillis(),
+				exchange.life().slots().isCold());
+	}
+
+	private Answer toAnswer(Exchange exchange, ReceivedBody body) {
+		BackendRequest request = exchange.request();
+		return new Answer(this.name, exchange.life().boot(), request.method(), request.uri(), request.key(),
+				request.requestId(), body.length(), body.sha256());
+	}
+
+	/**
+	 * One run of the server, from its start to its crash.
+	 *
+	 * @param boot the boot identifier
+	 * @param slots the slots
+	 */
+	private record Life(String boot, WorkSlots slots) {
+	}
+
+	/**
+	 * One request and what is needed to answer it.
+	 *
+	 * @param life the run of the server that received it
+	 * @param request the head
+	 * @param response the answer to write
+	 * @param work its place in the slots
+	 */
+	private record Exchange(Life life, BackendRequest request, HttpServerResponse response, Work work) {
+	}
+
+	/**
+	 * The usual answer body, which says what arrived.
+	 *
+	 * @param server the server
+	 * @param boot its boot identifier
+	 * @param method the method
+	 * @param path the path with query
+	 * @param key the idempotency key, empty if none
+	 * @param requestId the request identifier, empty if none
+	 * @param length the length of the request body in bytes
+	 * @param sha256 the digest of the request body
+	 */
+	private record Answer(String server, String boot, String method, String path, String key, String requestId,
+			long length, String sha256) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/backend/RunLog.java
@@ -0,0 +1,118 @@
+package org.lovagevale.standins.backend;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * Every run on a group of servers, so that tests can count duplicates.
+ *
+ * <p>
+ * Counts by key and by request are kept for ever; the runs themselves up to
+ * {@link #CAPACITY}. Thread-safe.
+ */
+public final class RunLog {
+
+	/** Runs that are kept with all their details. */
+	public static final int CAPACITY = 100_000;
+
+	private final Deque<Run> runs = new ArrayDeque<>();
+
+	private final Map<String, Integer> byKey = new HashMap<>();
+
+	private final Map<String, Integer> byRequest = new HashMap<>();
+
+	private long total;
+
+	synchronized void add(Run run) {
+		this.total++;
+		this.runs.addLast(run);
+		if (this.runs.size() > CAPACITY) {
+			this.runs.removeFirst();
+		}
+		count(this.byKey, run.key());
+		count(this.byRequest, run.requestId());
+	}
+
+	/**
+	 * Returns the number of runs.
+	 * @return all runs since the start or the last {@link #clear()}
+	 */
+	public synchronized long total() {
+		return this.total;
+	}
+
+	/**
+	 * Returns how often a key ran.
+	 * @param key the idempotency key
+	 * @return the number of runs
+	 */
+	public synchronized int runsOfKey(String key) {
+		return this.byKey.getOrDefault(key, 0);
+	}
+
+	/**
+	 * Returns how often a request ran.
+	 * @param requestId the request identifier
+	 * @return the number of runs
+	 */
+	public synchronized int runsOfRequest(String requestId) {
+		return this.byRequest.getOrDefault(requestId, 0);
+	}
+
+	/**
+	 * Returns the keys that ran more than once.
+	 * @return the number of runs by key, in order of key
+	 */
+	public synchronized Map<String, Integer> duplicateKeys() {
+		return duplicates(this.byKey);
+	}
+
+	/**
+	 * Returns the requests that ran more than once, which is allowed for idempotent ones.
+	 * @return the number of runs by request identifier, in order of identifier
+	 */
+	public synchronized Map<String, Integer> duplicateRequests() {
+		return duplicates(this.byRequest);
+	}
+
+	/**
+	 * Returns runs that match a filter.
+	 * @param filter the filter
+	 * @return the runs, the oldest first
+	 */
+	public synchronized List<Run> find(Predicate<Run> filter) {
+		return this.runs.stream().filter(filter).toList();
+	}
+
+	/**
+	 * Forgets everything.
+	 */
+	public synchronized void clear() {
+		this.total = 0;
+		this.runs.clear();
+		this.byKey.clear();
+		this.byRequest.clear();
+	}
+
+	private static void count(Map<String, Integer> counts, String name) {
+		if (!name.isEmpty()) {
+			counts.merge(name, 1, Integer::sum);
+		}
+	}
+
+	private static Map<String, Integer> duplicates(Map<String, Integer> counts) {
+		Map<String, Integer> result = new TreeMap<>();
+		counts.forEach((name, count) -> {
+			if (count > 1) {
+				result.put(name, count);
+			}
+		});
+		return result;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/backend/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Backend server stand-ins.
+ */
+@NullMarked
+package org.lovagevale.standins.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/caller/Caller.java
@@ -0,0 +1,332 @@
+package org.lovagevale.standins.caller;
+
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.standins.http.Json;
+import org.lovagevale.standins.http.ReceivedBody;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * A caller of a service that follows the rules for callers.
+ *
+ * <p>
+ * It asks for addresses and keeps the answer as long as allowed. A write carries a key
+ * that begins with the prefix of the VM it is sent to. After "not run" it tries another
+ * address with a new key; after "running" or a lost connection it sends the same key to
+ * the same VM, and then to another one, which answers for the first. It never repeats a
+ * request that may have run and has no key, unless it is idempotent. Thread-safe.
+ */
+public final class Caller implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final long RESEND_MS = 50;
+
+	private static final long MAX_RETRY_AFTER_MS = 1_000;
+
+	private static final long SECOND_MS = 1_000;
+
+	private static final int MAX_CONNECTIONS = 500;
+
+	private static final int SENDS_TO_OWNER = 3;
+
+	// The entry process answers at the deadline; the answer takes time to arrive.
+	private static final long ANSWER_GRACE_MS = 1_000;
+
+	private final List<EntryAddress> seeds;
+
+	private final String service;
+
+	private final String account;
+
+	private final Clock clock;
+
+	private final ConnectionProvider connections;
+
+	private final HttpClient client;
+
+	private final AtomicInteger nextSeed = new AtomicInteger();
+
+	private final AtomicInteger lookups = new AtomicInteger();
+
+	private volatile @Nullable AddressAnswer known;
+
+	private volatile long knownUntil;
+
+	/**
+	 * Creates a caller.
+	 * @param seeds addresses to ask first, at least one
+	 * @param service the service
+	 * @param account the client account, empty for none
+	 * @param clock the clock
+	 */
+	public Caller(List<EntryAddress> seeds, String service, String account, Clock clock) {
+		if (seeds.isEmpty()) {
+			throw new IllegalArgumentException("a caller needs at least one address to ask");
+		}
+		this.seeds = List.copyOf(seeds);
+		this.service = service;
+		this.account = account;
+		this.clock = clock;
+		this.connections = ConnectionProvider.builder("caller").maxConnections(MAX_CONNECTIONS).build();
+		// The client of the library repeats requests by itself unless told otherwise.
+		this.client = HttpClient.create(this.connections).disableRetry(true);
+	}
+
+	/**
+	 * Returns the addresses to use, from the last answer while it is valid.
+	 * @return the addresses
+	 */
+	public Mono<AddressAnswer> addresses() {
+		AddressAnswer kept = this.known;
+		if (kept != null && this.clock.millis() < this.knownUntil) {
+			return Mono.just(kept);
+		}
+		return lookUp(this.seeds.size());
+	}
+
+	/**
+	 * Forgets the addresses, so that the next call asks for them.
+	 */
+	public void forgetAddresses() {
+		this.known = null;
+	}
+
+	/**
+	 * Returns how often addresses were asked for.
+	 * @return the number of lookups
+	 */
+	public int lookups() {
+		return this.lookups.get();
+	}
+
+	/**
+	 * Returns a new key.
+	 * @param address the VM that is to own it
+	 * @return the key
+	 */
+	public static String newKey(EntryAddress address) {
+		return address.keyPrefix() + UUID.randomUUID().toString().replace("-", "");
+	}
+
+	/**
+	 * Sends a call, with resends where the rules allow them, until its time is over.
+	 * @param call the call
+	 * @return how it ended; fails only if no address could be found
+	 */
+	public Mono<CallResult> send(Call call) {
+		return Mono.defer(() -> attempt(new Progress(call, this.clock.millis() + call.timeoutMs(), 0, 0, null, "")));
+	}
+
+	/**
+	 * Sends a request once.
+	 * @param call the request
+	 * @param address where to send it
+	 * @param key the idempotency key, empty for none
+	 * @return the answer; fails if there was no complete one
+	 */
+	public Mono<CallResult> sendOnce(Call call, EntryAddress address, String key) {
+		return exchange(call, address, key, call.timeoutMs());
+	}
+
+	/**
+	 * Asks what became of a key.
+	 * @param address the VM to ask
+	 * @param key the key
+	 * @return the answer
+	 */
+	public Mono<CallResult> outcome(EntryAddress address, String key) {
+		return sendOnce(Call.get("/.lovagevale/outcome/" + key), address, "");
+	}
+
+	@Override
+	public void close() {
+		this.connections.dispose();
+	}
+
+	private Mono<AddressAnswer> lookUp(int seedsLeft) {
+		EntryAddress seed = this.seeds.get(Math.floorMod(this.nextSeed.get(), this.seeds.size()));
+		this.lookups.incrementAndGet();
+		return sendOnce(Call.get(lookUpPath()).withTimeoutMs(SECOND_MS), seed, "").flatMap(this::keep)
+			.onErrorResume((ex) -> {
+				this.nextSeed.incrementAndGet();
+				return (seedsLeft > 1) ? lookUp(seedsLeft - 1) : Mono.error(ex);
+			});
+	}
+
+	private String lookUpPath() {
+		String path = "/.lovagevale/addresses?service=" + this.service;
+		return this.account.isEmpty() ? path : path + "&account=" + this.account;
+	}
+
+	private Mono<AddressAnswer> keep(CallResult result) {
+		if (result.status() != OK) {
+			return Mono.error(new IllegalStateException("address lookup answered with " + result.status()));
+		}
+		AddressAnswer answer = Json.read(result.body().text(), AddressAnswer.class);
+		if (answer.addresses().isEmpty()) {
+			return Mono.error(new IllegalStateException("address lookup named no address"));
+		}
+		this.known = answer;
+		this.knownUntil = this.clock.millis() + answer.validForMs();
+		return Mono.just(answer);
+	}
+
+	private Mono<CallResult> attempt(Progress progress) {
+		return addresses().flatMap((answer) -> {
+			EntryAddress address = chooseAddress(progress, answer);
+			String key = chooseKey(progress, address);
+			Progress now = progress.sentTo(owner(progress, address), key);
+			return exchange(progress.call(), address, key, remaining(progress))
+				.map((result) -> result.withAttempts(now.attempts()))
+				.flatMap((result) -> afterAnswer(now, result))
+				.onErrorResume((ex) -> afterFailure(now, address, ex));
+		});
+	}
+
+	private static EntryAddress chooseAddress(Progress progress, AddressAnswer answer) {
+		EntryAddress owner = progress.owner();
+		if (owner != null && progress.sendsOfKey() < SENDS_TO_OWNER) {
+			return owner;
+		}
+		List<EntryAddress> others = answer.addresses()
+			.stream()
+			.filter((address) -> owner == null || !address.vm().equals(owner.vm()))
+			.toList();
+		if (others.isEmpty()) {
+			return (owner != null) ? owner : answer.addresses().get(0);
+		}
+		return others.get(progress.attempts() % others.size());
+	}
+
+	private static EntryAddress owner(Progress progress, EntryAddress chosen) {
+		EntryAddress owner = progress.owner();
+		return (owner != null) ? owner : chosen;
+	}
+
+	private static String chooseKey(Progress progress, EntryAddress address) {
+		if (!progress.call().keyed()) {
+			return "";
+		}
+		return progress.key().isEmpty() ? newKey(address) : progress.key();
+	}
+
+	private long remaining(Progress progress) {
+		return Math.max(1, progress.endMs() - this.clock.millis());
+	}
+
+	private Mono<CallResult> afterAnswer(Progress progress, CallResult result) {
+		long wait = Math.max(RESEND_MS, retryAfterMs(result));
+		if (this.clock.millis() + wait >= progress.endMs()) {
+			return Mono.just(result);
+		}
+		return switch (result.outcome()) {
+			case "not-run" -> isWorthRetry(result) ? later(progress.withoutKey(), wait) : Mono.just(result);
+			case "running" -> later(progress, wait);
+			default -> Mono.just(result);
+		};
+	}
+
+	// Other rejections, such as 413 or 422, would only be repeated.
+	private static boolean isWorthRetry(CallResult result) {
+		return switch (result.status()) {
+			case 421, 429, 502, 503, 504 -> true;
+			default -> false;
+		};
+	}
+
+	private static long retryAfterMs(CallResult result) {
+		String value = result.header("retry-after");
+		if (value.isEmpty() || !value.chars().allMatch(Character::isDigit)) {
+			return 0;
+		}
+		return Math.min(MAX_RETRY_AFTER_MS, Long.parseLong(value) * SECOND_MS);
+	}
+
+	private Mono<CallResult> afterFailure(Progress progress, EntryAddress address, Throwable cause) {
+		boolean sent = !(cause instanceof ConnectException);
+		boolean safe = progress.call().keyed() || progress.call().isIdempotent() || !sent;
+		if (!safe || this.clock.millis() + RESEND_MS >= progress.endMs()) {
+			String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+			return Mono.just(CallResult.failed(address, progress.key(), progress.attempts(), reason));
+		}
+		if (sent && progress.call().keyed()) {
+			return later(progress, RESEND_MS);
+		}
+		forgetAddresses();
+		boolean neverSent = progress.sendsOfKey() <= 1;
+		return later(neverSent ? progress.withoutKey() : progress, RESEND_MS);
+	}
+
+	private Mono<CallResult> later(Progress progress, long waitMs) {
+		return Mono.delay(Duration.ofMillis(waitMs)).flatMap((tick) -> attempt(progress));
+	}
+
+	private Mono<CallResult> exchange(Call call, EntryAddress address, String key, long timeoutMs) {
+		return this.client.headers((headers) -> addHeaders(headers, call, key, timeoutMs))
+			.request(HttpMethod.valueOf(call.method()))
+			.uri(address.base() + call.path())
+			.send((request, outbound) -> (call.length() > 0) ? outbound.send(call.body()) : outbound)
+			.response((response, body) -> ReceivedBody.read(body).map((read) -> toResult(response, read, address, key)))
+			.single()
+			.timeout(Duration.ofMillis(timeoutMs + ANSWER_GRACE_MS));
+	}
+
+	private void addHeaders(HttpHeaders headers, Call call, String key, long timeoutMs) {
+		headers.set("Content-Length", call.length()).set("Lovagevale-Timeout-Ms", timeoutMs);
+		if (!this.account.isEmpty()) {
+			headers.set("Lovagevale-Account", this.account);
+		}
+		if (!key.isEmpty()) {
+			headers.set("Idempotency-Key", key);
+		}
+		call.headers().forEach(headers::set);
+	}
+
+	private static CallResult toResult(HttpClientResponse response, ReceivedBody body, EntryAddress address,
+			String key) {
+		Map<String, String> headers = new HashMap<>();
+		response.responseHeaders()
+			.forEach((header) -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
+		return new CallResult(response.status().code(), headers, body, address, key, 1, "");
+	}
+
+	/**
+	 * How far a call has come.
+	 *
+	 * @param call the call
+	 * @param endMs when its time is over, in milliseconds
+	 * @param attempts requests sent so far
+	 * @param sendsOfKey requests sent so far with this key
+	 * @param owner the VM that owns the key
+	 * @param key the key, empty if none was chosen yet
+	 */
+	private record Progress(Call call, long endMs, int attempts, int sendsOfKey, @Nullable EntryAddress owner,
+			String key) {
+
+		private Progress sentTo(EntryAddress address, String usedKey) {
+			EntryAddress keyOwner = usedKey.isEmpty() ? null : address;
+			return new Progress(this.call, this.endMs, this.attempts + 1, this.sendsOfKey + 1, keyOwner, usedKey);
+		}
+
+		private Progress withoutKey() {
+			return new Progress(this.call, this.endMs, this.attempts, 0, null, "");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/caller/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Caller library: address lookups, idempotency keys, deadlines and resends.
+ */
+@NullMarked
+package org.lovagevale.standins.caller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/http/Control.java
@@ -0,0 +1,92 @@
+package org.lovagevale.standins.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * JSON endpoints by which tests steer a stand-in and read what it counted.
+ *
+ * <p>
+ * Not thread-safe while routes are added.
+ */
+public final class Control {
+
+	private static final int BAD_REQUEST = 400;
+
+	private final HttpServerRoutes routes;
+
+	/**
+	 * Creates endpoints on the routes of a server.
+	 * @param routes the routes to extend
+	 */
+	public Control(HttpServerRoutes routes) {
+		this.routes = routes;
+	}
+
+	/**
+	 * Adds an endpoint that reads.
+	 * @param path the path
+	 * @param reader returns the value to write as JSON
+	 * @return these endpoints
+	 */
+	public Control get(String path, Function<QueryStringDecoder, Object> reader) {
+		this.routes.get(path, (request, response) -> answer(response,
+				Mono.fromCallable(() -> reader.apply(new QueryStringDecoder(request.uri())))));
+		return this;
+	}
+
+	/**
+	 * Adds an endpoint that takes a JSON body.
+	 * @param path the path
+	 * @param action receives the body and returns the value to write as JSON
+	 * @return these endpoints
+	 */
+	public Control post(String path, Function<JsonNode, Object> action) {
+		return postText(path, (text) -> action.apply(Json.read(text)));
+	}
+
+	/**
+	 * Adds an endpoint that takes any text.
+	 * @param path the path
+	 * @param action receives the body and returns the value to write as JSON
+	 * @return these endpoints
+	 */
+	public Control postText(String path, Function<String, Object> action) {
+		this.routes.post(path, (request, response) -> answer(response, text(request).map(action)));
+		return this;
+	}
+
+	private static Mono<String> text(HttpServerRequest request) {
+		return request.receive().aggregate().asString(StandardCharsets.UTF_8).defaultIfEmpty("");
+	}
+
+	private static Publisher<Void> answer(HttpServerResponse response, Mono<Object> value) {
+		return value.map(Json::write)
+			.onErrorResume(IllegalArgumentException.class, (ex) -> Mono.just(Json.write(toError(response, ex))))
+			.flatMap((json) -> response.header("Content-Type", "application/json")
+				.sendString(Mono.just(json + "\n"))
+				.then());
+	}
+
+	private static ErrorBody toError(HttpServerResponse response, IllegalArgumentException cause) {
+		response.status(BAD_REQUEST);
+		return new ErrorBody(String.valueOf(cause.getMessage()));
+	}
+
+	/**
+	 * The answer to a command that cannot be carried out.
+	 *
+	 * @param error what is wrong
+	 */
+	private record ErrorBody(String error) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/http/GeneratedBody.java
@@ -0,0 +1,84 @@
+package org.lovagevale.standins.http;
+
+import java.security.MessageDigest;
+import java.util.HexFormat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import reactor.core.publisher.Flux;
+
+/**
+ * A body of any length whose bytes follow from a seed and their position.
+ *
+ * <p>
+ * Every byte depends on its position, so that lost, repeated and swapped chunks change
+ * the digest. Immutable and thread-safe.
+ *
+ * @param seed selects the content
+ * @param length the length in bytes, not negative
+ */
+public record GeneratedBody(long seed, long length) {
+
+	/** Bytes in one chunk, a multiple of eight. */
+	public static final int CHUNK_BYTES = 65_536;
+
+	/**
+	 * Checks the length.
+	 * @throws IllegalArgumentException if the length is negative
+	 */
+	public GeneratedBody {
+		if (length < 0) {
+			throw new IllegalArgumentException("length must not be negative: " + length);
+		}
+	}
+
+	/**
+	 * Returns the body as chunks, generated on demand.
+	 * @return the chunks
+	 */
+	public Flux<ByteBuf> chunks() {
+		return Flux.generate(() -> 0L, (offset, sink) -> {
+			if (offset >= this.length) {
+				sink.complete();
+				return offset;
+			}
+			byte[] chunk = chunk(offset);
+			sink.next(Unpooled.wrappedBuffer(chunk));
+			return offset + chunk.length;
+		});
+	}
+
+	/**
+	 * Returns the SHA-256 digest of the whole body.
+	 * @return the digest in hexadecimal digits
+	 */
+	public String sha256() {
+		MessageDigest digest = Digests.sha256();
+		for (long offset = 0; offset < this.length; offset += CHUNK_BYTES) {
+			digest.update(chunk(offset));
+		}
+		return HexFormat.of().formatHex(digest.digest());
+	}
+
+	private byte[] chunk(long offset) {
+		int size = (int) Math.min(CHUNK_BYTES, this.length - offset);
+		byte[] bytes = new byte[size];
+		for (int i = 0; i < size; i += Long.BYTES) {
+			long word = mix(this.seed + offset + i);
+			int end = Math.min(size, i + Long.BYTES);
+			for (int j = i; j < end; j++) {
+				bytes[j] = (byte) word;
+				word >>>= Byte.SIZE;
+			}
+		}
+		return bytes;
+	}
+
+	// The finalizer of SplitMix64: neighbouring inputs give unrelated outputs.
+	private static long mix(long value) {
+		long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+		mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+		return mixed ^ (mixed >>> 31);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/PlatformCommand.java
@@ -0,0 +1,59 @@
+package org.lovagevale.standins.platform;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.standins.http.StandInProcess;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs the settings service and the VM list.
+ */
+@Command(name = "platform", mixinStandardHelpOptions = true,
+		description = "Runs the settings service and the VM list; POST /control/publish publishes a tree.")
+public final class PlatformCommand implements Callable<Integer> {
+
+	@Spec
+	@SuppressWarnings("NullAway.Init")
+	private CommandSpec spec;
+
+	@Option(names = "--host", defaultValue = "127.0.0.1", description = "Address to listen on.")
+	private String host = "127.0.0.1";
+
+	@Option(names = "--port", required = true, description = "Port to listen on; 0 for any.")
+	private int port;
+
+	@Option(names = "--settings", paramLabel = "FILE", description = "Tree to publish, now and after each change.")
+	private @Nullable Path settings;
+
+	@Option(names = "--vm", paramLabel = "NAME", description = "Further VM in the VM list; may be repeated.")
+	private List<String> vms = new ArrayList<>();
+
+	@Option(names = "--vm-lag", paramLabel = "MS", defaultValue = "0", description = "Lag of the VM list.")
+	private long vmLag;
+
+	@Option(names = "--reads-per-second", defaultValue = "2000", description = "Reads of settings admitted a second.")
+	private int readsPerSecond;
+
+	@Override
+	public Integer call() throws InterruptedException {
+		try (PlatformStandIn platform = new PlatformStandIn()) {
+			platform.readsPerSecond(this.readsPerSecond);
+			platform.vms().lag(this.vmLag);
+			this.vms.forEach(platform.vms()::addLive);
+			if (this.settings != null) {
+				platform.publishFile(this.settings);
+			}
+			int opened = platform.start(this.host, this.port);
+			StandInProcess.runUntilStopped(this.spec, "platform http://" + this.host + ":" + opened);
+		}
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/PlatformStandIn.java
@@ -0,0 +1,319 @@
+package org.lovagevale.standins.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.standins.http.Control;
+import org.lovagevale.standins.http.Counters;
+import org.lovagevale.standins.http.Json;
+import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * The settings service and the VM list.
+ *
+ * <p>
+ * Tests publish trees and cause outages, stale answers and throttling. Thread-safe.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+
+	/** The largest tree in bytes. */
+	public static final int MAX_CONTENT_BYTES = 1_048_576;
+
+	/** Reads a second that are admitted unless a test says otherwise. */
+	public static final int DEFAULT_READS_PER_SECOND = 2_000;
+
+	private static final Logger log = LoggerFactory.getLogger(PlatformStandIn.class);
+
+	private static final Duration FILE_CHECK = Duration.ofMillis(100);
+
+	private static final int NOT_MODIFIED = 304;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final Clock clock = new SystemClock();
+
+	private final SettingsStore settings = new SettingsStore(this.clock);
+
+	private final VmDirectory vms = new VmDirectory(this.clock, 0);
+
+	private final ReadAllowance allowance = new ReadAllowance(this.clock, DEFAULT_READS_PER_SECOND);
+
+	private final Counters<PlatformCounter> counters = new Counters<>(PlatformCounter.class);
+
+	private volatile OutageMode outage = OutageMode.NONE;
+
+	private @Nullable DisposableServer server;
+
+	private @Nullable Disposable fileWatch;
+
+	/**
+	 * Begins to listen and returns when it does.
+	 * @param host the address to listen on
+	 * @param port the port, 0 for any
+	 * @return the port in use
+	 */
+	public int start(String host, int port) {
+		DisposableServer bound = HttpServer.create()
+			.bindAddress(() -> new InetSocketAddress(host, port))
+			.route(this::addRoutes)
+			.bindNow();
+		this.server = bound;
+		return bound.port();
+	}
+
+	/**
+	 * Returns the settings.
+	 * @return the versions of the tree
+	 */
+	public SettingsStore settings() {
+		return this.settings;
+	}
+
+	/**
+	 * Returns the VM list.
+	 * @return the VM list
+	 */
+	public VmDirectory vms() {
+		return this.vms;
+	}
+
+	/**
+	 * Returns a counter.
+	 * @param counter its name
+	 * @return the value
+	 */
+	public long count(PlatformCounter counter) {
+		return this.counters.get(counter);
+	}
+
+	/**
+	 * Makes the platform fail or work again.
+	 * @param mode how it fails
+	 */
+	public void outage(OutageMode mode) {
+		this.outage = mode;
+	}
+
+	/**
+	 * Sets the reads that are admitted in each second.
+	 * @param reads the number of reads, not negative
+	 */
+	public void readsPerSecond(int reads) {
+		this.allowance.limit(reads);
+	}
+
+	/**
+	 * Publishes a tree, and adds VMs that are new in it to the VM list.
+	 * @param content the tree
+	 * @return its version
+	 * @throws IllegalArgumentException if the tree is too large
+	 */
+	public long publish(String content) {
+		if (content.length() > MAX_CONTENT_BYTES) {
+			throw new IllegalArgumentException(
+					"the tree has " + content.length() + " characters; the limit is " + MAX_CONTENT_BYTES);
+		}
+		Map<String, VmState> known = this.vms.visible();
+		for (String name : TreeNames.find(content)) {
+			if (!known.containsKey(name)) {
+				this.vms.addLive(name);
+			}
+		}
+		long version = this.settings.publish(content);
+		log.info("event=settings.published version={} characters={}", version, content.length());
+		return version;
+	}
+
+	/**
+	 * Publishes a file, now and after each change of its content.
+	 * @param file the file
+	 */
+	public void publishFile(Path file) {
+		String first = read(file);
+		publish(first);
+		this.fileWatch = Flux.interval(FILE_CHECK, Schedulers.boundedElastic())
+			.onBackpressureDrop()
+			.map((tick) -> read(file))
+			.scan(first, this::publishIfChanged)
+			.onErrorContinue((ex, value) -> log.warn("event=settings.file-unreadable error=\"{}\"", ex.getMessage()))
+			.subscribe();
+	}
+
+	@Override
+	public void close() {
+		if (this.fileWatch != null) {
+			this.fileWatch.dispose();
+		}
+		if (this.server != null) {
+			this.server.dispose();
+		}
+	}
+
+	private String publishIfChanged(String before, String now) {
+		if (!now.equals(before)) {
+			publish(now);
+		}
+		return now;
+	}
+
+	private static String read(Path file) {
+		try {
+			return Files.readString(file);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot read settings file " + file, ex);
+		}
+	}
+
+	private void addRoutes(HttpServerRoutes routes) {
+		routes.get("/settings", (request, response) -> withOutage(response, () -> readSettings(request, response)));
+		routes.get("/vms", (request, response) -> withOutage(response, () -> readVms(response)));
+		new Control(routes).get("/control/stats", (query) -> stats())
+			.postText("/control/publish", (content) -> Map.of("version", publish(content)))
+			.post("/control/set", this::set)
+			.post("/control/vms", this::setVm)
+			.post("/control/stale", this::setStale);
+	}
+
+	private Publisher<Void> withOutage(HttpServerResponse response, Supplier<Publisher<Void>> work) {
+		OutageMode mode = this.outage;
+		if (mode != OutageMode.NONE) {
+			this.counters.increment(PlatformCounter.OUTAGE_FAILURES);
+		}
+		return switch (mode) {
+			case NONE -> work.get();
+			case ERROR -> response.status(UNAVAILABLE).send();
+			case HANG -> Mono.never();
+			case CLOSE -> close(response);
+		};
+	}
+
+	private static Publisher<Void> close(HttpServerResponse response) {
+		response.withConnection((connection) -> connection.channel().close());
+		return Mono.never();
+	}
+
+	private Publisher<Void> readSettings(HttpServerRequest request, HttpServerResponse response) {
+		QueryStringDecoder query = new QueryStringDecoder(request.uri());
+		long waitMs = number(query, "waitMs");
+		this.counters.increment(PlatformCounter.SETTINGS_READS);
+		if (waitMs > 0) {
+			this.counters.increment(PlatformCounter.WATCHES);
+		}
+		if (!this.allowance.take()) {
+			this.counters.increment(PlatformCounter.THROTTLED);
+			return response.status(TOO_MANY_REQUESTS).send();
+		}
+		return this.settings.read(number(query, "after"), waitMs)
+			.map((found) -> sendTree(response, found))
+			.defaultIfEmpty(Mono.defer(() -> sendUnchanged(response)))
+			.flatMap(Mono::from);
+	}
+
+	private Mono<Void> sendTree(HttpServerResponse response, Published found) {
+		return Mono.defer(() -> {
+			if (this.outage != OutageMode.NONE) {
+				return response.status(UNAVAILABLE).send();
+			}
+			this.counters.increment(PlatformCounter.TREES);
+			return response.header("Settings-Version", Long.toString(found.version()))
+				.header("Content-Type", "application/json")
+				.sendString(Mono.just(found.content()))
+				.then();
+		});
+	}
+
+	private Mono<Void> sendUnchanged(HttpServerResponse response) {
+		if (this.outage != OutageMode.NONE) {
+			return response.status(UNAVAILABLE).send();
+		}
+		this.counters.increment(PlatformCounter.UNCHANGED);
+		return response.status(NOT_MODIFIED).send();
+	}
+
+	private Publisher<Void> readVms(HttpServerResponse response) {
+		this.counters.increment(PlatformCounter.VM_READS);
+		List<Map<String, String>> list = this.vms.visible()
+			.entrySet()
+			.stream()
+			.map((entry) -> Map.of("name", entry.getKey(), "state", entry.getValue().name().toLowerCase(Locale.ROOT)))
+			.toList();
+		return response.header("Content-Type", "application/json")
+			.sendString(Mono.just(Json.write(Map.of("vms", list))));
+	}
+
+	private static long number(QueryStringDecoder query, String name) {
+		List<String> values = query.parameters().get(name);
+		return (values != null) ? Long.parseLong(values.get(0)) : 0;
+	}
+
+	private PlatformStats stats() {
+		return new PlatformStats(this.settings.served().version(), this.outage, this.allowance.peak(),
+				this.counters.toMap(), this.vms.visible());
+	}
+
+	private PlatformStats set(JsonNode body) {
+		body.fieldNames().forEachRemaining((name) -> setOne(name, body.path(name)));
+		return stats();
+	}
+
+	private void setOne(String name, JsonNode value) {
+		switch (name) {
+			case "outage" -> outage(OutageMode.valueOf(value.asText().toUpperCase(Locale.ROOT)));
+			case "readsPerSecond" -> readsPerSecond(value.asInt());
+			case "vmLagMs" -> this.vms.lag(value.asLong());
+			default -> throw new IllegalArgumentException("no setting named \"" + name + "\"");
+		}
+	}
+
+	private PlatformStats setVm(JsonNode body) {
+		VmState state = VmState.valueOf(body.path("state").asText().toUpperCase(Locale.ROOT));
+		this.vms.set(body.path("name").asText(), state);
+		return stats();
+	}
+
+	private PlatformStats setStale(JsonNode body) {
+		this.settings.serveStale(body.path("version").asLong(), body.path("durationMs").asLong());
+		return stats();
+	}
+
+	/**
+	 * What the platform reports to tests.
+	 *
+	 * @param servedVersion the version that is served
+	 * @param outage how it fails
+	 * @param peakReadsPerSecond the most reads of settings that arrived in one second
+	 * @param counters the counters
+	 * @param vms what the VM list shows
+	 */
+	public record PlatformStats(long servedVersion, OutageMode outage, int peakReadsPerSecond,
+			Map<String, Long> counters, Map<String, VmState> vms) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/Published.java
@@ -0,0 +1,13 @@
+package org.lovagevale.standins.platform;
+
+/**
+ * One version of the settings tree.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param version the version, positive
+ * @param content the tree as published
+ */
+public record Published(long version, String content) {
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/SettingsStore.java
@@ -0,0 +1,114 @@
+package org.lovagevale.standins.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.lovagevale.base.Clock;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * The versions of a settings tree, with watches and stale answers.
+ *
+ * <p>
+ * Invariant: versions only increase. Thread-safe.
+ */
+public final class SettingsStore {
+
+	private final Clock clock;
+
+	private final List<Published> versions = new ArrayList<>();
+
+	private final Sinks.Many<Boolean> changes = Sinks.many().multicast().directBestEffort();
+
+	private long staleVersion;
+
+	private long staleUntil;
+
+	/**
+	 * Creates an empty store.
+	 * @param clock the clock
+	 */
+	public SettingsStore(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Publishes a tree as the next version.
+	 * @param content the tree
+	 * @return its version
+	 */
+	public long publish(String content) {
+		long version;
+		synchronized (this) {
+			version = this.versions.isEmpty() ? 1 : last().version() + 1;
+			this.versions.add(new Published(version, content));
+		}
+		wakeWatches();
+		return version;
+	}
+
+	/**
+	 * Serves an older version as the latest for a while.
+	 * @param version the version to serve
+	 * @param durationMs how long, in milliseconds
+	 * @throws IllegalArgumentException if the version was never published
+	 */
+	public synchronized void serveStale(long version, long durationMs) {
+		find(version);
+		this.staleVersion = version;
+		this.staleUntil = this.clock.millis() + durationMs;
+	}
+
+	/**
+	 * Returns the version that is served.
+	 * @return the latest version, or an older one while answers are stale
+	 * @throws IllegalStateException if nothing was published
+	 */
+	public synchronized Published served() {
+		if (this.versions.isEmpty()) {
+			throw new IllegalStateException("no settings were published");
+		}
+		return (this.clock.millis() < this.staleUntil) ? find(this.staleVersion) : last();
+	}
+
+	/**
+	 * Waits for a newer version.
+	 * @param after the version that the reader has
+	 * @param waitMs the longest wait in milliseconds
+	 * @return the served version, or empty if it did not become newer
+	 */
+	public Mono<Published> read(long after, long waitMs) {
+		Mono<Published> now = Mono.fromSupplier(this::served).filter((found) -> found.version() > after);
+		if (waitMs <= 0) {
+			return now;
+		}
+		Mono<Published> later = this.changes.asFlux()
+			.map((change) -> served())
+			.filter((found) -> found.version() > after)
+			.next();
+		// The check comes after the subscription, so that no version is missed between.
+		Mono<Published> both = Mono.firstWithValue(later, now.switchIfEmpty(Mono.never()));
+		return both.timeout(Duration.ofMillis(waitMs), Mono.empty());
+	}
+
+	// Emissions on a sink must not overlap.
+	private void wakeWatches() {
+		synchronized (this.changes) {
+			this.changes.tryEmitNext(Boolean.TRUE);
+		}
+	}
+
+	private Published last() {
+		return this.versions.get(this.versions.size() - 1);
+	}
+
+	private Published find(long version) {
+		return this.versions.stream()
+			.filter((published) -> published.version() == version)
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("version " + version + " was never published"));
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/TreeNames.java
@@ -0,0 +1,51 @@
+package org.lovagevale.standins.platform;
+
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/**
+ * Finds the names of entry VMs and backend servers in a settings tree, also in a tree
+ * with errors.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class TreeNames {
+
+	private static final Set<String> MEMBERS = Set.of("entryVms", "servers");
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(JsonReadFeature.ALLOW_JAVA_COMMENTS, JsonReadFeature.ALLOW_TRAILING_COMMA)
+		.build();
+
+	private TreeNames() {
+	}
+
+	static Set<String> find(String content) {
+		Set<String> result = new TreeSet<>();
+		try {
+			collect(MAPPER.readTree(content), result);
+		}
+		catch (JsonProcessingException ex) {
+			// The platform publishes any text; a broken tree has no names.
+			return Set.of();
+		}
+		return result;
+	}
+
+	private static void collect(JsonNode node, Set<String> result) {
+		node.fields().forEachRemaining((member) -> {
+			if (MEMBERS.contains(member.getKey())) {
+				member.getValue().fieldNames().forEachRemaining(result::add);
+			}
+			collect(member.getValue(), result);
+		});
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/VmDirectory.java
@@ -0,0 +1,85 @@
+package org.lovagevale.standins.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.lovagevale.base.Clock;
+
+/**
+ * The list of live and leaving VMs, which shows changes late.
+ *
+ * <p>
+ * Thread-safe.
+ */
+public final class VmDirectory {
+
+	private final Clock clock;
+
+	private final List<Change> changes = new ArrayList<>();
+
+	private long lagMs;
+
+	/**
+	 * Creates an empty list.
+	 * @param clock the clock
+	 * @param lagMs the time until a change is visible, in milliseconds
+	 */
+	public VmDirectory(Clock clock, long lagMs) {
+		this.clock = clock;
+		this.lagMs = lagMs;
+	}
+
+	/**
+	 * Adds a VM that is visible at once.
+	 * @param name its name
+	 */
+	public synchronized void addLive(String name) {
+		this.changes.add(new Change(Long.MIN_VALUE, name, VmState.LIVE));
+	}
+
+	/**
+	 * Changes the state of a VM; the list shows it after the lag.
+	 * @param name its name
+	 * @param state its state
+	 */
+	public synchronized void set(String name, VmState state) {
+		this.changes.add(new Change(this.clock.millis(), name, state));
+	}
+
+	/**
+	 * Sets the time until a change is visible.
+	 * @param ms the time in milliseconds
+	 */
+	public synchronized void lag(long ms) {
+		this.lagMs = ms;
+	}
+
+	/**
+	 * Returns what the list shows now.
+	 * @return the states by name, in order of name, without VMs that are gone
+	 */
+	public synchronized Map<String, VmState> visible() {
+		long until = this.clock.millis() - this.lagMs;
+		Map<String, VmState> result = new TreeMap<>();
+		for (Change change : this.changes) {
+			if (change.atMs() <= until) {
+				result.put(change.name(), change.state());
+			}
+		}
+		result.values().removeIf((state) -> state == VmState.GONE);
+		return result;
+	}
+
+	/**
+	 * A change of one VM.
+	 *
+	 * @param atMs when it happened, in milliseconds
+	 * @param name the VM
+	 * @param state its new state
+	 */
+	private record Change(long atMs, String name, VmState state) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/VmState.java
@@ -0,0 +1,17 @@
+package org.lovagevale.standins.platform;
+
+/**
+ * The state of a VM in the VM list.
+ */
+public enum VmState {
+
+	/** Running. */
+	LIVE,
+
+	/** About to be stopped. */
+	LEAVING,
+
+	/** Not in the list. */
+	GONE
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-in of the settings service and the VM list.
+ */
+@NullMarked
+package org.lovagevale.standins.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/relay/RelayGroup.java
@@ -0,0 +1,105 @@
+package org.lovagevale.standins.relay;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.standins.http.Control;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * Relays that share a control port.
+ *
+ * <p>
+ * Thread-safe once all relays have been added.
+ */
+public final class RelayGroup implements AutoCloseable {
+
+	private final Map<String, TcpRelay> relays = new LinkedHashMap<>();
+
+	private @Nullable DisposableServer control;
+
+	/**
+	 * Adds a relay and begins to listen.
+	 * @param name its name
+	 * @param host the address to listen on and to connect to
+	 * @param ports the port to listen on and the target's port, separated by a colon
+	 * @return the relay
+	 * @throws IOException if the port cannot be opened
+	 */
+	public TcpRelay add(String name, String host, String ports) throws IOException {
+		String[] parts = ports.split(":", -1);
+		if (parts.length != 2) {
+			throw new IllegalArgumentException("a route has the form NAME=PORT:TARGETPORT, not \"" + ports + "\"");
+		}
+		TcpRelay relay = new TcpRelay(name, new InetSocketAddress(host, Integer.parseInt(parts[1])));
+		this.relays.put(name, relay);
+		relay.start(host, Integer.parseInt(parts[0]));
+		return relay;
+	}
+
+	/**
+	 * Opens the control port.
+	 * @param host the address to listen on
+	 * @param port the port, 0 for any
+	 * @return the port in use
+	 */
+	public int openControl(String host, int port) {
+		DisposableServer opened = HttpServer.create()
+			.bindAddress(() -> new InetSocketAddress(host, port))
+			.route(this::addRoutes)
+			.bindNow();
+		this.control = opened;
+		return opened.port();
+	}
+
+	@Override
+	public void close() {
+		this.relays.values().forEach(TcpRelay::close);
+		if (this.control != null) {
+			this.control.dispose();
+		}
+	}
+
+	private void addRoutes(HttpServerRoutes routes) {
+		new Control(routes).get("/control/stats", (query) -> stats())
+			.post("/control/set", this::set)
+			.post("/control/reset", (body) -> onChosen(body, TcpRelay::reset));
+	}
+
+	private List<TcpRelay.RelayStats> stats() {
+		return this.relays.values().stream().map(TcpRelay::stats).toList();
+	}
+
+	private Object set(JsonNode body) {
+		ObjectNode changes = body.deepCopy();
+		changes.remove("relay");
+		return onChosen(body, (relay) -> relay.change(changes));
+	}
+
+	private Object onChosen(JsonNode body, Consumer<TcpRelay> action) {
+		chosen(body.path("relay")).forEach(action);
+		return stats();
+	}
+
+	private Collection<TcpRelay> chosen(JsonNode name) {
+		if (name.isMissingNode()) {
+			return this.relays.values();
+		}
+		TcpRelay relay = this.relays.get(name.asText());
+		if (relay == null) {
+			throw new IllegalArgumentException("no relay named \"" + name.asText() + "\"");
+		}
+		return List.of(relay);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/relay/TcpRelay.java
@@ -0,0 +1,323 @@
+package org.lovagevale.standins.relay;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.standins.http.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A TCP relay that passes bytes between a source and a target, and can delay, hold,
+ * discard and reset them.
+ *
+ * <p>
+ * Each direction of a connection has a virtual thread that reads and one that writes, so
+ * that a delay does not limit throughput. Thread-safe.
+ */
+public final class TcpRelay implements AutoCloseable {
+
+	private static final Logger log = LoggerFactory.getLogger(TcpRelay.class);
+
+	private static final int CHUNK_BYTES = 65_536;
+
+	// Bounds the memory of a held direction to 4 MiB; then the sender's window closes.
+	private static final int QUEUED_CHUNKS = 64;
+
+	private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+	private static final int BACKLOG = 512;
+
+	private final String name;
+
+	private final InetSocketAddress target;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	private final AtomicLong connections = new AtomicLong();
+
+	private final AtomicLong bytesToTarget = new AtomicLong();
+
+	private final AtomicLong bytesToSource = new AtomicLong();
+
+	private final Object monitor = new Object();
+
+	private RelayRules rules = RelayRules.forward();
+
+	private @Nullable ServerSocket listener;
+
+	/**
+	 * Creates a relay that does not listen yet.
+	 * @param name its name
+	 * @param target the address to connect to
+	 */
+	public TcpRelay(String name, InetSocketAddress target) {
+		this.name = name;
+		this.target = target;
+	}
+
+	/**
+	 * Begins to listen.
+	 * @param host the address to listen on
+	 * @param port the port, 0 for any
+	 * @return the port in use
+	 * @throws IOException if the port cannot be opened
+	 */
+	public int start(String host, int port) throws IOException {
+		ServerSocket opened = new ServerSocket(port, BACKLOG, InetAddress.getByName(host));
+		this.listener = opened;
+		Thread.ofVirtual().name("relay-" + this.name).start(() -> acceptAll(opened));
+		return opened.getLocalPort();
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name of the relay
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Changes the rules of open and new connections.
+	 * @param change returns the new rules
+	 */
+	public void change(UnaryOperator<RelayRules> change) {
+		synchronized (this.monitor) {
+			this.rules = change.apply(this.rules);
+			this.monitor.notifyAll();
+		}
+	}
+
+	/**
+	 * Changes members of the rules by name.
+	 * @param members the members to replace
+	 * @throws IllegalArgumentException if there is no such member
+	 */
+	public void change(JsonNode members) {
+		change((current) -> Json.change(current, RelayRules.class, members));
+	}
+
+	/**
+	 * Resets all open connections.
+	 */
+	public void reset() {
+		this.sockets.forEach(TcpRelay::reset);
+	}
+
+	/**
+	 * Returns what tests want to know.
+	 * @return the rules and the counters
+	 */
+	public RelayStats stats() {
+		synchronized (this.monitor) {
+			return new RelayStats(this.name, this.rules, this.connections.get(), this.bytesToTarget.get(),
+					this.bytesToSource.get());
+		}
+	}
+
+	@Override
+	public void close() {
+		closeQuietly(this.listener);
+		reset();
+		change((current) -> RelayRules.forward());
+	}
+
+	private void acceptAll(ServerSocket opened) {
+		while (!opened.isClosed()) {
+			try {
+				Socket source = opened.accept();
+				Thread.ofVirtual().start(() -> connect(source));
+			}
+			catch (IOException ex) {
+				log.debug("event=relay.accept-ended relay={} reason=\"{}\"", this.name, ex.getMessage());
+			}
+		}
+	}
+
+	private void connect(Socket source) {
+		this.connections.incrementAndGet();
+		if (current().refuse()) {
+			reset(source);
+			return;
+		}
+		Socket sink = new Socket();
+		this.sockets.add(source);
+		this.sockets.add(sink);
+		try {
+			awaitForward(true);
+			source.setTcpNoDelay(true);
+			sink.setTcpNoDelay(true);
+			sink.connect(this.target, CONNECT_TIMEOUT_MS);
+			pump(source, sink, true);
+			pump(sink, source, false);
+		}
+		catch (IOException ex) {
+			drop(source, sink);
+		}
+	}
+
+	private void pump(Socket from, Socket to, boolean towardsTarget) {
+		BlockingQueue<Chunk> queue = new ArrayBlockingQueue<>(QUEUED_CHUNKS);
+		Thread.ofVirtual().start(() -> read(from, to, queue));
+		Thread.ofVirtual().start(() -> write(from, to, queue, towardsTarget));
+	}
+
+	private void read(Socket from, Socket to, BlockingQueue<Chunk> queue) {
+		byte[] buffer = new byte[CHUNK_BYTES];
+		try {
+			InputStream input = from.getInputStream();
+			int count = input.read(buffer);
+			while (count >= 0) {
+				byte[] bytes = new byte[count];
+				System.arraycopy(buffer, 0, bytes, 0, count);
+				queue.put(new Chunk(bytes, System.nanoTime()));
+				count = input.read(buffer);
+			}
+			queue.put(Chunk.end());
+		}
+		catch (IOException ex) {
+			// The other side learns at once that the connection was reset.
+			drop(from, to);
+			queue.clear();
+			queue.offer(Chunk.end());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void write(Socket from, Socket to, BlockingQueue<Chunk> queue, boolean towardsTarget) {
+		try {
+			OutputStream output = to.getOutputStream();
+			Chunk chunk = queue.take();
+			while (!chunk.isEnd()) {
+				awaitDelay(chunk);
+				pass(chunk, output, towardsTarget);
+				chunk = queue.take();
+			}
+			awaitForward(towardsTarget);
+			to.shutdownOutput();
+			if (from.isOutputShutdown()) {
+				drop(from, to);
+			}
+		}
+		catch (IOException ex) {
+			drop(from, to);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void pass(Chunk chunk, OutputStream output, boolean towardsTarget) throws IOException {
+		if (current().mode(towardsTarget) == LinkMode.DISCARD) {
+			return;
+		}
+		awaitForward(towardsTarget);
+		output.write(chunk.bytes());
+		(towardsTarget ? this.bytesToTarget : this.bytesToSource).addAndGet(chunk.bytes().length);
+	}
+
+	private void awaitDelay(Chunk chunk) throws InterruptedException {
+		long due = chunk.readAtNanos() + TimeUnit.MILLISECONDS.toNanos(current().delayMs());
+		long wait = due - System.nanoTime();
+		if (wait > 0) {
+			TimeUnit.NANOSECONDS.sleep(wait);
+		}
+	}
+
+	private void awaitForward(boolean towardsTarget) throws IOException {
+		synchronized (this.monitor) {
+			while (this.rules.mode(towardsTarget) == LinkMode.HOLD) {
+				try {
+					this.monitor.wait();
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					throw new IOException("interrupted while the relay held bytes", ex);
+				}
+			}
+		}
+	}
+
+	private RelayRules current() {
+		synchronized (this.monitor) {
+			return this.rules;
+		}
+	}
+
+	private void drop(Socket one, Socket other) {
+		this.sockets.remove(one);
+		this.sockets.remove(other);
+		closeQuietly(one);
+		closeQuietly(other);
+	}
+
+	private static void reset(Socket socket) {
+		try {
+			socket.setSoLinger(true, 0);
+		}
+		catch (IOException ex) {
+			log.debug("event=relay.linger-failed reason=\"{}\"", ex.getMessage());
+		}
+		closeQuietly(socket);
+	}
+
+	private static void closeQuietly(@Nullable AutoCloseable resource) {
+		if (resource == null) {
+			return;
+		}
+		try {
+			resource.close();
+		}
+		catch (Exception ex) {
+			log.debug("event=relay.close-failed reason=\"{}\"", ex.getMessage());
+		}
+	}
+
+	/**
+	 * Bytes that were read.
+	 *
+	 * @param bytes the bytes, empty at the end of the stream
+	 * @param readAtNanos when they were read
+	 */
+	private record Chunk(byte[] bytes, long readAtNanos) {
+
+		private static Chunk end() {
+			return new Chunk(new byte[0], 0);
+		}
+
+		private boolean isEnd() {
+			return this.bytes.length == 0;
+		}
+
+	}
+
+	/**
+	 * What a relay reports to tests.
+	 *
+	 * @param name the relay
+	 * @param rules the rules in force
+	 * @param connections connections accepted
+	 * @param bytesToTarget bytes passed towards the target
+	 * @param bytesToSource bytes passed towards the source
+	 */
+	public record RelayStats(String name, RelayRules rules, long connections, long bytesToTarget, long bytesToSource) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/relay/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * TCP relay that delays, holds and resets connections.
+ */
+@NullMarked
+package org.lovagevale.standins.relay;
+
+import org.jspecify.annotations.NullMarked;
