Hold resets in the relay and test the caller's resends

A partition lets neither bytes nor resets through, but the relay passed a reset on at once, so a peer learned of a death that it could not hear of. Ends and resets now wait in the same queue as the bytes.

--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/relay/TcpRelay.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/relay/TcpRelay.java
@@ -2,11 +2,11 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -173,63 +173,92 @@
 
 	private void pump(Socket from, Socket to, boolean towardsTarget) {
 		BlockingQueue<Chunk> queue = new ArrayBlockingQueue<>(QUEUED_CHUNKS);
-		Thread.ofVirtual().start(() -> read(from, to, queue));
+		Thread.ofVirtual().start(() -> read(from, queue));
 		Thread.ofVirtual().start(() -> write(from, to, queue, towardsTarget));
 	}
 
-	private void read(Socket from, Socket to, BlockingQueue<Chunk> queue) {
+	private static void read(Socket from, BlockingQueue<Chunk> queue) {
 		byte[] buffer = new byte[CHUNK_BYTES];
 		try {
 			InputStream input = from.getInputStream();
 			int count = input.read(buffer);
 			while (count >= 0) {
-				byte[] bytes = new byte[count];
-				System.arraycopy(buffer, 0, bytes, 0, count);
-				queue.put(new Chunk(bytes, System.nanoTime()));
+				queue.put(Chunk.data(Arrays.copyOf(buffer, count)));
 				count = input.read(buffer);
 			}
-			queue.put(Chunk.end());
+			queue.put(Chunk.of(Kind.END));
 		}
 		catch (IOException ex) {
-			// The other side learns at once that the connection was reset.
-			drop(from, to);
-			queue.clear();
-			queue.offer(Chunk.end());
+			closeQuietly(from);
+			putReset(queue);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void putReset(BlockingQueue<Chunk> queue) {
+		try {
+			queue.put(Chunk.of(Kind.RESET));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
+	// The end and the reset of a stream are held like its bytes: a partition lets neither
+	// through.
 	private void write(Socket from, Socket to, BlockingQueue<Chunk> queue, boolean towardsTarget) {
 		try {
-			OutputStream output = to.getOutputStream();
 			Chunk chunk = queue.take();
-			while (!chunk.isEnd()) {
+			while (chunk.kind() == Kind.DATA) {
 				awaitDelay(chunk);
-				pass(chunk, output, towardsTarget);
+				pass(chunk, to, towardsTarget);
 				chunk = queue.take();
 			}
 			awaitForward(towardsTarget);
-			to.shutdownOutput();
-			if (from.isOutputShutdown()) {
-				drop(from, to);
-			}
+			end(chunk.kind(), from, to);
 		}
 		catch (IOException ex) {
+			closeQuietly(to);
+			discardRest(queue);
+			this.sockets.remove(to);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void end(Kind kind, Socket from, Socket to) throws IOException {
+		if (kind == Kind.RESET) {
+			reset(to);
+			this.sockets.remove(to);
+			return;
+		}
+		to.shutdownOutput();
+		if (from.isOutputShutdown()) {
 			drop(from, to);
 		}
+	}
+
+	// The reader must not wait for room in the queue of a writer that has failed.
+	private static void discardRest(BlockingQueue<Chunk> queue) {
+		try {
+			while (queue.take().kind() == Kind.DATA) {
+				Thread.onSpinWait();
+			}
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
-	private void pass(Chunk chunk, OutputStream output, boolean towardsTarget) throws IOException {
+	private void pass(Chunk chunk, Socket to, boolean towardsTarget) throws IOException {
 		if (current().mode(towardsTarget) == LinkMode.DISCARD) {
 			return;
 		}
 		awaitForward(towardsTarget);
-		output.write(chunk.bytes());
+		to.getOutputStream().write(chunk.bytes());
 		(towardsTarget ? this.bytesToTarget : this.bytesToSource).addAndGet(chunk.bytes().length);
 	}
 
@@ -291,19 +320,36 @@
 	}
 
 	/**
-	 * Bytes that were read.
+	 * What was read from a socket.
+	 */
+	private enum Kind {
+
+		/** Bytes. */
+		DATA,
+
+		/** The end of the stream. */
+		END,
+
+		/** The connection broke. */
+		RESET
+
+	}
+
+	/**
+	 * Bytes that were read, or the end of them.
 	 *
-	 * @param bytes the bytes, empty at the end of the stream
+	 * @param kind what was read
+	 * @param bytes the bytes
 	 * @param readAtNanos when they were read
 	 */
-	private record Chunk(byte[] bytes, long readAtNanos) {
+	private record Chunk(Kind kind, byte[] bytes, long readAtNanos) {
 
-		private static Chunk end() {
-			return new Chunk(new byte[0], 0);
+		private static Chunk data(byte[] bytes) {
+			return new Chunk(Kind.DATA, bytes, System.nanoTime());
 		}
 
-		private boolean isEnd() {
-			return this.bytes.length == 0;
+		private static Chunk of(Kind kind) {
+			return new Chunk(kind, new byte[0], System.nanoTime());
 		}
 
 	}
--- /dev/null
+++ b/lovagevale-standins/src/test/java/org/lovagevale/standins/caller/CallerTests.java
@@ -0,0 +1,115 @@
+package org.lovagevale.standins.caller;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.SystemClock;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a caller that breaks the rules for callers: a new key for a request that
+ * may have run would show as a duplicate that the load balancer did not cause.
+ */
+class CallerTests {
+
+	private static final String LOST = "lost";
+
+	private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+
+	private final List<String> keys = new CopyOnWriteArrayList<>();
+
+	private final DisposableServer entry = HttpServer.create().host("127.0.0.1").port(0).handle(this::answer).bindNow();
+
+	private final Caller caller = new Caller(List.of(EntryAddress.of("127.0.0.1", this.entry.port())), "transfers",
+			"kandy", new SystemClock());
+
+	@AfterEach
+	void close() {
+		this.caller.close();
+		this.entry.disposeNow();
+	}
+
+	@Test
+	void usesNewKeyAfterNotRun() {
+		CallResult result = send(Call.post("/transfers", "x"), "503 not-run", "200 ");
+		assertThat(result.status()).isEqualTo(200);
+		assertThat(this.keys).hasSize(2).doesNotHaveDuplicates().allMatch((key) -> key.startsWith("entry-01.5.0."));
+	}
+
+	@Test
+	void keepsKeyWhileRunning() {
+		CallResult result = send(Call.post("/transfers", "x"), "409 running", "409 running", "200 ");
+		assertThat(result.status()).isEqualTo(200);
+		assertThat(this.keys).hasSize(3);
+		assertThat(this.keys.stream().distinct()).hasSize(1);
+	}
+
+	@Test
+	void keepsKeyAfterLostConnection() {
+		CallResult result = send(Call.post("/transfers", "x"), LOST, "200 ran");
+		assertThat(result.status()).isEqualTo(200);
+		assertThat(this.keys).hasSize(2);
+		assertThat(this.keys.stream().distinct()).hasSize(1);
+	}
+
+	@Test
+	void neverRepeatsUnknown() {
+		assertThat(send(Call.post("/transfers", "x"), "503 unknown", "200 ").outcome()).isEqualTo("unknown");
+		assertThat(this.keys).hasSize(1);
+	}
+
+	@Test
+	void neverRepeatsWriteWithoutKeyAfterLostConnection() {
+		CallResult result = send(Call.post("/transfers", "x").withKey(false), LOST, "200 ");
+		assertThat(result.status()).isZero();
+		assertThat(this.keys).hasSize(1);
+	}
+
+	@Test
+	void asksForAddressesAgainOnlyWhenTheAnswerExpired() throws InterruptedException {
+		send(Call.get("/a"), "200 ");
+		send(Call.get("/a"), "200 ");
+		assertThat(this.caller.lookups()).isEqualTo(1);
+		Thread.sleep(400);
+		send(Call.get("/a"), "200 ");
+		assertThat(this.caller.lookups()).isEqualTo(2);
+	}
+
+	private CallResult send(Call call, String... answers) {
+		this.script.addAll(List.of(answers));
+		return this.caller.send(call).blockOptional(Duration.ofSeconds(10)).orElseThrow();
+	}
+
+	private Publisher<Void> answer(HttpServerRequest request, HttpServerResponse response) {
+		if (request.uri().startsWith("/.lovagevale/addresses")) {
+			String json = """
+					{"addresses":[{"vm":"entry-01","address":"127.0.0.1","port":%d,"region":"r","domain":"d",\
+					"keyPrefix":"entry-01.5.0."}],"validForMs":300,"settingsVersion":1}""";
+			return response.sendString(Mono.just(json.formatted(this.entry.port())));
+		}
+		this.keys.add(request.requestHeaders().get("Idempotency-Key", ""));
+		String next = this.script.remove();
+		if (next.equals(LOST)) {
+			response.withConnection((connection) -> connection.channel().close());
+			return Mono.never();
+		}
+		String[] parts = next.split(" ", -1);
+		if (!parts[1].isEmpty()) {
+			response.header("Lovagevale-Outcome", parts[1]);
+		}
+		return request.receive().then(response.status(Integer.parseInt(parts[0])).sendString(Mono.just("x")).then());
+	}
+
+}
--- a/lovagevale-standins/src/test/java/org/lovagevale/standins/relay/TcpRelayTests.java
+++ b/lovagevale-standins/src/test/java/org/lovagevale/standins/relay/TcpRelayTests.java
@@ -80,6 +80,19 @@
 			.isNotInstanceOf(SocketTimeoutException.class);
 	}
 
+	@Test
+	void holdsTheResetOfADirectionUntilItHeals() throws IOException {
+		this.relay.change((rules) -> RelayRules.partition());
+		this.near.setSoLinger(true, 0);
+		this.near.close();
+		this.far.setSoTimeout(200);
+		assertThatThrownBy(() -> this.far.getInputStream().read()).isInstanceOf(SocketTimeoutException.class);
+		this.relay.change((rules) -> RelayRules.forward());
+		this.far.setSoTimeout(5_000);
+		assertThatThrownBy(() -> this.far.getInputStream().read()).isInstanceOf(IOException.class)
+			.isNotInstanceOf(SocketTimeoutException.class);
+	}
+
 	@Test
 	void passesOnTheEndOfOneDirectionOnly() throws IOException {
 		this.near.shutdownOutput();
