--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsChange.java
@@ -0,0 +1,46 @@
+package org.lovagevale.settings;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+import org.lovagevale.base.ServiceName;
+
+/**
+ * One difference between two versions of the settings, in the terms of operators.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param kind what happened
+ * @param subjectType the kind of subject, for example "failure domain"
+ * @param subject the name of the subject
+ * @param detail the old and the new value, or empty
+ * @param services the services that it touches, in order of name; empty if it concerns
+ * all or none in particular
+ */
+public record SettingsChange(ChangeKind kind, String subjectType, String subject, String detail,
+		List<ServiceName> services) {
+
+	/**
+	 * Copies the list.
+	 */
+	public SettingsChange {
+		services = List.copyOf(services);
+	}
+
+	@Override
+	public String toString() {
+		String text = this.subjectType + " " + this.subject + ": " + this.kind.name().toLowerCase(Locale.ROOT);
+		if (!this.detail.isEmpty()) {
+			text += ", " + this.detail;
+		}
+		if (!this.services.isEmpty()) {
+			text += this.services.stream()
+				.map(ServiceName::toString)
+				.collect(Collectors.joining(", ", " (touches ", ")"));
+		}
+		return text;
+	}
+
+}
--- a/lovagevale-settings/src/test/java/org/lovagevale/settings/ExampleTests.java
+++ b/lovagevale-settings/src/test/java/org/lovagevale/settings/ExampleTests.java
@@ -1,8 +1,12 @@
 package org.lovagevale.settings;
 
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.lovagevale.base.AccountName;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.ServiceName;
@@ -15,6 +19,20 @@
  */
 class ExampleTests {
 
+	@ParameterizedTest
+	@CsvSource({ "kandy, balances, 14, transfers, 12, statements, 12",
+			"hellenic, listings, 12, reservations, 12, documents, 16" })
+	void deploymentsHaveTheFleetOfTheirUsers(String name, String first, int firstCount, String second, int secondCount,
+			String third, int thirdCount) throws SettingsException {
+		Settings settings = new JsonSettingsReader().read(1, ExampleTrees.read(name));
+		assertThat(settings.domains()).hasSize(6);
+		assertThat(settings.entryVms()).hasSize(20);
+		Map<String, Integer> counts = settings.services()
+			.stream()
+			.collect(Collectors.toMap((service) -> service.name().value(), (service) -> service.servers().size()));
+		assertThat(counts).isEqualTo(Map.of(first, firstCount, second, secondCount, third, thirdCount));
+	}
+
 	@Test
 	void demoIsValid() throws SettingsException {
 		Settings settings = new JsonSettingsReader().read(1, ExampleTrees.read("demo"));
