Test the decisions on requests with rules and generated sequences

The request package had no tests. Each rule now has a focused test against a fake fleet and fake keys, and a jqwik property feeds generated events, including late and repeated ones, to the logic and checks every decision against a model of the node. A request that was struck now starts its trial in the same event if the notice is settled already.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
@@ -60,15 +60,24 @@
 	 * Looks at the requests that wait for the fleet.
 	 */
 	void poll() {
-		if (this.waiting.isEmpty()) {
-			return;
+		boolean progress = !this.waiting.isEmpty();
+		while (progress) {
+			progress = pollOnce(this.clock.millis()) && !this.waiting.isEmpty();
 		}
-		long now = this.clock.millis();
+	}
+
+	// A request may wait for something else afterwards, which may have come already.
+	private boolean pollOnce(long now) {
+		boolean progress = false;
 		for (ActiveRequest request : this.waiting.take()) {
-			if (!poll(request, now)) {
+			if (poll(request, now)) {
+				progress = true;
+			}
+			else {
 				this.waiting.add(request);
 			}
 		}
+		return progress;
 	}
 
 	private boolean poll(ActiveRequest request, long now) {
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
@@ -0,0 +1,99 @@
+package org.lovagevale.core.request;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.core.FailureKind;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.Refusal;
+import org.lovagevale.core.RefusalReason;
+import org.lovagevale.core.RequestHead;
+import org.lovagevale.core.decision.Decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a request that crashes one backend server after the other.
+ */
+class CrashTests {
+
+	private static final RequestHead HEAD = Session.head("GET", "/vans", null, null);
+
+	private final TestSettings settings = new TestSettings();
+
+	@Test
+	void holdsTheAnswerUntilPeersWereTold() {
+		this.settings.retryPercent = 0;
+		Session session = Session.warm(this.settings);
+		session.fleet.noticesSettled = false;
+		session.request(1, HEAD, "bad");
+		assertThat(session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD)).noneMatch(CrashTests::isAnswer);
+		assertThat(session.after(50)).noneMatch(CrashTests::isAnswer);
+		session.fleet.noticesSettled = true;
+		assertThat(Session.refusal(session.after(50)).outcome()).isEqualTo(Outcome.UNKNOWN);
+	}
+
+	private static boolean isAnswer(Decision decision) {
+		return SessionText.of(decision).startsWith("refuse");
+	}
+
+	@Test
+	void retriesOnceAsTrialAndThenQuarantines() {
+		Session session = Session.warm(this.settings);
+		session.request(1, HEAD, "bad");
+		assertThat(Session.servers(session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD))).hasSize(1);
+		assertThat(session.fleet.trials).contains(new Fingerprint("bad"));
+		assertThat(Session.refusal(session.request(2, HEAD, "bad")).reason()).isEqualTo(RefusalReason.ON_TRIAL);
+		Refusal refusal = Session.refusal(session.fail(1, 2, FailureKind.LOST_BEFORE_HEAD));
+		assertThat(refusal.outcome()).isEqualTo(Outcome.UNKNOWN);
+		refusal = Session.refusal(session.request(3, HEAD, "bad"));
+		assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
+		assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+		assertThat(Session.servers(session.request(4, HEAD, "good"))).hasSize(1);
+	}
+
+	@Test
+	void startsTrialOfASuspectOnlyAfterPeersWereTold() {
+		this.settings.hedgeAfterMs = 10;
+		Session session = Session.warm(this.settings);
+		session.fleet.strikes.put(new Fingerprint("bad"), 1);
+		session.fleet.noticesSettled = false;
+		assertThat(Session.servers(session.request(1, HEAD, "bad"))).isEmpty();
+		session.fleet.noticesSettled = true;
+		assertThat(Session.servers(session.after(50))).hasSize(1);
+		assertThat(Session.servers(session.after(50))).isEmpty();
+		session.answer(1, 1, 200, null);
+		assertThat(session.fleet.trials).isEmpty();
+	}
+
+	@Test
+	void serverThatDiesWithThreeRequestsIsNotHeldAgainstThem() {
+		this.settings.servers = 2;
+		this.settings.out.add(1);
+		Session session = Session.warm(this.settings);
+		for (int id = 1; id <= 3; id++) {
+			session.request(id, HEAD, "f" + id);
+		}
+		for (int id = 1; id <= 3; id++) {
+			session.fail(id, 1, FailureKind.LOST_BEFORE_HEAD);
+		}
+		assertThat(session.fleet.strikes).isEmpty();
+		assertThat(session.logic.running()).isZero();
+	}
+
+	@Test
+	void requestOfManyOnAServerIsHeldResponsibleIfOnlyItsConnectionIsLost() {
+		this.settings.servers = 2;
+		this.settings.out.add(1);
+		Session session = Session.warm(this.settings);
+		for (int id = 1; id <= 3; id++) {
+			session.request(id, HEAD, "f" + id);
+		}
+		List<Decision> decisions = session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD);
+		assertThat(decisions).noneMatch(CrashTests::isAnswer);
+		session.after(50);
+		assertThat(session.fleet.strikes).containsOnlyKeys(new Fingerprint("f1"));
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/FakeKeys.java
@@ -0,0 +1,108 @@
+package org.lovagevale.core.request;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.Refusal;
+import org.lovagevale.core.RefusalReason;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.StoredAnswer;
+import org.lovagevale.core.keys.IdempotencyKey;
+import org.lovagevale.core.keys.KeyVerdict;
+import org.lovagevale.core.keys.Keys;
+import org.lovagevale.core.message.KeyArchive;
+import org.lovagevale.settings.model.KeySettings;
+
+/**
+ * A memory of keys without bounds that fails a test when an outcome is recorded twice.
+ */
+final class FakeKeys implements Keys {
+
+	final Map<IdempotencyKey, Outcome> outcomes = new HashMap<>();
+
+	private final Map<IdempotencyKey, StoredAnswer> answers = new HashMap<>();
+
+	private final Self self;
+
+	private final Consumer<String> log;
+
+	FakeKeys(Self self, Consumer<String> log) {
+		this.self = self;
+		this.log = log;
+	}
+
+	@Override
+	public void configure(KeySettings settings) {
+	}
+
+	@Override
+	public long currentEpoch() {
+		return 0;
+	}
+
+	@Override
+	public KeyVerdict admit(IdempotencyKey key, Fingerprint fingerprint, @Nullable AccountName account) {
+		if (!key.incarnation().equals(this.self.incarnation())) {
+			return new KeyVerdict.OtherOwner();
+		}
+		Outcome known = this.outcomes.putIfAbsent(key, Outcome.RUNNING);
+		if (known == null) {
+			return new KeyVerdict.Accepted();
+		}
+		StoredAnswer answer = this.answers.get(key);
+		if (answer != null) {
+			return new KeyVerdict.Answered(answer);
+		}
+		RefusalReason reason = (known == Outcome.RUNNING) ? RefusalReason.KEY_RUNNING : RefusalReason.KEY_ENDED;
+		return new KeyVerdict.Rejected(new Refusal(reason, known, 0, "known"));
+	}
+
+	@Override
+	public void recordNotRun(IdempotencyKey key) {
+		end(key, Outcome.NOT_RUN);
+	}
+
+	@Override
+	public void recordRan(IdempotencyKey key, @Nullable StoredAnswer answer) {
+		end(key, Outcome.RAN);
+		if (answer != null) {
+			this.answers.put(key, answer);
+		}
+	}
+
+	@Override
+	public void recordUnknown(IdempotencyKey key) {
+		end(key, Outcome.UNKNOWN);
+	}
+
+	private void end(IdempotencyKey key, Outcome outcome) {
+		this.log.accept("key " + key.unique() + " " + outcome);
+		Outcome before = this.outcomes.put(key, outcome);
+		if (before != Outcome.RUNNING) {
+			throw new AssertionError("key " + key + " was " + before + " and not running");
+		}
+	}
+
+	@Override
+	public Outcome outcome(IdempotencyKey key) {
+		this.outcomes.putIfAbsent(key, Outcome.NOT_RUN);
+		return this.outcomes.get(key);
+	}
+
+	@Override
+	public KeyArchive seal(List<String> regions) {
+		throw new UnsupportedOperationException("not used by the request package");
+	}
+
+	@Override
+	public int size() {
+		return this.outcomes.size();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/GeneratedSequenceTests.java
@@ -0,0 +1,404 @@
+package org.lovagevale.core.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+import org.lovagevale.core.FailureKind;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.LoadReport;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.RequestHead;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.ServerState;
+import org.lovagevale.core.StoredAnswer;
+import org.lovagevale.core.decision.AbortAnswer;
+import org.lovagevale.core.decision.CancelAttempt;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.Dispatch;
+import org.lovagevale.core.decision.PassOn;
+import org.lovagevale.core.decision.Probe;
+import org.lovagevale.core.decision.ReadPrefix;
+import org.lovagevale.core.decision.Refuse;
+import org.lovagevale.core.decision.Replay;
+import org.lovagevale.core.event.AnswerEnded;
+import org.lovagevale.core.event.AnswerHeadArrived;
+import org.lovagevale.core.event.AttemptFailed;
+import org.lovagevale.core.event.CallerGone;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.HeadArrived;
+import org.lovagevale.core.event.PrefixArrived;
+import org.lovagevale.core.event.ProbeEnded;
+import org.lovagevale.core.event.Ticked;
+import org.lovagevale.core.fleet.WorkPermission;
+import org.lovagevale.core.keys.IdempotencyKey;
+import org.lovagevale.core.message.ServerEntry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against sequences of events that nobody thought of: late and repeated answers,
+ * changes of settings and of permission at any moment.
+ *
+ * <p>
+ * A model of the node follows the decisions and checks each of them against what really
+ * happened to the attempts.
+ */
+class GeneratedSequenceTests {
+
+	private static final StoredAnswer STORED = new StoredAnswer(200, "", new byte[0]);
+
+	@Property(seed = "20261204", tries = 400, shrinking = ShrinkingMode.BOUNDED)
+	void keepsItsPromises(@ForAll @Size(min = 100, max = 400) List<@IntRange(max = 99_999) Integer> steps) {
+		Model model = new Model();
+		for (int step : steps) {
+			model.step(step % 100, step / 100);
+		}
+		model.finish();
+	}
+
+	/** A request as its caller sees it. */
+	private static final class Call {
+
+		final RequestHead head;
+
+		final Map<Integer, Try> tries = new HashMap<>();
+
+		boolean awaitsPrefix;
+
+		boolean answered;
+
+		boolean callerGone;
+
+		int passedOn;
+
+		Call(RequestHead head) {
+			this.head = head;
+		}
+
+		boolean isIdempotent() {
+			return this.head.method().equals("GET");
+		}
+
+		long possibleRuns() {
+			return this.tries.values().stream().filter((attempt) -> !attempt.provenNotRun).count();
+		}
+
+	}
+
+	/** An attempt as the backend server sees it. */
+	private static final class Try {
+
+		final Dispatch dispatch;
+
+		boolean open = true;
+
+		boolean provenNotRun;
+
+		Try(Dispatch dispatch) {
+			this.dispatch = dispatch;
+		}
+
+	}
+
+	/** A node with callers and backend servers. */
+	private static final class Model {
+
+		private static final int SERVERS = 6;
+
+		private final TestSettings settings = new TestSettings();
+
+		private final Session session;
+
+		private final Map<Long, Call> calls = new HashMap<>();
+
+		private final List<Try> tries = new ArrayList<>();
+
+		private final Map<String, Long> possibleRunsByKey = new HashMap<>();
+
+		private final Set<String> probing = new HashSet<>();
+
+		private long lastId;
+
+		Model() {
+			this.settings.servers = SERVERS;
+			this.settings.slots = 2;
+			this.settings.coldConcurrency = 1;
+			this.settings.queueLength = 4;
+			this.settings.warmAfterAnswers = 3;
+			this.settings.retryPercent = 50;
+			this.session = Session.warm(this.settings);
+		}
+
+		void step(int action, int n) {
+			if (action < 30) {
+				begin(n);
+			}
+			else if (action < 40) {
+				prefix();
+			}
+			else if (action < 75) {
+				server(n);
+			}
+			else if (action < 80) {
+				apply(new CallerGone(new RequestId(1 + n % (this.lastId + 1))));
+			}
+			else if (action < 90) {
+				this.session.clock.advance(n % 120);
+				apply(new Ticked());
+			}
+			else {
+				world(n);
+			}
+		}
+
+		private void begin(int n) {
+			this.lastId++;
+			String[] routes = { "GET /vans", "GET /vans/archive", "POST /vans", "POST /vans/notes" };
+			String[] route = routes[n % 4].split(" ");
+			AccountName[] accounts = { null, null, TestSettings.LOCAL, TestSettings.LIMITED, TestSettings.ABROAD };
+			String key = (n % 4 == 2 || n % 7 == 0) ? Session.KEY_PREFIX + "k" + n / 4 % 30 : null;
+			if (key != null && n % 11 == 0) {
+				key = "entry-02.1-1.0.k";
+			}
+			long timeoutMs = (n % 3 == 0) ? 20 + n % 300 : 0;
+			RequestHead head = new RequestHead(route[0], route[1], "", accounts[n / 4 % 5], key, timeoutMs, n % 13 == 0,
+					0, "127.0.0.1");
+			this.calls.put(this.lastId, new Call(head));
+			apply(new HeadArrived(new RequestId(this.lastId), head));
+			if (n % 5 != 0) {
+				prefix();
+			}
+		}
+
+		private void prefix() {
+			for (Map.Entry<Long, Call> entry : this.calls.entrySet()) {
+				if (entry.getValue().awaitsPrefix) {
+					entry.getValue().awaitsPrefix = false;
+					String key = entry.getValue().head.key();
+					String fingerprint = (key != null) ? key : "f" + entry.getKey() % 40;
+					apply(new PrefixArrived(new RequestId(entry.getKey()), new Fingerprint(fingerprint)));
+					return;
+				}
+			}
+		}
+
+		// Any attempt, also one that ended or was cancelled: events come late or twice.
+		private void server(int n) {
+			if (this.tries.isEmpty()) {
+				return;
+			}
+			int recent = Math.min(this.tries.size(), 12);
+			Try attempt = this.tries.get(this.tries.size() - 1 - n % recent);
+			RequestId id = attempt.dispatch.id();
+			int number = attempt.dispatch.attempt();
+			int kind = n / 12 % 20;
+			ServerState state = (kind == 0) ? ServerState.COLD : (kind == 1) ? ServerState.DRAINING : ServerState.WARM;
+			LoadReport report = (kind % 4 == 3) ? null : new LoadReport(1, 2, state, "b" + ((kind == 2) ? 2 : 1));
+			if (kind < 9) {
+				apply(new AnswerHeadArrived(id, number, (kind == 4) ? 500 : 200, false, report));
+			}
+			else if (kind < 11) {
+				markNotRun(attempt);
+				apply(new AnswerHeadArrived(id, number, 503, true, report));
+			}
+			else if (kind < 16) {
+				endAnswer(attempt);
+			}
+			else {
+				FailureKind failure = FailureKind.values()[kind - 16];
+				if (failure == FailureKind.NOT_CONNECTED) {
+					markNotRun(attempt);
+				}
+				apply(new AttemptFailed(id, number, failure));
+			}
+		}
+
+		private void markNotRun(Try attempt) {
+			boolean answering = this.calls.get(attempt.dispatch.id().value()).passedOn == attempt.dispatch.attempt();
+			if (attempt.open && !answering && !attempt.provenNotRun) {
+				attempt.provenNotRun = true;
+				countRun(attempt, -1);
+			}
+		}
+
+		private void endAnswer(Try attempt) {
+			Call call = this.calls.get(attempt.dispatch.id().value());
+			boolean ends = attempt.open && call.passedOn == attempt.dispatch.attempt();
+			if (ends && !call.callerGone) {
+				answered(call);
+			}
+			apply(new AnswerEnded(attempt.dispatch.id(), attempt.dispatch.attempt(), STORED));
+		}
+
+		private void world(int n) {
+			String server = TestSettings.server(n / 8 % SERVERS);
+			switch (n % 8) {
+				case 0 -> this.session.fleet.permission = WorkPermission.values()[n / 8 % 4];
+				case 1 -> this.session.fleet.ownedMs.put(server, (long) (n % 3) * 400);
+				case 2 -> toggle(this.session.fleet.leaving, server);
+				case 3 -> {
+					toggle(this.settings.out, n / 8 % SERVERS);
+					this.settings.homeRegions = (n / 8 % 20 == 0) ? Set.of(TestSettings.NORTH) : Set.of();
+					this.settings.hedgeAfterMs = (n / 8 % 2 == 0) ? 30 : 0;
+					this.session.fleet.settings = this.settings.build();
+				}
+				case 4 -> this.session.fleet.heard.put(server,
+						new ServerEntry(server, (n % 3 == 0) ? "COLD" : "WARM", "b1", n % 500));
+				case 5 -> this.session.fleet.noticesSettled = n / 8 % 3 != 0;
+				case 6 -> this.session.fleet.outcome = (n / 8 % 2 == 0) ? Outcome.UNKNOWN : null;
+				default -> apply(new ProbeEnded(this.settings.definition(n / 8 % SERVERS).name(),
+						(n / 8 % 2 == 0) ? Session.WARM : null));
+			}
+			if (n % 8 != 0) {
+				this.session.fleet.permission = WorkPermission.OPEN;
+			}
+		}
+
+		private static <T> void toggle(Set<T> set, T element) {
+			if (!set.remove(element)) {
+				set.add(element);
+			}
+		}
+
+		private void apply(Event event) {
+			noteEvent(event);
+			List<Decision> decisions = this.session.apply(event);
+			Map<String, ServerState> states = new HashMap<>();
+			this.session.logic.servers().forEach((status) -> states.put(status.server(), status.state()));
+			for (Decision decision : decisions) {
+				check(decision, states);
+			}
+		}
+
+		// What ended before the decisions were made.
+		private void noteEvent(Event event) {
+			if (event instanceof CallerGone gone && this.calls.containsKey(gone.id().value())) {
+				this.calls.get(gone.id().value()).callerGone = true;
+			}
+			else if (event instanceof AttemptFailed failed) {
+				close(failed.id(), failed.attempt());
+			}
+			else if (event instanceof AnswerHeadArrived head && head.notRun()) {
+				Call call = this.calls.get(head.id().value());
+				if (call.passedOn != head.attempt()) {
+					close(head.id(), head.attempt());
+				}
+			}
+			else if (event instanceof AnswerEnded ended
+					&& this.calls.get(ended.id().value()).passedOn == ended.attempt()) {
+				close(ended.id(), ended.attempt());
+			}
+		}
+
+		private void close(RequestId id, int attempt) {
+			this.calls.get(id.value()).tries.get(attempt).open = false;
+		}
+
+		private void check(Decision decision, Map<String, ServerState> states) {
+			switch (decision) {
+				case ReadPrefix read -> this.calls.get(read.id().value()).awaitsPrefix = true;
+				case Dispatch dispatch -> checkDispatch(dispatch, states);
+				case CancelAttempt cancel -> close(cancel.id(), cancel.attempt());
+				case PassOn passOn -> this.calls.get(passOn.id().value()).passedOn = passOn.attempt();
+				case Refuse refuse -> checkRefuse(refuse);
+				case Replay replay -> answered(this.calls.get(replay.id().value()));
+				case AbortAnswer abort -> answered(this.calls.get(abort.id().value()));
+				case Probe probe -> {
+					checkInService(probe.server().name().value());
+					assertThat(this.session.fleet.ownedMs.get(probe.server().name().value())).isPositive();
+				}
+				default -> {
+				}
+			}
+		}
+
+		private void checkDispatch(Dispatch dispatch, Map<String, ServerState> states) {
+			Call call = this.calls.get(dispatch.id().value());
+			String server = dispatch.server().name().value();
+			assertThat(this.session.fleet.permission).isEqualTo(WorkPermission.OPEN);
+			assertThat(call.answered).isFalse();
+			assertThat(dispatch.timeoutMs()).isBetween(1L, 1_000L);
+			checkInService(server);
+			boolean north = dispatch.server().region().equals(TestSettings.NORTH);
+			assertThat(north || this.settings.homeRegions.isEmpty() && call.head.account() != TestSettings.LOCAL)
+				.isTrue();
+			assertThat(call.head.account()).isNotEqualTo(TestSettings.ABROAD);
+			Try attempt = new Try(dispatch);
+			assertThat(call.tries.put(dispatch.attempt(), attempt)).isNull();
+			this.tries.add(attempt);
+			assertThat(call.isIdempotent() || call.possibleRuns() == 1).isTrue();
+			countRun(attempt, 1);
+			if (states.get(server) != ServerState.WARM) {
+				assertThat(inFlight(server)).isLessThanOrEqualTo(this.settings.coldConcurrency);
+				assertThat(dispatch.timeoutMs())
+					.isLessThanOrEqualTo(this.session.fleet.ownedMs.getOrDefault(server, 0L));
+			}
+		}
+
+		private void checkInService(String server) {
+			assertThat(this.session.fleet.leaving).doesNotContain(server);
+			assertThat(this.settings.out).doesNotContain(Integer.parseInt(server.substring(1)));
+		}
+
+		private long inFlight(String server) {
+			return this.tries.stream()
+				.filter((attempt) -> attempt.open && attempt.dispatch.server().name().value().equals(server))
+				.count();
+		}
+
+		private void countRun(Try attempt, long change) {
+			Call call = this.calls.get(attempt.dispatch.id().value());
+			String key = call.head.key();
+			if (key != null && !call.isIdempotent()) {
+				assertThat(this.possibleRunsByKey.merge(key, change, Long::sum)).isBetween(0L, 1L);
+			}
+		}
+
+		private void checkRefuse(Refuse refuse) {
+			Call call = this.calls.get(refuse.id().value());
+			answered(call);
+			if (refuse.refusal().outcome() != Outcome.NOT_RUN) {
+				return;
+			}
+			assertThat(call.possibleRuns()).isZero();
+			@Nullable String key = call.head.key();
+			if (key != null && !call.isIdempotent()) {
+				assertThat(this.possibleRunsByKey.getOrDefault(key, 0L)).isZero();
+				assertThat(this.session.keys.outcomes.get(IdempotencyKey.parse(key))).isEqualTo(Outcome.NOT_RUN);
+			}
+		}
+
+		private static void answered(Call call) {
+			assertThat(call.answered || call.callerGone).isFalse();
+			call.answered = true;
+		}
+
+		void finish() {
+			this.session.fleet.noticesSettled = true;
+			this.session.fleet.outcome = Outcome.UNKNOWN;
+			for (int i = 0; i < 40; i++) {
+				this.session.clock.advance(100);
+				apply(new Ticked());
+			}
+			for (Try attempt : this.tries) {
+				endAnswer(attempt);
+			}
+			assertThat(this.session.logic.running()).isZero();
+			assertThat(this.session.logic.servers()).allMatch((status) -> status.inFlight() == 0);
+			assertThat(this.calls.values()).allMatch((call) -> call.answered || call.callerGone);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/Session.java
@@ -0,0 +1,160 @@
+package org.lovagevale.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.SeededRandom;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.FailureKind;
+import org.lovagevale.core.Fingerprint;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.LoadReport;
+import org.lovagevale.core.Refusal;
+import org.lovagevale.core.RequestHead;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.ServerState;
+import org.lovagevale.core.StoredAnswer;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.Dispatch;
+import org.lovagevale.core.decision.Refuse;
+import org.lovagevale.core.event.AnswerEnded;
+import org.lovagevale.core.event.AnswerHeadArrived;
+import org.lovagevale.core.event.AttemptFailed;
+import org.lovagevale.core.event.CallerGone;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.HeadArrived;
+import org.lovagevale.core.event.PrefixArrived;
+import org.lovagevale.core.event.Ticked;
+import org.lovagevale.core.message.ServerEntry;
+
+/**
+ * Feeds events to a {@link RequestLogic} and records them with the decisions they cause.
+ */
+final class Session {
+
+	static final Self SELF = new Self(new VmName("entry-01"), new Incarnation(1_000, 7));
+
+	static final String KEY_PREFIX = "entry-01." + SELF.incarnation() + ".0.";
+
+	static final LoadReport WARM = new LoadReport(1, 3, ServerState.WARM, "b1");
+
+	static final LoadReport COLD = new LoadReport(1, 3, ServerState.COLD, "b1");
+
+	final ManualClock clock = new ManualClock(100_000, 1_000_000_000);
+
+	final List<String> lines = new ArrayList<>();
+
+	final FakeFleet fleet = new FakeFleet((line) -> this.lines.add("  . " + line));
+
+	final FakeKeys keys = new FakeKeys(SELF, (line) -> this.lines.add("  . " + line));
+
+	private final List<Decision> decisions = new ArrayList<>();
+
+	final RequestLogic logic = new RequestLogic(SELF, this.clock, new SeededRandom(20261204), this.fleet, this.keys,
+			this::decided);
+
+	private void decided(Decision decision) {
+		this.decisions.add(decision);
+		this.lines.add("  > " + SessionText.of(decision));
+	}
+
+	static Session cold(TestSettings settings) {
+		Session session = new Session();
+		session.use(settings);
+		return session;
+	}
+
+	static Session warm(TestSettings settings) {
+		Session session = new Session();
+		for (int i = 0; i < settings.servers; i++) {
+			session.fleet.heard.put(TestSettings.server(i), new ServerEntry(TestSettings.server(i), "WARM", "b1", 0));
+		}
+		session.use(settings);
+		session.fleet.heard.clear();
+		session.clock.advance(1);
+		return session;
+	}
+
+	void use(TestSettings settings) {
+		this.fleet.settings = settings.build();
+		apply(new Ticked());
+	}
+
+	List<Decision> apply(Event event) {
+		this.decisions.clear();
+		this.lines.add(this.clock.millis() + " " + SessionText.of(event));
+		this.logic.apply(event);
+		return List.copyOf(this.decisions);
+	}
+
+	List<Decision> after(long ms) {
+		this.clock.advance(ms);
+		return apply(new Ticked());
+	}
+
+	static RequestHead head(String method, String path, @Nullable AccountName account, @Nullable String key) {
+		return new RequestHead(method, path, "", account, key, 0, false, 0, "127.0.0.1");
+	}
+
+	List<Decision> request(long id, String method, String path) {
+		return request(id, head(method, path, null, null));
+	}
+
+	List<Decision> keyed(long id, String unique) {
+		return request(id, head("POST", "/vans", null, KEY_PREFIX + unique));
+	}
+
+	List<Decision> request(long id, RequestHead head) {
+		return request(id, head, "f" + id);
+	}
+
+	List<Decision> request(long id, RequestHead head, String fingerprint) {
+		List<Decision> all = new ArrayList<>(apply(new HeadArrived(new RequestId(id), head)));
+		all.addAll(apply(new PrefixArrived(new RequestId(id), new Fingerprint(fingerprint))));
+		return all;
+	}
+
+	List<Decision> answer(long id, int attempt, int status, @Nullable LoadReport report) {
+		return apply(new AnswerHeadArrived(new RequestId(id), attempt, status, false, report));
+	}
+
+	List<Decision> shed(long id, int attempt) {
+		return apply(new AnswerHeadArrived(new RequestId(id), attempt, 503, true, WARM));
+	}
+
+	List<Decision> end(long id, int attempt, @Nullable StoredAnswer stored) {
+		return apply(new AnswerEnded(new RequestId(id), attempt, stored));
+	}
+
+	List<Decision> fail(long id, int attempt, FailureKind kind) {
+		return apply(new AttemptFailed(new RequestId(id), attempt, kind));
+	}
+
+	List<Decision> callerGone(long id) {
+		return apply(new CallerGone(new RequestId(id)));
+	}
+
+	ServerState state(int server) {
+		return this.logic.servers().get(server).state();
+	}
+
+	static List<String> servers(List<Decision> decisions) {
+		return decisions.stream()
+			.filter(Dispatch.class::isInstance)
+			.map((decision) -> ((Dispatch) decision).server().name().value())
+			.toList();
+	}
+
+	static Dispatch dispatch(List<Decision> decisions) {
+		return (Dispatch) decisions.stream().filter(Dispatch.class::isInstance).findFirst().orElseThrow();
+	}
+
+	static Refusal refusal(List<Decision> decisions) {
+		return ((Refuse) decisions.stream().filter(Refuse.class::isInstance).findFirst().orElseThrow()).refusal();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/TestSettings.java
@@ -0,0 +1,111 @@
+package org.lovagevale.core.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.lovagevale.base.AccountName;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.settings.model.AccountSettings;
+import org.lovagevale.settings.model.AddressSettings;
+import org.lovagevale.settings.model.BackendServer;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.settings.model.ExchangeSettings;
+import org.lovagevale.settings.model.KeySettings;
+import org.lovagevale.settings.model.MeasuringSettings;
+import org.lovagevale.settings.model.Policy;
+import org.lovagevale.settings.model.Priority;
+import org.lovagevale.settings.model.QuarantineSettings;
+import org.lovagevale.settings.model.Route;
+import org.lovagevale.settings.model.ServiceSettings;
+import org.lovagevale.settings.model.Settings;
+
+/**
+ * Settings of one service on servers s0, s1 and so on, alternating between the regions
+ * north and south; this VM is in north.
+ */
+final class TestSettings {
+
+	static final Region NORTH = new Region("north");
+
+	static final Region SOUTH = new Region("south");
+
+	static final AccountName LOCAL = new AccountName("local");
+
+	static final AccountName ABROAD = new AccountName("abroad");
+
+	static final AccountName LIMITED = new AccountName("limited");
+
+	int servers = 4;
+
+	int slots = 3;
+
+	int connections = 260;
+
+	int coldConcurrency = 1;
+
+	long queueMs = 200;
+
+	int queueLength = 10;
+
+	int retryPercent = 10;
+
+	long hedgeAfterMs;
+
+	int warmAfterAnswers = 20;
+
+	int ejectMaxPercent = 50;
+
+	Set<Region> homeRegions = Set.of();
+
+	final Set<Integer> out = new HashSet<>();
+
+	private long version;
+
+	static String server(int i) {
+		return "s" + i;
+	}
+
+	private Policy policy(Priority priority, boolean keyRequired) {
+		return new Policy(1_000, 100_000, 500, priority, this.queueMs, this.queueLength, this.retryPercent,
+				this.hedgeAfterMs, keyRequired, this.homeRegions, this.slots, this.connections, this.coldConcurrency,
+				this.warmAfterAnswers, this.ejectMaxPercent);
+	}
+
+	BackendServer definition(int i) {
+		Region region = (i % 2 == 0) ? NORTH : SOUTH;
+		return new BackendServer(new ServerName(server(i)), new ServiceName("vans"),
+				new FailureDomain(region.value() + "-1"), region, "127.0.0.1", 9_000 + i, this.out.contains(i), false);
+	}
+
+	Settings build() {
+		this.version++;
+		List<Route> routes = List.of(new Route("GET /vans", "GET", "/vans", true, policy(Priority.NORMAL, false)),
+				new Route("GET /vans/archive", "GET", "/vans/archive", true, policy(Priority.BACKGROUND, false)),
+				new Route("POST /vans", "POST", "/vans", false, policy(Priority.CRITICAL, true)),
+				new Route("POST /vans/notes", "POST", "/vans/notes", false, policy(Priority.NORMAL, false)));
+		List<BackendServer> definitions = new ArrayList<>();
+		for (int i = 0; i < this.servers; i++) {
+			definitions.add(definition(i));
+		}
+		ServiceSettings service = new ServiceSettings(new ServiceName("vans"), policy(Priority.NORMAL, false), routes,
+				definitions);
+		List<EntryVm> vms = List.of(new EntryVm(new VmName("entry-01"), new FailureDomain("north-1"), NORTH,
+				"127.0.0.1", 8_001, 8_002, 8_003, false));
+		List<AccountSettings> accounts = List.of(account(ABROAD, Set.of(SOUTH), 0), account(LIMITED, Set.of(), 1),
+				account(LOCAL, Set.of(NORTH), 0));
+		return new Settings(this.version, "test", List.of(), vms, List.of(service), accounts,
+				ExchangeSettings.defaults(), KeySettings.defaults(), QuarantineSettings.defaults(),
+				MeasuringSettings.defaults(), AddressSettings.defaults());
+	}
+
+	private static AccountSettings account(AccountName name, Set<Region> homeRegions, int ratePerSecond) {
+		return new AccountSettings(name, homeRegions, ratePerSecond, 0, 1);
+	}
+
+}
