Connect the decision logic to callers and backend servers over HTTP

Cause: the entry process had contracts for events and decisions but nothing that carried them out.

Change: Engine serializes DecisionLogic and queues decisions per request; CallerServer, Exchange, Attempt and RequestBody stream requests and responses with backpressure. NOT_CONNECTED is reported only if an atomic transition excludes any write. Bodies without length or chunks are treated as cut, since their end cannot be proved. Audit trail, request trail, metrics and log lines are included.

--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/admin/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP for operators.
+ */
+@NullMarked
+package org.lovagevale.node.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -0,0 +1,188 @@
+package org.lovagevale.node.http;
+
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.core.RequestHead;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.event.AddressesAsked;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.OutcomeAsked;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.HttpProtocol;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The HTTP server for callers.
+ *
+ * <p>
+ * Thread-safe.
+ */
+public final class CallerServer {
+
+	private static final String OWN_PREFIX = "/.lovagevale/";
+
+	private static final String ADDRESSES = OWN_PREFIX + "addresses";
+
+	private static final String OUTCOME = OWN_PREFIX + "outcome/";
+
+	/** Longest request line in bytes. */
+	private static final int MAX_LINE_BYTES = 8_192;
+
+	/** Largest size of all headers of a request in bytes. */
+	private static final int MAX_HEAD_BYTES = 16_384;
+
+	/** Longest silence of a caller between two requests. */
+	private static final Duration IDLE = Duration.ofSeconds(60);
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int METHOD_NOT_ALLOWED = 405;
+
+	private final ExchangeContext context;
+
+	private final LoopResources loops;
+
+	private final AtomicLong lastId;
+
+	private @Nullable DisposableServer server;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param context what every request needs
+	 * @param loops the event loops
+	 * @param firstId the number before that of the first request
+	 */
+	public CallerServer(ExchangeContext context, LoopResources loops, long firstId) {
+		this.context = context;
+		this.loops = loops;
+		this.lastId = new AtomicLong(firstId);
+	}
+
+	/**
+	 * Starts to accept connections; blocks until the port is open.
+	 * @param host the IP number
+	 * @param port the TCP port, 0 for any
+	 * @return the port
+	 * @throws HttpServerException if the port cannot be opened
+	 */
+	public synchronized int listen(String host, int port) throws HttpServerException {
+		try {
+			DisposableServer bound = HttpServer.create()
+				.host(host)
+				.port(port)
+				.runOn(this.loops)
+				.protocol(HttpProtocol.HTTP11)
+				.compress(false)
+				.idleTimeout(IDLE)
+				.childOption(ChannelOption.TCP_NODELAY, true)
+				.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_LINE_BYTES).maxHeaderSize(MAX_HEAD_BYTES))
+				.handle(this::handle)
+				.bindNow();
+			this.server = bound;
+			return bound.port();
+		}
+		catch (RuntimeException ex) {
+			throw new HttpServerException("cannot listen for callers on " + host + ":" + port, ex);
+		}
+	}
+
+	/**
+	 * Accepts no further connections; open ones are not affected.
+	 */
+	public synchronized void stopAccepting() {
+		if (this.server != null) {
+			this.server.dispose();
+			this.server = null;
+		}
+	}
+
+	private Mono<Void> handle(HttpServerRequest request, HttpServerResponse out) {
+		RequestId id = new RequestId(this.lastId.incrementAndGet());
+		try {
+			RequestHead head = RequestHeads.read(request, addressOf(request));
+			if (head.path().startsWith(OWN_PREFIX)) {
+				return question(id, head, request, out);
+			}
+			return new Exchange(id, head, request, out, channelOf(request), this.context).run();
+		}
+		catch (MalformedRequestException ex) {
+			return own(out, request.method(), BAD_REQUEST, "malformed-request", ex.getMessage());
+		}
+	}
+
+	private Mono<Void> question(RequestId id, RequestHead head, HttpServerRequest request, HttpServerResponse out) {
+		HttpMethod method = request.method();
+		if (!method.equals(HttpMethod.GET)) {
+			return own(out, method, METHOD_NOT_ALLOWED, "method-not-allowed", "Use GET.");
+		}
+		if (head.path().equals(ADDRESSES)) {
+			return addresses(id, head, request, out);
+		}
+		if (head.path().startsWith(OUTCOME)) {
+			String key = URLDecoder.decode(head.path().substring(OUTCOME.length()), StandardCharsets.UTF_8);
+			return ask(id, new OutcomeAsked(id, key), request, out);
+		}
+		return own(out, method, NOT_FOUND, "no-such-path", "Use " + ADDRESSES + " or " + OUTCOME + "<key>.");
+	}
+
+	private Mono<Void> addresses(RequestId id, RequestHead head, HttpServerRequest request, HttpServerResponse out) {
+		QueryStringDecoder query = new QueryStringDecoder(head.query(), false);
+		try {
+			ServiceName service = new ServiceName(first(query, "service").orElse(""));
+			AccountName account = first(query, "account").map(AccountName::new).orElse(null);
+			AddressesAsked asked = new AddressesAsked(id, service, account, head.callerAddress());
+			return ask(id, asked, request, out);
+		}
+		catch (IllegalArgumentException ex) {
+			return own(out, request.method(), BAD_REQUEST, "malformed-request",
+					"Give a valid service and, if any, a valid account.");
+		}
+	}
+
+	private Mono<Void> ask(RequestId id, Event question, HttpServerRequest request, HttpServerResponse out) {
+		out.header(HeaderNames.REQUEST_ID, id.toString()).header(HeaderNames.VM, this.context.vm().value());
+		return new Question(id, request.method(), out).ask(question, this.context.engine(),
+				channelOf(request).eventLoop());
+	}
+
+	private static Optional<String> first(QueryStringDecoder query, String name) {
+		return query.parameters().getOrDefault(name, List.of()).stream().findFirst();
+	}
+
+	private Mono<Void> own(HttpServerResponse out, HttpMethod method, int status, String reason,
+			@Nullable String message) {
+		out.header(HeaderNames.VM, this.context.vm().value()).keepAlive(false);
+		return Answers.problem(out, method, status, reason, "not-run", String.valueOf(message));
+	}
+
+	private static Channel channelOf(HttpServerRequest request) {
+		Channel[] result = new Channel[1];
+		request.withConnection((connection) -> result[0] = connection.channel());
+		return result[0];
+	}
+
+	private static String addressOf(HttpServerRequest request) {
+		InetSocketAddress address = request.remoteAddress();
+		return (address != null && address.getAddress() != null) ? address.getAddress().getHostAddress() : "";
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/ExchangeContext.java
@@ -0,0 +1,25 @@
+package org.lovagevale.node.http;
+
+import java.util.function.BooleanSupplier;
+
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.VmName;
+import org.lovagevale.node.metrics.NodeMetrics;
+import org.lovagevale.node.wiring.Engine;
+
+/**
+ * What every request from a caller needs.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param vm the name of this VM
+ * @param clock the clock
+ * @param engine the decision logic
+ * @param connections the connections to backend servers
+ * @param metrics the metrics
+ * @param leaving tells whether callers are to leave this VM
+ */
+public record ExchangeContext(VmName vm, Clock clock, Engine engine, BackendConnections connections,
+		NodeMetrics metrics, BooleanSupplier leaving) {
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/RequestHeads.java
@@ -0,0 +1,108 @@
+package org.lovagevale.node.http;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
+import org.lovagevale.core.RequestHead;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * Reads the head of a request.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class RequestHeads {
+
+	/** Largest timeout that a caller may give, in milliseconds. */
+	private static final long MAX_TIMEOUT_MS = 86_400_000;
+
+	/** Most headers of a request. */
+	private static final int MAX_HEADERS = 100;
+
+	private RequestHeads() {
+	}
+
+	/**
+	 * Reads a head.
+	 * @param request the request
+	 * @param callerAddress the IP number of the caller
+	 * @return the head
+	 * @throws MalformedRequestException if the head is not acceptable
+	 */
+	static RequestHead read(HttpServerRequest request, String callerAddress) throws MalformedRequestException {
+		HttpHeaders headers = request.requestHeaders();
+		if (headers.size() > MAX_HEADERS) {
+			throw new MalformedRequestException("Send at most " + MAX_HEADERS + " headers.");
+		}
+		String target = targetOf(request.uri());
+		int mark = target.indexOf('?');
+		String path = (mark < 0) ? target : target.substring(0, mark);
+		String query = (mark < 0) ? "" : target.substring(mark + 1);
+		return new RequestHead(request.method().name(), path, query, accountOf(headers), headers.get(HeaderNames.KEY),
+				timeoutOf(headers), "1".equals(headers.get(HeaderNames.RETRIED)), lengthOf(headers), callerAddress);
+	}
+
+	// A client may send the absolute form, "GET http://host/path".
+	private static String targetOf(String uri) throws MalformedRequestException {
+		try {
+			URI parsed = new URI(uri);
+			String path = parsed.getRawPath();
+			if (path == null || !path.startsWith("/")) {
+				throw new MalformedRequestException("Send a request target that starts with a slash.");
+			}
+			return (parsed.getRawQuery() != null) ? path + "?" + parsed.getRawQuery() : path;
+		}
+		catch (URISyntaxException ex) {
+			throw new MalformedRequestException("Percent-encode the characters that RFC 3986 does not allow.");
+		}
+	}
+
+	private static @Nullable AccountName accountOf(HttpHeaders headers) throws MalformedRequestException {
+		String text = headers.get(HeaderNames.ACCOUNT);
+		try {
+			return (text != null) ? new AccountName(text) : null;
+		}
+		catch (IllegalArgumentException ex) {
+			throw new MalformedRequestException("Send a valid account name in " + HeaderNames.ACCOUNT + ".");
+		}
+	}
+
+	private static long timeoutOf(HttpHeaders headers) throws MalformedRequestException {
+		String text = headers.get(HeaderNames.TIMEOUT_MS);
+		if (text == null) {
+			return 0;
+		}
+		long timeout = parse(text);
+		if (timeout <= 0) {
+			throw new MalformedRequestException("Send a positive number in " + HeaderNames.TIMEOUT_MS + ".");
+		}
+		return Math.min(timeout, MAX_TIMEOUT_MS);
+	}
+
+	private static long lengthOf(HttpHeaders headers) throws MalformedRequestException {
+		if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+			return -1;
+		}
+		String text = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+		long length = (text != null) ? parse(text) : 0;
+		if (length < 0) {
+			throw new MalformedRequestException("Send the number of bytes of the body in Content-Length.");
+		}
+		return length;
+	}
+
+	private static long parse(String text) {
+		try {
+			return Long.parseLong(text.trim());
+		}
+		catch (NumberFormatException ex) {
+			return -1;
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/log/LogLine.java
@@ -0,0 +1,85 @@
+package org.lovagevale.node.log;
+
+import java.util.Map;
+
+/**
+ * One log line of key=value pairs, starting with the name of an event.
+ *
+ * <p>
+ * A value is put in quotation marks if it is empty or has a space, a quotation mark, an
+ * equals sign or a control character, so a line always has the same number of pairs. Not
+ * thread-safe.
+ */
+public final class LogLine {
+
+	private static final char FIRST_PRINTABLE = ' ';
+
+	private final StringBuilder text;
+
+	private LogLine(String event) {
+		this.text = new StringBuilder("event=").append(event);
+	}
+
+	/**
+	 * Starts a line.
+	 * @param event the event, for example "settings.adopted"
+	 * @return the line
+	 */
+	public static LogLine event(String event) {
+		return new LogLine(event);
+	}
+
+	/**
+	 * Appends a pair.
+	 * @param key the key
+	 * @param value the value, written by its {@code toString}
+	 * @return this line
+	 */
+	public LogLine with(String key, Object value) {
+		this.text.append(' ').append(key).append('=');
+		appendValue(String.valueOf(value));
+		return this;
+	}
+
+	/**
+	 * Appends pairs in the order of a map.
+	 * @param pairs the pairs
+	 * @return this line
+	 */
+	public LogLine withAll(Map<String, String> pairs) {
+		pairs.forEach(this::with);
+		return this;
+	}
+
+	private void appendValue(String value) {
+		if (!value.isEmpty() && value.chars().noneMatch(LogLine::needsQuotes)) {
+			this.text.append(value);
+			return;
+		}
+		this.text.append('"');
+		value.chars().forEach(this::appendEscaped);
+		this.text.append('"');
+	}
+
+	private static boolean needsQuotes(int c) {
+		return c <= FIRST_PRINTABLE || c == '"' || c == '=' || c == '\\';
+	}
+
+	private void appendEscaped(int c) {
+		if (c == '"' || c == '\\') {
+			this.text.append('\\').append((char) c);
+		}
+		else if (c == '\n') {
+			this.text.append("\\n");
+		}
+		else {
+			this.text.append((c < FIRST_PRINTABLE) ? '?' : (char) c);
+		}
+	}
+
+	@Override
+	public String toString() {
+		return this.text.toString();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Log lines of key=value pairs.
+ */
+@NullMarked
+package org.lovagevale.node.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/metrics/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Metrics of an entry process.
+ */
+@NullMarked
+package org.lovagevale.node.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -0,0 +1,478 @@
+package org.lovagevale.node.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.zip.CRC32;
+import java.util.zip.CheckedOutputStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.lovagevale.core.FailureKind;
+import org.lovagevale.core.LoadReport;
+import org.lovagevale.core.Outcome;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.ServerState;
+import org.lovagevale.core.decision.CancelAttempt;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.Dispatch;
+import org.lovagevale.core.event.AnswerEnded;
+import org.lovagevale.core.event.AnswerHeadArrived;
+import org.lovagevale.core.event.AttemptFailed;
+import org.lovagevale.core.event.CallerGone;
+import org.lovagevale.core.event.HeadArrived;
+import org.lovagevale.core.event.PrefixArrived;
+import org.lovagevale.core.event.Ticked;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against responses that are cut, mixed up or falsely called not run, and against
+ * bodies held in memory.
+ */
+@Timeout(60)
+class CallerServerTests {
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: text/plain\r\n"
+			+ "Lovagevale-Load: inflight=2; slots=3; state=warm; boot=ab12\r\n\r\nok";
+
+	private static final String GET = "GET /transfers/1?x=%20 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	private static final int LARGE = 96 * 1024 * 1024;
+
+	// Guards against lost, repeated or reordered bytes of bodies too large to be held.
+	@Test
+	void streamsLargeBodiesBothWays() throws Exception {
+		CompletableFuture<Long> received = new CompletableFuture<>();
+		RawServer.Script script = (head, in, caller) -> {
+			received.complete(checksum(in, LARGE));
+			caller.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n"));
+			writeRandom(caller.getOutputStream(), 2);
+		};
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send("POST /t HTTP/1.1\r\nHost: a\r\nContent-Length: " + LARGE + "\r\n\r\n");
+			assertThat(writeRandom(caller.out, 1)).isEqualTo(received.get(30, TimeUnit.SECONDS));
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 200");
+			assertThat(checksum(caller.in, LARGE)).isEqualTo(writeRandom(OutputStream.nullOutputStream(), 2));
+		}
+	}
+
+	// Guards against a response held in memory for a caller that reads slowly.
+	@Test
+	void slowCallerSlowsTheServerDown() throws Exception {
+		int[] written = new int[1];
+		RawServer.Script script = (head, in, caller) -> {
+			caller.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n"));
+			for (; written[0] < LARGE; written[0] += 65_536) {
+				caller.getOutputStream().write(new byte[65_536]);
+			}
+		};
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send(GET);
+			RawCaller.readHead(caller.in);
+			pause(1_500);
+			assertThat(written[0]).isLessThan(LARGE / 2);
+			assertThat(caller.in.readNBytes(LARGE)).hasSize(LARGE);
+		}
+	}
+
+	// Guards against a truncated response that looks complete, whatever its framing.
+	@Test
+	void truncatedResponseEndsWithoutFinalChunk() throws Exception {
+		for (String rest : List.of("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "Content-Length: 9\r\n\r\nhello",
+				"\r\nhello")) {
+			RawServer.Script script = (head, in, caller) -> {
+				caller.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\n" + rest));
+				pause(100);
+				caller.close();
+			};
+			try (RawServer server = new RawServer(script);
+					HttpFixture node = new HttpFixture(server.port());
+					RawCaller caller = new RawCaller(node.port)) {
+				caller.send(GET);
+				assertThat(readUntilClosed(caller)).as(rest).doesNotContain("0\r\n\r\n");
+				await(() -> !node.logic.events(AttemptFailed.class).isEmpty());
+				assertThat(kinds(node)).containsExactly(FailureKind.LOST_IN_BODY);
+				assertThat(node.logic.events(AnswerEnded.class)).isEmpty();
+			}
+		}
+	}
+
+	// Guards against the late response of a cancelled attempt reaching the next caller.
+	@Test
+	void lateResponseReachesNobodyElse() throws Exception {
+		CountDownLatch cancelled = new CountDownLatch(1);
+		RawServer.Script script = (head, in, caller) -> {
+			if (head.startsWith("GET /slow")) {
+				await(() -> cancelled.getCount() == 0);
+				caller.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"));
+				return;
+			}
+			caller.getOutputStream().write(ascii(OK));
+		};
+		RequestId first = new RequestId(1);
+		List<Decision> onTick = List.of(new CancelAttempt(first, 1), ScriptedLogic.refuse(first, Outcome.UNKNOWN));
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port(), (e) -> (e instanceof Ticked) ? onTick : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+			await(() -> server.heads.size() == 1);
+			node.engine.apply(new Ticked());
+			assertThat(caller.readAnswer()).startsWith("HTTP/1.1 502");
+			caller.send(GET);
+			pause(50);
+			cancelled.countDown();
+			assertThat(caller.readAnswer()).endsWith("ok");
+			assertThat(server.connections.get()).isEqualTo(2);
+			assertThat(node.logic.events(AnswerHeadArrived.class)).extracting(AnswerHeadArrived::id)
+				.doesNotContain(first);
+		}
+	}
+
+	// Guards against a request that may have run being called not run.
+	@Test
+	void lostAfterWriteIsNotCalledNotConnected() throws Exception {
+		RawServer.Script script = (head, in, caller) -> {
+			if (head.startsWith("GET /first")) {
+				caller.getOutputStream().write(ascii(OK));
+				return;
+			}
+			caller.close();
+		};
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send(GET);
+			assertThat(caller.readAnswer()).contains("Lovagevale-Outcome: unknown");
+			assertThat(kinds(node)).containsExactly(FailureKind.LOST_BEFORE_HEAD);
+			caller.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+			assertThat(caller.readAnswer()).endsWith("ok");
+			caller.send(GET);
+			assertThat(caller.readAnswer()).contains("Lovagevale-Outcome: unknown");
+			assertThat(kinds(node)).containsExactly(FailureKind.LOST_BEFORE_HEAD, FailureKind.LOST_BEFORE_HEAD);
+			assertThat(server.heads).as("no hidden retry").hasSize(3);
+		}
+	}
+
+	// Guards against a connection that was refused being called unknown.
+	@Test
+	void refusedConnectionIsNotConnected() throws Exception {
+		int free = freePort();
+		try (HttpFixture node = new HttpFixture(free); RawCaller caller = new RawCaller(node.port)) {
+			caller.send(GET);
+			assertThat(caller.readAnswer()).contains("Lovagevale-Outcome: not-run");
+			assertThat(kinds(node)).containsExactly(FailureKind.NOT_CONNECTED);
+		}
+	}
+
+	// Guards against a write after the deadline, for example after a pause of the
+	// process.
+	@Test
+	void nothingIsWrittenAfterTheDeadline() throws Exception {
+		try (RawServer server = new RawServer((head, in, caller) -> caller.getOutputStream().write(ascii(OK)));
+				HttpFixture node = new HttpFixture(server.port(),
+						(e) -> (e instanceof PrefixArrived p)
+								? List.of(late(ScriptedLogic.dispatch(p.id(), 1, server.port(), 5_000))) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send(GET);
+			assertThat(caller.readAnswer()).contains("Lovagevale-Outcome: not-run");
+			assertThat(kinds(node)).containsExactly(FailureKind.NOT_CONNECTED);
+			pause(100);
+			assertThat(server.heads).isEmpty();
+		}
+	}
+
+	// Guards against an attempt without end, and against a reuse of its connection.
+	@Test
+	void timeoutClosesTheConnection() throws Exception {
+		RawServer.Script script = (head, in, caller) -> {
+			if (head.startsWith("GET /slow")) {
+				pause(400);
+			}
+			caller.getOutputStream().write(ascii(OK));
+		};
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port(),
+						(e) -> (e instanceof PrefixArrived p)
+								? List.of(ScriptedLogic.dispatch(p.id(), 1, server.port(), 200)) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+			assertThat(caller.readAnswer()).startsWith("HTTP/1.1 502");
+			assertThat(kinds(node)).containsExactly(FailureKind.TIMED_OUT);
+			caller.send(GET);
+			assertThat(caller.readAnswer()).endsWith("ok");
+			assertThat(server.connections.get()).isEqualTo(2);
+		}
+	}
+
+	// Guards against bodies above the limit, announced or not, and against a caller that
+	// cannot read why.
+	@Test
+	void oversizedBodyGets413() throws Exception {
+		try (RawServer server = new RawServer((head, in, caller) -> in.skipNBytes(LARGE));
+				HttpFixture node = new HttpFixture(server.port())) {
+			node.logic.maxRequestBytes = 10_000;
+			try (RawCaller caller = new RawCaller(node.port)) {
+				caller.send("POST /t HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n");
+				caller.out.write(new byte[200_000]);
+				assertThat(caller.readAnswer()).startsWith("HTTP/1.1 413").contains("Lovagevale-Outcome: not-run");
+			}
+			try (RawCaller caller = new RawCaller(node.port)) {
+				caller.send("POST /t HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+				for (int i = 0; i < 20; i++) {
+					caller.send("1000\r\n" + "x".repeat(4_096) + "\r\n");
+				}
+				assertThat(caller.readAnswer()).startsWith("HTTP/1.1 413").contains("\"body-too-large\"");
+			}
+			assertThat(node.logic.events(CallerGone.class)).hasSize(2);
+		}
+	}
+
+	// Guards against a second attempt that sends only the rest of a body.
+	@Test
+	void bodyIsSentAgainOnlyIfItWasKept() throws Exception {
+		byte[] small = new byte[50_000];
+		new Random(3).nextBytes(small);
+		List<Long> sums = new CopyOnWriteArrayList<>();
+		RawServer.Script script = (head, in, caller) -> {
+			sums.add(checksum(in, (int) RawCaller.lengthOf(head)));
+			if (head.contains("Lovagevale-Attempt: 2")) {
+				caller.getOutputStream().write(ascii(OK));
+			}
+			else {
+				caller.close();
+			}
+		};
+		ScriptedLogic[] logic = new ScriptedLogic[1];
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port(),
+						(e) -> (e instanceof AttemptFailed f && f.attempt() == 1)
+								? List.of(logic[0].dispatch(f.id(), 2)) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			logic[0] = node.logic;
+			caller.send("PUT /t HTTP/1.1\r\nHost: a\r\nContent-Length: " + small.length + "\r\n\r\n");
+			caller.out.write(small);
+			assertThat(caller.readAnswer()).endsWith("ok");
+			assertThat(sums).hasSize(2).allMatch(sums.get(0)::equals);
+			caller.send("PUT /t HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n");
+			caller.out.write(new byte[400_000]);
+			assertThat(caller.readAnswer()).startsWith("HTTP/1.1 502").contains("Lovagevale-Outcome: unknown");
+			assertThat(server.heads).hasSize(3);
+		}
+	}
+
+	// Guards against headers of one hop reaching the next, and against a body invented
+	// for
+	// a request that has none.
+	@Test
+	void headersOfOneHopEndThere() throws Exception {
+		RawServer.Script script = (head, in, caller) -> caller.getOutputStream()
+			.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\n"
+					+ "Lovagevale-Load: inflight=2; slots=3; state=warm; boot=ab12\r\n\r\nok"));
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send("GET /a%2Fb/?q=%7C&r HTTP/1.1\r\nHost: shop\r\nConnection: X-Mine, keep-alive\r\nX-Mine: 1\r\n"
+					+ "Lovagevale-Account: tutors\r\nLovagevale-Deadline: 1\r\nIdempotency-Key: k\r\n\r\n");
+			assertThat(caller.readAnswer()).contains("X-End: 1")
+				.contains("Lovagevale-Vm: entry-01")
+				.doesNotContain("X-Hop", "Lovagevale-Load");
+			assertThat(server.heads.get(0)).startsWith("GET /a%2Fb/?q=%7C&r HTTP/1.1\r\n")
+				.containsIgnoringCase("host: shop")
+				.contains("Lovagevale-Account: tutors", "Idempotency-Key: k", "Lovagevale-Attempt: 1")
+				.doesNotContainIgnoringCase("x-mine", "transfer-encoding", "content-length", "Deadline: 1\r\n");
+			AnswerHeadArrived head = node.logic.events(AnswerHeadArrived.class).get(0);
+			assertThat(head.report()).isEqualTo(new LoadReport(2, 3, ServerState.WARM, "ab12"));
+		}
+	}
+
+	// Guards against a stored response that differs from the one sent, and against a
+	// connection for each request.
+	@Test
+	void keepsSmallResponsesAndReusesConnections() throws Exception {
+		try (RawServer server = new RawServer((head, in, caller) -> caller.getOutputStream().write(ascii(OK)));
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			for (int i = 0; i < 20; i++) {
+				caller.send(GET);
+				assertThat(caller.readAnswer()).endsWith("ok");
+			}
+			await(() -> node.logic.events(AnswerEnded.class).size() == 20);
+			assertThat(server.connections.get()).isEqualTo(1);
+			assertThat(node.logic.events(AnswerEnded.class)).allSatisfy((ended) -> {
+				assertThat(ended.stored()).isNotNull();
+				assertThat(ended.stored().body()).asString(StandardCharsets.US_ASCII).isEqualTo("ok");
+				assertThat(ended.stored().contentType()).isEqualTo("text/plain");
+			});
+			assertThat(node.engine.open()).isZero();
+		}
+	}
+
+	// Guards against work that goes on for a caller that has left.
+	@Test
+	void leavingCallerClosesTheConnectionToTheServer() throws Exception {
+		CompletableFuture<Integer> end = new CompletableFuture<>();
+		try (RawServer server = new RawServer((head, in, caller) -> end.complete(in.read()));
+				HttpFixture node = new HttpFixture(server.port())) {
+			try (RawCaller caller = new RawCaller(node.port)) {
+				caller.send(GET);
+				await(() -> !server.heads.isEmpty());
+			}
+			assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo(-1);
+			await(() -> node.logic.events(CallerGone.class).size() == 1);
+		}
+	}
+
+	// Guards against callers and servers that hold a request without sending anything.
+	@Test
+	void silenceEndsARequest() throws Exception {
+		RawServer.Script script = (head, in, caller) -> {
+			caller.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello"));
+			in.read();
+		};
+		try (RawServer server = new RawServer(script); HttpFixture node = new HttpFixture(server.port())) {
+			node.logic.idleTimeoutMs = 300;
+			try (RawCaller silent = new RawCaller(node.port); RawCaller waiting = new RawCaller(node.port)) {
+				silent.send("POST /t HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhello");
+				assertThat(readUntilClosed(silent)).isEmpty();
+				waiting.send(GET);
+				assertThat(readUntilClosed(waiting)).endsWith("hello");
+			}
+			await(() -> !node.logic.events(CallerGone.class).isEmpty() && !kinds(node).isEmpty());
+			assertThat(kinds(node)).containsExactly(FailureKind.LOST_IN_BODY);
+		}
+	}
+
+	// Guards against malformed requests that reach the logic or harm others.
+	@Test
+	void malformedRequestsAreRejected() throws Exception {
+		try (RawServer server = new RawServer((head, in, caller) -> caller.getOutputStream().write(ascii(OK)));
+				HttpFixture node = new HttpFixture(server.port())) {
+			for (String text : List.of("nonsense\r\n\r\n", "GET /t HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+					"GET /t|x HTTP/1.1\r\nHost: a\r\n\r\n",
+					"GET /t HTTP/1.1\r\nHost: a\r\nLovagevale-Account: Not Valid\r\n\r\n",
+					"GET /t HTTP/1.1\r\nHost: a\r\nLovagevale-Timeout-Ms: soon\r\n\r\n",
+					"POST /t HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+					"GET /t HTTP/1.1\r\nHost: a\r\n" + "X: 1\r\n".repeat(200) + "\r\n",
+					"GET /" + "t".repeat(9_000) + " HTTP/1.1\r\nHost: a\r\n\r\n",
+					"GET /t HTTP/1.1\r\nHost: a\r\nX: " + "t".repeat(20_000) + "\r\n\r\n")) {
+				try (RawCaller caller = new RawCaller(node.port)) {
+					caller.send(text);
+					assertThat(RawCaller.readHead(caller.in)).as(text).startsWith("HTTP/1.1 4");
+				}
+			}
+			assertThat(node.logic.events(HeadArrived.class)).isEmpty();
+			try (RawCaller caller = new RawCaller(node.port)) {
+				caller.send(GET);
+				assertThat(caller.readAnswer()).endsWith("ok");
+			}
+		}
+	}
+
+	// Guards against refusals that callers cannot interpret.
+	@Test
+	void refusalHasHeadersAndBody() throws Exception {
+		try (HttpFixture node = new HttpFixture(1,
+				(e) -> (e instanceof HeadArrived h) ? List.of(ScriptedLogic.refuse(h.id(), Outcome.NOT_RUN)) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			for (int i = 1; i < 3; i++) {
+				caller.send(GET);
+				assertThat(caller.readAnswer()).startsWith("HTTP/1.1 502")
+					.containsIgnoringCase("Retry-After: 2\r\n")
+					.contains("Lovagevale-Outcome: not-run\r\n", "Lovagevale-Reason: server-failed\r\n",
+							"Lovagevale-Request-Id: " + i + "\r\n", "Lovagevale-Vm: entry-01\r\n")
+					.endsWith("{\"reason\":\"server-failed\",\"outcome\":\"not-run\","
+							+ "\"message\":\"Try \\\"later\\\".\"}");
+			}
+		}
+	}
+
+	private static Dispatch late(Dispatch d) {
+		return new Dispatch(d.id(), d.attempt(), d.server(), System.currentTimeMillis() - 1, d.timeoutMs(), d.retried(),
+				d.choice());
+	}
+
+	private static List<FailureKind> kinds(HttpFixture node) {
+		return node.logic.events(AttemptFailed.class).stream().map(AttemptFailed::kind).toList();
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static byte[] ascii(String text) {
+		return text.getBytes(StandardCharsets.US_ASCII);
+	}
+
+	private static long writeRandom(OutputStream target, long seed) throws IOException {
+		CheckedOutputStream out = new CheckedOutputStream(target, new CRC32());
+		Random random = new Random(seed);
+		byte[] chunk = new byte[65_536];
+		for (int i = 0; i < LARGE; i += chunk.length) {
+			random.nextBytes(chunk);
+			out.write(chunk);
+		}
+		out.flush();
+		return out.getChecksum().getValue();
+	}
+
+	private static long checksum(InputStream in, int length) throws IOException {
+		CRC32 sum = new CRC32();
+		byte[] chunk = new byte[65_536];
+		int left = length;
+		while (left > 0) {
+			int count = in.read(chunk, 0, Math.min(left, chunk.length));
+			if (count < 0) {
+				throw new IOException("closed with " + left + " bytes missing");
+			}
+			sum.update(chunk, 0, count);
+			left -= count;
+		}
+		return sum.getValue();
+	}
+
+	private static String readUntilClosed(RawCaller caller) {
+		StringBuilder text = new StringBuilder();
+		try {
+			for (int c = caller.in.read(); c >= 0; c = caller.in.read()) {
+				text.append((char) c);
+			}
+		}
+		catch (IOException ex) {
+			// A reset ends the connection as well.
+		}
+		return text.toString();
+	}
+
+	private static void await(BooleanSupplier condition) {
+		for (int i = 0; i < 1_000 && !condition.getAsBoolean(); i++) {
+			pause(10);
+		}
+		assertThat(condition.getAsBoolean()).as("condition within 10 s").isTrue();
+	}
+
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/HttpFixture.java
@@ -0,0 +1,55 @@
+package org.lovagevale.node.http;
+
+import java.io.Closeable;
+import java.util.List;
+import java.util.function.Function;
+
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.node.metrics.NodeMetrics;
+import org.lovagevale.node.wiring.Engine;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The HTTP part of an entry process with scripted decisions.
+ */
+final class HttpFixture implements Closeable {
+
+	final ScriptedLogic logic;
+
+	final NodeMetrics metrics = new NodeMetrics();
+
+	final int port;
+
+	private final LoopResources loops = LoopResources.create("test", 2, true);
+
+	private final BackendConnections connections = new BackendConnections(this.loops);
+
+	private final CallerServer server;
+
+	final Engine engine;
+
+	HttpFixture(int serverPort) throws HttpServerException {
+		this(serverPort, (event) -> null);
+	}
+
+	HttpFixture(int serverPort, Function<Event, List<Decision>> rule) throws HttpServerException {
+		this.logic = new ScriptedLogic(serverPort, rule);
+		this.engine = new Engine(this.logic, this.metrics::decided, (decision) -> {
+		});
+		ExchangeContext context = new ExchangeContext(new VmName("entry-01"), new SystemClock(), this.engine,
+				this.connections, this.metrics, () -> false);
+		this.server = new CallerServer(context, this.loops, 0);
+		this.port = this.server.listen("127.0.0.1", 0);
+	}
+
+	@Override
+	public void close() {
+		this.server.stopAccepting();
+		this.connections.close();
+		this.loops.dispose();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/RawCaller.java
@@ -0,0 +1,73 @@
+package org.lovagevale.node.http;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A caller on loopback whose every byte is written by a test.
+ */
+final class RawCaller implements Closeable {
+
+	final Socket socket;
+
+	final InputStream in;
+
+	final OutputStream out;
+
+	RawCaller(int port) throws IOException {
+		this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+		this.socket.setSoTimeout(20_000);
+		this.in = new BufferedInputStream(this.socket.getInputStream());
+		this.out = this.socket.getOutputStream();
+	}
+
+	void send(String text) throws IOException {
+		this.out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		this.out.flush();
+	}
+
+	/**
+	 * Reads a whole response with a Content-Length.
+	 */
+	String readAnswer() throws IOException {
+		String head = readHead(this.in);
+		return head + new String(this.in.readNBytes((int) lengthOf(head)), StandardCharsets.ISO_8859_1);
+	}
+
+	/**
+	 * Reads up to the empty line; an empty text means that the connection was closed.
+	 */
+	static String readHead(InputStream in) throws IOException {
+		ByteArrayOutputStream head = new ByteArrayOutputStream();
+		int c = in.read();
+		while (c >= 0) {
+			head.write(c);
+			if (c == '\n' && head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+				break;
+			}
+			c = in.read();
+		}
+		return head.toString(StandardCharsets.ISO_8859_1);
+	}
+
+	static long lengthOf(String head) {
+		return head.lines()
+			.filter((line) -> line.toLowerCase().startsWith("content-length:"))
+			.mapToLong((line) -> Long.parseLong(line.substring("content-length:".length()).trim()))
+			.findFirst()
+			.orElse(0);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+	}
+
+}
