--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -0,0 +1,413 @@
+package org.lovagevale.node;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditEntry;
+import org.lovagevale.core.EntryLogic;
+import org.lovagevale.core.MemberPhase;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.Status;
+import org.lovagevale.core.decision.ApplySettings;
+import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.Exit;
+import org.lovagevale.core.decision.KeepLinks;
+import org.lovagevale.core.decision.Probe;
+import org.lovagevale.core.decision.ReadSettings;
+import org.lovagevale.core.decision.ReadVmList;
+import org.lovagevale.core.decision.RecordAudit;
+import org.lovagevale.core.decision.SendToPeer;
+import org.lovagevale.core.decision.StopAccepting;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.PeerMessageReceived;
+import org.lovagevale.core.event.StopRequested;
+import org.lovagevale.core.event.Ticked;
+import org.lovagevale.core.event.VmListReceived;
+import org.lovagevale.core.fleet.WorkPermission;
+import org.lovagevale.core.message.SettingsBody;
+import org.lovagevale.node.admin.AdminServer;
+import org.lovagevale.node.admin.AdminSource;
+import org.lovagevale.node.audit.AuditTrail;
+import org.lovagevale.node.audit.AuditView;
+import org.lovagevale.node.audit.RecordedStep;
+import org.lovagevale.node.audit.RequestTrail;
+import org.lovagevale.node.http.BackendConnections;
+import org.lovagevale.node.http.CallerServer;
+import org.lovagevale.node.http.ExchangeContext;
+import org.lovagevale.node.http.HttpServerException;
+import org.lovagevale.node.http.Prober;
+import org.lovagevale.node.log.LogLine;
+import org.lovagevale.node.metrics.NodeMetrics;
+import org.lovagevale.node.wiring.Engine;
+import org.lovagevale.node.wiring.SettingsLoader;
+import org.lovagevale.peer.PeerException;
+import org.lovagevale.peer.PeerTransport;
+import org.lovagevale.platform.PlatformClient;
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.settings.model.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.netty.http.HttpResources;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpResources;
+
+/**
+ * One entry process.
+ *
+ * <p>
+ * It learns its ports from the settings: the peer and admin ports open with the first
+ * settings, the caller port once new work may start. An address that later settings give
+ * to this VM takes effect only with a restart. Thread-safe.
+ */
+public final class EntryProcess implements AdminSource {
+
+	private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
+
+	private static final long TICK_MS = 20;
+
+	/** Ticks between two looks at the phase, which copies the tables of the logic. */
+	private static final int TICKS_PER_LOOK = 10;
+
+	private static final int AUDIT_CAPACITY = 4_096;
+
+	private static final int REQUEST_CAPACITY = 10_000;
+
+	/** Longest wait for bytes on their way to callers at the end of a planned stop. */
+	private static final long DRAIN_MS = 5_000;
+
+	/** Time for the last messages to peers to leave. */
+	private static final long FAREWELL_MS = 200;
+
+	// The low bits count requests; the salt keeps numbers of different VMs apart.
+	private static final int COUNTER_BITS = 32;
+
+	private final ScheduledExecutorService ticker = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticker"));
+
+	private final ScheduledExecutorService control = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "control"));
+
+	private final CountDownLatch ended = new CountDownLatch(1);
+
+	private final NodeMetrics metrics = new NodeMetrics();
+
+	private final Self self;
+
+	private final AuditTrail audit;
+
+	private final RequestTrail requests;
+
+	private final LoopResources loops;
+
+	private final Engine engine;
+
+	private final PlatformClient platform;
+
+	private final SettingsLoader loader;
+
+	private final PeerTransport peers;
+
+	private final BackendConnections connections;
+
+	private final Prober prober;
+
+	private final CallerServer callers;
+
+	private final AdminServer admin;
+
+	private volatile @Nullable Settings settings;
+
+	private volatile @Nullable EntryVm published;
+
+	private volatile boolean leaving;
+
+	private volatile boolean serving;
+
+	private volatile int exitCode;
+
+	private int ticks;
+
+	/**
+	 * Creates a process that does nothing yet.
+	 * @param self its identity
+	 * @param platform the address of the platform
+	 * @param threads threads of the event loops, positive
+	 * @param clock the clock
+	 * @param random the source of random numbers
+	 */
+	public EntryProcess(Self self, URI platform, int threads, Clock clock, RandomSource random) {
+		this.self = self;
+		this.loops = LoopResources.create("http", threads, true);
+		// The peer and platform clients use the defaults of the library.
+		TcpResources.set(this.loops);
+		HttpResources.set(this.loops);
+		this.audit = new AuditTrail(AUDIT_CAPACITY, clock.epochMillis());
+		this.requests = new RequestTrail(REQUEST_CAPACITY, clock);
+		this.engine = new Engine(new EntryLogic(self, clock, random), this::observe, this::carryOut);
+		this.platform = new PlatformClient(platform);
+		this.loader = new SettingsLoader(new JsonSettingsReader(), this.platform, this.control, clock,
+				this.engine::apply, this.audit::add);
+		this.peers = new PeerTransport(self, this::deployment, this::peerAddress, this::peerEvent);
+		this.connections = new BackendConnections(this.loops);
+		this.prober = new Prober(this.connections);
+		ExchangeContext context = new ExchangeContext(self.vm(), clock, this.engine, this.connections, this.metrics,
+				() -> this.leaving);
+		long firstId = (long) (self.incarnation().salt() & Integer.MAX_VALUE) << COUNTER_BITS;
+		this.callers = new CallerServer(context, this.loops, firstId);
+		this.admin = new AdminServer(this, this.loops);
+		registerMetrics();
+	}
+
+	/**
+	 * Starts the process.
+	 */
+	public void start() {
+		LOG.info("{}",
+				LogLine.event("process.started")
+					.with("vm", this.self.vm())
+					.with("incarnation", this.self.incarnation()));
+		this.ticker.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Asks the process to stop once its callers have moved.
+	 */
+	public void stop() {
+		LOG.info("{}", LogLine.event("process.stop-requested"));
+		this.leaving = true;
+		this.engine.apply(new StopRequested());
+	}
+
+	/**
+	 * Waits until the process has ended.
+	 * @return the exit code
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public int await() throws InterruptedException {
+		this.ended.await();
+		return this.exitCode;
+	}
+
+	@Override
+	public Self self() {
+		return this.self;
+	}
+
+	@Override
+	public Status status() {
+		return this.engine.status();
+	}
+
+	@Override
+	public boolean isReady() {
+		Status status = this.engine.status();
+		return this.serving && status.permission() == WorkPermission.OPEN && status.phase() == MemberPhase.LIVE;
+	}
+
+	@Override
+	public AuditView audit() {
+		return this.audit.view();
+	}
+
+	@Override
+	public Optional<List<RecordedStep>> explain(RequestId id) {
+		return this.requests.find(id);
+	}
+
+	@Override
+	public Optional<String> settingsContent() {
+		Settings current = this.settings;
+		return (current != null) ? this.loader.content(current.version()) : Optional.empty();
+	}
+
+	@Override
+	public String metrics() {
+		return this.metrics.scrape();
+	}
+
+	private void registerMetrics() {
+		this.metrics.gauge("lovagevale.in.flight", this.engine, Engine::open);
+		this.metrics.counter("lovagevale.platform.reads", this.loader, SettingsLoader::reads);
+		this.metrics.counter("lovagevale.platform.read.failures", this.loader, SettingsLoader::readFailures);
+		this.metrics.counter("lovagevale.settings.rejections", this.loader, SettingsLoader::rejections);
+		this.metrics.gauge("lovagevale.peer.links", this.peers, (peers) -> peers.counters().links());
+		this.metrics.counter("lovagevale.peer.messages.sent", this.peers, (p) -> p.counters().messagesSent());
+		this.metrics.counter("lovagevale.peer.messages.received", this.peers, (p) -> p.counters().messagesReceived());
+		this.metrics.counter("lovagevale.peer.bytes.sent", this.peers, (p) -> p.counters().bytesSent());
+		this.metrics.counter("lovagevale.peer.bytes.received", this.peers, (p) -> p.counters().bytesReceived());
+		this.metrics.counter("lovagevale.peer.messages.dropped", this.peers, (p) -> p.counters().dropped());
+		this.metrics.counter("lovagevale.peer.messages.rejected", this.peers, (p) -> p.counters().rejected());
+	}
+
+	private void observe(Decision decision) {
+		this.metrics.decided(decision);
+		this.requests.record(decision);
+	}
+
+	private void carryOut(Decision decision) {
+		switch (decision) {
+			case SendToPeer d -> this.peers.send(d.to(), d.message());
+			case KeepLinks d -> this.peers.keepLinks(d.peers());
+			case ReadSettings d -> this.loader.read(d);
+			case ReadVmList d -> readVmList();
+			case ApplySettings d -> this.control.execute(() -> apply(d.settings()));
+			case Probe d -> this.prober.probe(d, this.engine);
+			case RecordAudit d -> record(d.entry());
+			case StopAccepting d -> this.control.execute(this::stopAccepting);
+			case Exit d -> this.control.execute(this::end);
+			default ->
+				LOG.debug("{}", LogLine.event("decision.late").with("decision", decision.getClass().getSimpleName()));
+		}
+	}
+
+	private void record(AuditEntry entry) {
+		this.audit.add(entry);
+		LOG.info("{}", LogLine.event(entry.event()).withAll(entry.fields()));
+	}
+
+	private void readVmList() {
+		this.platform.readVmList()
+			.subscribe((list) -> this.engine.apply(new VmListReceived(list.leaving(), list.live())), (error) -> LOG
+				.debug("{}", LogLine.event("vm-list.unavailable").with("reason", String.valueOf(error.getMessage()))));
+	}
+
+	private void peerEvent(Event event) {
+		this.engine.apply(event);
+		if (event instanceof PeerMessageReceived received && received.message() instanceof SettingsBody body) {
+			this.loader.receive(body);
+		}
+	}
+
+	private String deployment() {
+		Settings current = this.settings;
+		return (current != null) ? current.deployment() : "";
+	}
+
+	private @Nullable InetSocketAddress peerAddress(VmName vm) {
+		Settings current = this.settings;
+		Optional<EntryVm> found = (current != null) ? current.entryVm(vm) : Optional.empty();
+		return found.map((peer) -> new InetSocketAddress(peer.host(), peer.peerPort())).orElse(null);
+	}
+
+	private void tick() {
+		try {
+			this.engine.apply(new Ticked());
+			if (this.ticks++ % TICKS_PER_LOOK == 0) {
+				look(this.engine.status());
+			}
+		}
+		catch (RuntimeException ex) {
+			// An exception would end the schedule.
+			LOG.error("{}", LogLine.event("tick.failed"), ex);
+		}
+	}
+
+	private void look(Status status) {
+		if (status.phase() == MemberPhase.LEAVING) {
+			this.leaving = true;
+		}
+		if (!this.serving && !this.leaving && this.published != null && status.permission() == WorkPermission.OPEN) {
+			this.control.execute(this::openCallerPort);
+		}
+	}
+
+	private void apply(Settings next) {
+		this.settings = next;
+		this.connections.apply(next);
+		EntryVm vm = next.entryVm(this.self.vm()).orElse(null);
+		EntryVm before = this.published;
+		if (vm == null) {
+			LOG.warn("{}",
+					LogLine.event("settings.vm-missing").with("vm", this.self.vm()).with("version", next.version()));
+		}
+		else if (before == null) {
+			openInternalPorts(vm);
+		}
+		else if (!isSameAddress(before, vm)) {
+			LOG.warn("{}",
+					LogLine.event("settings.address-changed")
+						.with("vm", this.self.vm())
+						.with("effect", "after a restart"));
+		}
+	}
+
+	private static boolean isSameAddress(EntryVm a, EntryVm b) {
+		return a.host().equals(b.host()) && a.callerPort() == b.callerPort() && a.peerPort() == b.peerPort()
+				&& a.adminPort() == b.adminPort();
+	}
+
+	private void openInternalPorts(EntryVm vm) {
+		try {
+			this.peers.listen(vm.host(), vm.peerPort());
+			this.admin.listen(vm.host(), vm.adminPort());
+			this.published = vm;
+			LOG.info("{}", LogLine.event("ports.opened").with("peer", vm.peerPort()).with("admin", vm.adminPort()));
+		}
+		catch (PeerException | HttpServerException ex) {
+			fail(ex);
+		}
+	}
+
+	private void openCallerPort() {
+		EntryVm vm = this.published;
+		if (this.serving || vm == null) {
+			return;
+		}
+		try {
+			this.callers.listen(vm.host(), vm.callerPort());
+			this.serving = true;
+			LOG.info("{}", LogLine.event("ports.opened").with("caller", vm.callerPort()));
+		}
+		catch (HttpServerException ex) {
+			fail(ex);
+		}
+	}
+
+	private void fail(Exception ex) {
+		LOG.error("{}", LogLine.event("process.failed").with("reason", String.valueOf(ex.getMessage())), ex);
+		this.exitCode = Lovagevale.ENVIRONMENT;
+		this.ended.countDown();
+	}
+
+	private void stopAccepting() {
+		this.leaving = true;
+		this.callers.stopAccepting();
+	}
+
+	private void end() {
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_MS);
+		sleep(FAREWELL_MS);
+		while (this.engine.open() > 0 && System.nanoTime() < deadline) {
+			sleep(TICK_MS);
+		}
+		LOG.info("{}", LogLine.event("process.ended").with("interrupted", this.engine.open()));
+		this.ticker.shutdown();
+		this.callers.stopAccepting();
+		this.admin.close();
+		this.peers.close();
+		this.connections.close();
+		this.ended.countDown();
+	}
+
+	private static void sleep(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/admin/AdminSource.java
@@ -0,0 +1,63 @@
+package org.lovagevale.node.admin;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.lovagevale.core.RequestId;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.Status;
+import org.lovagevale.node.audit.AuditView;
+import org.lovagevale.node.audit.RecordedStep;
+
+/**
+ * What operators can see of a process.
+ *
+ * <p>
+ * Implementations are thread-safe.
+ */
+public interface AdminSource {
+
+	/**
+	 * Returns the identity of the process.
+	 * @return its VM and incarnation
+	 */
+	Self self();
+
+	/**
+	 * Returns the summary.
+	 * @return the summary
+	 */
+	Status status();
+
+	/**
+	 * Tells whether callers are served.
+	 * @return {@code true} if the port for callers is open and new work may start
+	 */
+	boolean isReady();
+
+	/**
+	 * Returns the audit trail.
+	 * @return the trail
+	 */
+	AuditView audit();
+
+	/**
+	 * Returns the decisions about a request.
+	 * @param id the request
+	 * @return the decisions, or empty if the request is not known
+	 */
+	Optional<List<RecordedStep>> explain(RequestId id);
+
+	/**
+	 * Returns the text of the settings in force.
+	 * @return the tree, or empty if none is in force
+	 */
+	Optional<String> settingsContent();
+
+	/**
+	 * Returns every metric.
+	 * @return the metrics in the text format of Prometheus
+	 */
+	String metrics();
+
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/admin/ExplainView.java
@@ -0,0 +1,20 @@
+package org.lovagevale.node.admin;
+
+import java.util.List;
+
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.RequestId;
+import org.lovagevale.node.audit.RecordedStep;
+
+/**
+ * The response to {@code /explain}.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param vm the VM
+ * @param requestId the request
+ * @param steps the decisions about it in order
+ */
+record ExplainView(VmName vm, RequestId requestId, List<RecordedStep> steps) {
+}
--- /dev/null
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/SettingsLoader.java
@@ -0,0 +1,216 @@
+package org.lovagevale.node.wiring;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import org.lovagevale.base.Clock;
+import org.lovagevale.core.AuditEntry;
+import org.lovagevale.core.decision.ReadSettings;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.SettingsConfirmed;
+import org.lovagevale.core.event.SettingsReceived;
+import org.lovagevale.core.event.SettingsUnavailable;
+import org.lovagevale.core.message.SettingsBody;
+import org.lovagevale.node.log.LogLine;
+import org.lovagevale.platform.NewSettings;
+import org.lovagevale.platform.PlatformClient;
+import org.lovagevale.platform.SettingsAnswer;
+import org.lovagevale.platform.Unchanged;
+import org.lovagevale.settings.SettingsError;
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.SettingsReader;
+import org.lovagevale.settings.model.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads and checks settings trees.
+ *
+ * <p>
+ * Invariant: each {@link ReadSettings} is answered with exactly one event, and a rejected
+ * tree never reaches the decision logic. Trees are parsed one at a time on the given
+ * executor. Thread-safe.
+ */
+public final class SettingsLoader {
+
+	private static final Logger LOG = LoggerFactory.getLogger(SettingsLoader.class);
+
+	/** Trees whose text is kept for the admin port. */
+	private static final int KEPT_TREES = 2;
+
+	private final SettingsReader reader;
+
+	private final PlatformClient platform;
+
+	private final Executor executor;
+
+	private final Clock clock;
+
+	private final Consumer<Event> events;
+
+	private final Consumer<AuditEntry> audit;
+
+	private final AtomicLong rejectedVersion = new AtomicLong();
+
+	private final AtomicLong readFailures = new AtomicLong();
+
+	private final AtomicLong reads = new AtomicLong();
+
+	private final AtomicLong rejections = new AtomicLong();
+
+	private final Map<Long, String> contents = new LinkedHashMap<>();
+
+	/**
+	 * Creates a loader.
+	 * @param reader the parser
+	 * @param platform the platform
+	 * @param executor runs the parser, one task at a time
+	 * @param clock the clock
+	 * @param events takes events
+	 * @param audit takes entries of the audit trail
+	 */
+	public SettingsLoader(SettingsReader reader, PlatformClient platform, Executor executor, Clock clock,
+			Consumer<Event> events, Consumer<AuditEntry> audit) {
+		this.reader = reader;
+		this.platform = platform;
+		this.executor = executor;
+		this.clock = clock;
+		this.events = events;
+		this.audit = audit;
+	}
+
+	/**
+	 * Reads the settings service once.
+	 * @param decision the decision
+	 */
+	public void read(ReadSettings decision) {
+		// Asking for versions above a rejected one keeps the service from sending the
+		// same
+		// tree at once, again and again.
+		long after = Math.max(decision.afterVersion(), this.rejectedVersion.get());
+		this.reads.incrementAndGet();
+		this.platform.readSettings(after, decision.waitMs())
+			.subscribe((answer) -> answered(decision.afterVersion(), answer), this::failed);
+	}
+
+	/**
+	 * Checks a tree that a peer sent.
+	 * @param body the message
+	 */
+	public void receive(SettingsBody body) {
+		if (body.baseVersion() != 0) {
+			LOG.warn("{}",
+					LogLine.event("settings.ignored")
+						.with("version", body.version())
+						.with("reason", "differences between versions are not supported"));
+			return;
+		}
+		this.executor.execute(() -> parse(body.version(), body.content(), false));
+	}
+
+	/**
+	 * Returns the text of a recent tree.
+	 * @param version the version
+	 * @return the text, or empty if it is not kept
+	 */
+	public Optional<String> content(long version) {
+		synchronized (this.contents) {
+			return Optional.ofNullable(this.contents.get(version));
+		}
+	}
+
+	/**
+	 * Returns the number of reads of the settings service.
+	 * @return the reads since the start
+	 */
+	public long reads() {
+		return this.reads.get();
+	}
+
+	/**
+	 * Returns the number of reads that failed.
+	 * @return the failures since the start
+	 */
+	public long readFailures() {
+		return this.readFailures.get();
+	}
+
+	/**
+	 * Returns the number of rejected trees.
+	 * @return the rejections since the start
+	 */
+	public long rejections() {
+		return this.rejections.get();
+	}
+
+	private void answered(long versionInForce, SettingsAnswer answer) {
+		switch (answer) {
+			case Unchanged unchanged -> confirm(versionInForce);
+			case NewSettings settings -> this.executor.execute(() -> {
+				if (!parse(settings.version(), settings.content(), true)) {
+					confirm(versionInForce);
+				}
+			});
+		}
+	}
+
+	// A newer version that every process rejects leaves the one in force the latest.
+	private void confirm(long versionInForce) {
+		if (versionInForce > 0) {
+			this.events.accept(new SettingsConfirmed(versionInForce));
+		}
+		else {
+			this.events.accept(new SettingsUnavailable("no acceptable version is published"));
+		}
+	}
+
+	private void failed(Throwable error) {
+		this.readFailures.incrementAndGet();
+		this.events.accept(new SettingsUnavailable(String.valueOf(error.getMessage())));
+	}
+
+	private boolean parse(long version, String content, boolean fromPlatform) {
+		try {
+			Settings settings = this.reader.read(version, content);
+			keep(version, content);
+			this.events.accept(new SettingsReceived(settings, content, fromPlatform));
+			return true;
+		}
+		catch (SettingsException ex) {
+			reject(version, fromPlatform, ex);
+			return false;
+		}
+		catch (RuntimeException ex) {
+			LOG.error("{}", LogLine.event("settings.parser-failed").with("version", version), ex);
+			return false;
+		}
+	}
+
+	private void keep(long version, String content) {
+		synchronized (this.contents) {
+			this.contents.put(version, content);
+			if (this.contents.size() > KEPT_TREES) {
+				this.contents.remove(this.contents.keySet().iterator().next());
+			}
+		}
+	}
+
+	private void reject(long version, boolean fromPlatform, SettingsException ex) {
+		if (fromPlatform) {
+			this.rejectedVersion.accumulateAndGet(version, Math::max);
+		}
+		this.rejections.incrementAndGet();
+		Map<String, String> fields = new LinkedHashMap<>();
+		fields.put("version", String.valueOf(version));
+		fields.put("source", fromPlatform ? "platform" : "peer");
+		fields.put("errors", ex.errors().stream().map(SettingsError::toString).collect(Collectors.joining("; ")));
+		LOG.warn("{}", LogLine.event("settings.rejected").withAll(fields));
+		this.audit.accept(new AuditEntry(this.clock.epochMillis(), "settings.rejected", fields));
+	}
+
+}
