--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/Demo.java
@@ -0,0 +1,112 @@
+package org.lovagevale.standins.demo;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
+
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.standins.process.Programs;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Shows a small deployment on loopback addresses and checks each answer.
+ */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+		description = "Starts a small deployment on loopback addresses, sends requests and checks each answer.")
+public final class Demo implements Callable<Integer> {
+
+	private static final int NOT_CORRECT = 1;
+
+	private static final int ENVIRONMENT = 3;
+
+	@Spec
+	@SuppressWarnings("NullAway.Init")
+	private CommandSpec spec;
+
+	@Option(names = "--root", hidden = true, defaultValue = ".", description = "Folder of the project.")
+	private Path root = Path.of(".");
+
+	@Option(names = "--keep", description = "Leave the deployment running until interrupted.")
+	private boolean keep;
+
+	@Option(names = "--platform-port", defaultValue = "18001", description = "Port of the platform.")
+	private int platformPort;
+
+	@Option(names = "--control-port", defaultValue = "18200", description = "Control port of the backend servers.")
+	private int controlPort;
+
+	private Demo() {
+	}
+
+	/**
+	 * Runs the demonstration.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		System.setProperty("logback.configurationFile", "logback-standins.xml");
+		CommandLine line = new CommandLine(new Demo());
+		line.setExecutionExceptionHandler((ex, command, result) -> {
+			command.getErr().println("demo: " + ex.getMessage());
+			return ENVIRONMENT;
+		});
+		System.exit(line.execute(args));
+	}
+
+	@Override
+	public Integer call() throws IOException, InterruptedException, SettingsException {
+		DemoReport report = new DemoReport(this.spec.commandLine().getOut());
+		Path folder = Files.createTempDirectory("lovagevale-demo");
+		Programs programs = new Programs(this.root);
+		Path tree = this.root.resolve("examples/demo/settings.jsonc");
+		try (DemoFleet fleet = new DemoFleet(programs, tree, folder, this.platformPort, this.controlPort)) {
+			report.say("Starting the platform, " + fleet.servers().size() + " backend servers and "
+					+ fleet.entryVms().size() + " entry processes; logs are in " + folder);
+			fleet.start();
+			try (DemoSteps steps = new DemoSteps(fleet, report)) {
+				steps.run();
+			}
+			report.finish();
+			if (this.keep) {
+				printAddresses(fleet);
+				new CountDownLatch(1).await();
+			}
+		}
+		if (report.isCorrect()) {
+			delete(folder);
+		}
+		return report.isCorrect() ? 0 : NOT_CORRECT;
+	}
+
+	private void printAddresses(DemoFleet fleet) {
+		PrintWriter out = this.spec.commandLine().getOut();
+		for (EntryVm vm : fleet.entryVms()) {
+			out.println(vm.name() + "  callers http://" + vm.host() + ":" + vm.callerPort() + "  admin "
+					+ DemoFleet.admin(vm));
+		}
+		out.println("platform  " + fleet.platformUrl() + "  settings " + fleet.treeFile());
+		out.println("backend control  " + fleet.backendControl());
+		out.println("Running; interrupt to end.");
+		out.flush();
+	}
+
+	private static void delete(Path folder) throws IOException {
+		try (Stream<Path> files = Files.walk(folder)) {
+			List<Path> all = files.sorted(Comparator.reverseOrder()).toList();
+			for (Path file : all) {
+				Files.delete(file);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoFleet.java
@@ -0,0 +1,164 @@
+package org.lovagevale.standins.demo;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.model.BackendServer;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.settings.model.Settings;
+import org.lovagevale.standins.http.PlainHttp;
+import org.lovagevale.standins.process.ChildProcesses;
+import org.lovagevale.standins.process.Programs;
+
+/**
+ * The processes of the demonstration: a platform, the backend servers of the tree and its
+ * entry processes.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class DemoFleet implements AutoCloseable {
+
+	private static final Duration START_LIMIT = Duration.ofSeconds(60);
+
+	private static final Duration POLL = Duration.ofMillis(50);
+
+	private static final int HEAP_MB = 192;
+
+	private static final String HOST = "127.0.0.1";
+
+	private final PlainHttp http = new PlainHttp();
+
+	private final Programs programs;
+
+	private final ChildProcesses children;
+
+	private final Path treeFile;
+
+	private final String tree;
+
+	private final Settings settings;
+
+	private final int platformPort;
+
+	private final int controlPort;
+
+	DemoFleet(Programs programs, Path source, Path folder, int platformPort, int controlPort)
+			throws IOException, SettingsException {
+		this.programs = programs;
+		this.children = new ChildProcesses(folder);
+		this.tree = Files.readString(source);
+		this.treeFile = folder.resolve("settings.jsonc");
+		this.settings = new JsonSettingsReader().read(1, this.tree);
+		this.platformPort = platformPort;
+		this.controlPort = controlPort;
+	}
+
+	void start() throws IOException, InterruptedException {
+		publish(this.tree);
+		this.children.start("platform", this.programs.standIn(HEAP_MB, List.of("platform", "--port",
+				Integer.toString(this.platformPort), "--settings", this.treeFile.toString())));
+		this.children.start("backends", this.programs.standIn(HEAP_MB, backendArguments()));
+		awaitOk(platformUrl() + "/control/stats");
+		awaitOk(backendControl() + "/control/stats");
+		for (EntryVm vm : entryVms()) {
+			this.children.start(vm.name().value(), this.programs.entry(vm.name().value(), platformUrl()));
+		}
+		for (EntryVm vm : entryVms()) {
+			awaitOk(admin(vm) + "/ready");
+		}
+	}
+
+	// The platform must never read a file that is written in part.
+	void publish(String changedTree) throws IOException {
+		Path next = this.treeFile.resolveSibling("settings.next");
+		Files.writeString(next, changedTree);
+		Files.move(next, this.treeFile, StandardCopyOption.ATOMIC_MOVE);
+	}
+
+	String tree() {
+		return this.tree;
+	}
+
+	List<EntryVm> entryVms() {
+		return this.settings.entryVms();
+	}
+
+	List<BackendServer> servers() {
+		return this.settings.services().stream().flatMap((service) -> service.servers().stream()).toList();
+	}
+
+	JsonNode backendStats() throws IOException, InterruptedException {
+		return this.http.getJson(backendControl() + "/control/stats");
+	}
+
+	JsonNode runsOfKey(String key) throws IOException, InterruptedException {
+		return this.http.getJson(backendControl() + "/control/runs?key=" + key);
+	}
+
+	long servedVersion() throws IOException, InterruptedException {
+		return this.http.getJson(platformUrl() + "/control/stats").path("servedVersion").asLong();
+	}
+
+	JsonNode status(EntryVm vm) throws IOException, InterruptedException {
+		return this.http.getJson(admin(vm) + "/status");
+	}
+
+	List<String> endedProcesses() {
+		return this.children.ended();
+	}
+
+	String platformUrl() {
+		return "http://" + HOST + ":" + this.platformPort;
+	}
+
+	String backendControl() {
+		return "http://" + HOST + ":" + this.controlPort;
+	}
+
+	static String admin(EntryVm vm) {
+		return "http://" + vm.host() + ":" + vm.adminPort();
+	}
+
+	Path treeFile() {
+		return this.treeFile;
+	}
+
+	@Override
+	public void close() {
+		this.children.close();
+	}
+
+	private List<String> backendArguments() {
+		List<String> args = new ArrayList<>(List.of("backend", "--control", Integer.toString(this.controlPort), "--set",
+				"serviceTime=exp:3", "--set", "coldAnswers=5"));
+		for (BackendServer server : servers()) {
+			args.add("--server");
+			args.add(server.name().value() + "=" + server.port());
+		}
+		return args;
+	}
+
+	private void awaitOk(String url) throws IOException, InterruptedException {
+		long end = System.nanoTime() + START_LIMIT.toNanos();
+		while (!this.http.isOk(url)) {
+			List<String> ended = this.children.ended();
+			if (!ended.isEmpty()) {
+				throw new IOException(ended.get(0) + " ended at its start; see " + this.children.logFile(ended.get(0)));
+			}
+			if (System.nanoTime() > end) {
+				throw new IOException("no answer from " + url + " within " + START_LIMIT.toSeconds() + " s");
+			}
+			Thread.sleep(POLL);
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoSteps.java
@@ -0,0 +1,302 @@
+package org.lovagevale.standins.demo;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.settings.model.BackendServer;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.standins.caller.Call;
+import org.lovagevale.standins.caller.CallResult;
+import org.lovagevale.standins.caller.Caller;
+import org.lovagevale.standins.caller.EntryAddress;
+import org.lovagevale.standins.http.GeneratedBody;
+import org.lovagevale.standins.http.Json;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * The steps of the demonstration and what must be true after each.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class DemoSteps implements AutoCloseable {
+
+	private static final int READS = 300;
+
+	private static final int WRITES = 100;
+
+	private static final int PARALLEL = 8;
+
+	private static final long DOCUMENT_BYTES = 16L * 1024 * 1024;
+
+	private static final long DOCUMENT_TIMEOUT_MS = 60_000;
+
+	private static final String DOMAIN = "west-1";
+
+	private static final Duration LOAD = Duration.ofSeconds(20);
+
+	private static final Duration LOAD_INTERVAL = Duration.ofMillis(20);
+
+	private static final Duration SETTLE = Duration.ofSeconds(3);
+
+	private static final Duration OUT_TIME = Duration.ofSeconds(4);
+
+	private static final Duration RETURN_LIMIT = Duration.ofSeconds(30);
+
+	private static final Duration LIMIT = Duration.ofSeconds(120);
+
+	private static final int CONFLICT = 409;
+
+	private static final int MISDIRECTED = 421;
+
+	private final DemoFleet fleet;
+
+	private final DemoReport report;
+
+	private final Caller balances;
+
+	private final Caller transfers;
+
+	private final Caller documents;
+
+	private final Caller west;
+
+	DemoSteps(DemoFleet fleet, DemoReport report) {
+		this.fleet = fleet;
+		this.report = report;
+		this.balances = caller("balances", "tutors");
+		this.transfers = caller("transfers", "tutors");
+		this.documents = caller("documents", "tutors");
+		this.west = caller("balances", "designers-west");
+	}
+
+	void run() throws IOException, InterruptedException {
+		askForAddresses();
+		read();
+		write();
+		repeatKey();
+		stream();
+		stayAtHome();
+		takeDomainOutAndBack();
+		countDuplicates();
+	}
+
+	@Override
+	public void close() {
+		List.of(this.balances, this.transfers, this.documents, this.west).forEach(Caller::close);
+	}
+
+	private void askForAddresses() {
+		List<EntryAddress> addresses = addresses(this.balances);
+		String names = addresses.stream().map(EntryAddress::vm).collect(Collectors.joining(", "));
+		this.report.check("addresses", addresses.size() == this.fleet.entryVms().size(), "callers may use " + names);
+	}
+
+	private void read() {
+		List<CallResult> results = sendMany(READS, (i) -> this.balances.send(Call.get("/balances/" + i)));
+		reportCalls("reads", results);
+	}
+
+	private void write() {
+		List<CallResult> results = sendMany(WRITES,
+				(i) -> this.transfers.send(Call.post("/transfers", "{\"cents\":" + i + "}")));
+		reportCalls("writes", results);
+	}
+
+	private void repeatKey() throws IOException, InterruptedException {
+		List<EntryAddress> addresses = addresses(this.transfers);
+		EntryAddress owner = addresses.get(0);
+		EntryAddress other = addresses.get(addresses.size() - 1);
+		Call call = Call.post("/transfers", "{\"cents\":4200}");
+		CallResult first = settle(this.transfers, call, owner);
+		CallResult again = once(this.transfers, call, owner, first.key());
+		boolean replayed = first.isSuccess() && again.isSuccess()
+				&& again.body().sha256().equals(first.body().sha256());
+		this.report.check("same key again", replayed && runs(first) == 1, "answered with " + again.status()
+				+ (replayed ? ", the stored response" : "") + ", runs " + runs(first));
+		CallResult elsewhere = once(this.transfers, call, other, first.key());
+		boolean known = elsewhere.status() == CONFLICT && elsewhere.outcome().equals("ran");
+		this.report.check("same key through " + other.vm(), known && runs(first) == 1,
+				"answered with " + elsewhere.status() + ", outcome " + elsewhere.outcome() + ", runs " + runs(first));
+	}
+
+	// The first send may meet servers that are all cold; "not run" allows another key.
+	private CallResult settle(Caller caller, Call call, EntryAddress owner) {
+		CallResult result = once(caller, call, owner, Caller.newKey(owner));
+		for (int i = 0; i < PARALLEL && result.outcome().equals("not-run"); i++) {
+			result = once(caller, call, owner, Caller.newKey(owner));
+		}
+		return result;
+	}
+
+	private void stream() {
+		GeneratedBody body = new GeneratedBody(42, DOCUMENT_BYTES);
+		String digest = body.sha256();
+		CallResult up = send(this.documents, Call.put("/documents/manual", body).withTimeoutMs(DOCUMENT_TIMEOUT_MS));
+		String stored = up.isSuccess() ? Json.read(up.body().text()).path("sha256").asText() : "";
+		this.report.check("upload", stored.equals(digest), DOCUMENT_BYTES + " bytes, status " + up.status()
+				+ ", digest " + (stored.equals(digest) ? "equal" : "different"));
+		Call get = Call.get("/documents/manual?seed=42&bytes=" + DOCUMENT_BYTES).withTimeoutMs(DOCUMENT_TIMEOUT_MS);
+		CallResult down = send(this.documents, get);
+		boolean equal = down.body().sha256().equals(digest);
+		this.report.check("download", down.isSuccess() && equal, down.body().length() + " bytes, status "
+				+ down.status() + ", digest " + (equal ? "equal" : "different"));
+	}
+
+	private void stayAtHome() {
+		Set<String> regions = addresses(this.west).stream().map(EntryAddress::region).collect(Collectors.toSet());
+		EntryVm abroad = this.fleet.entryVms()
+			.stream()
+			.filter((vm) -> !vm.region().value().equals("west"))
+			.findFirst()
+			.orElseThrow();
+		CallResult rejected = once(this.west, Call.get("/balances/1"),
+				EntryAddress.of(abroad.host(), abroad.callerPort()), "");
+		boolean correct = regions.equals(Set.of("west")) && rejected.status() == MISDIRECTED
+				&& rejected.outcome().equals("not-run");
+		this.report.check("home region", correct, "addresses only in " + regions + "; " + abroad.name()
+				+ " in another region answered with " + rejected.status() + " " + rejected.outcome());
+	}
+
+	private void takeDomainOutAndBack() throws IOException, InterruptedException {
+		List<CallResult> results = new ArrayList<>();
+		Thread load = Thread.ofVirtual().start(() -> results.addAll(loadForAWhile()));
+		Thread.sleep(SETTLE);
+		String out = this.fleet.tree().replaceFirst("\"" + DOMAIN + "\": \\{", "\"" + DOMAIN + "\": { \"out\": true,");
+		this.fleet.publish(out);
+		Thread.sleep(SETTLE);
+		Map<String, Long> before = runsInDomain();
+		Thread.sleep(OUT_TIME);
+		Map<String, Long> after = runsInDomain();
+		this.report.check("domain out", before.equals(after),
+				"3 s after publication no work reaches " + before.keySet() + "; versions " + versions());
+		this.fleet.publish(this.fleet.tree());
+		load.join(LIMIT);
+		reportCalls("calls while " + DOMAIN + " left and returned", List.copyOf(results));
+		boolean returned = awaitWork(after);
+		this.report.check("domain back", returned, returned ? "its servers work again" : "its servers got no work");
+	}
+
+	private List<CallResult> loadForAWhile() {
+		long count = LOAD.dividedBy(LOAD_INTERVAL);
+		return Flux.interval(LOAD_INTERVAL)
+			.take(count)
+			.onBackpressureBuffer()
+			.flatMap((i) -> (i % 5 == 0) ? this.transfers.send(Call.post("/transfers", "{\"cents\":" + i + "}"))
+					: this.balances.send(Call.get("/balances/" + i)), (int) count)
+			.collectList()
+			.blockOptional(LIMIT)
+			.orElseThrow();
+	}
+
+	private boolean awaitWork(Map<String, Long> before) throws IOException, InterruptedException {
+		long end = System.nanoTime() + RETURN_LIMIT.toNanos();
+		while (System.nanoTime() < end) {
+			sendMany(READS, (i) -> this.balances.send(Call.get("/balances/" + i)));
+			if (!runsInDomain().equals(before)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private void countDuplicates() throws IOException, InterruptedException {
+		JsonNode stats = this.fleet.backendStats();
+		int duplicates = stats.path("duplicateKeys").size();
+		this.report.check("duplicates", duplicates == 0, duplicates + " keys ran more than once, of "
+				+ stats.path("runs").asLong() + " runs on backend servers");
+		long violations = 0;
+		for (JsonNode server : stats.path("servers")) {
+			violations += server.path("counters").path("cold_violations").asLong();
+		}
+		this.report.check("cold starts", violations == 0, violations + " requests beyond what a cold server bears");
+		List<String> ended = this.fleet.endedProcesses();
+		this.report.check("processes", ended.isEmpty(), ended.isEmpty() ? "all are running" : "ended: " + ended);
+	}
+
+	private void reportCalls(String step, List<CallResult> results) {
+		long correct = results.stream().filter(CallResult::isSuccess).count();
+		long resent = results.stream().filter((result) -> result.attempts() > 1).count();
+		Map<String, Long> wrong = results.stream()
+			.filter((result) -> !result.isSuccess())
+			.collect(Collectors.groupingBy(
+					(result) -> result.status() + " " + result.outcome() + " " + result.reason() + result.failure(),
+					TreeMap::new, Collectors.counting()));
+		this.report.check(step, !results.isEmpty() && correct == results.size(), correct + " of " + results.size()
+				+ " answered, " + resent + " of them after a resend" + (wrong.isEmpty() ? "" : "; others " + wrong));
+	}
+
+	private Map<String, Long> runsInDomain() throws IOException, InterruptedException {
+		Set<String> names = this.fleet.servers()
+			.stream()
+			.filter((server) -> server.domain().value().equals(DOMAIN))
+			.map(BackendServer::name)
+			.map(Objects::toString)
+			.collect(Collectors.toSet());
+		Map<String, Long> result = new TreeMap<>();
+		for (JsonNode server : this.fleet.backendStats().path("servers")) {
+			String name = server.path("name").asText();
+			if (names.contains(name)) {
+				result.put(name, server.path("counters").path("runs").asLong());
+			}
+		}
+		return result;
+	}
+
+	private Map<String, Long> versions() throws IOException, InterruptedException {
+		Map<String, Long> result = new TreeMap<>();
+		for (EntryVm vm : this.fleet.entryVms()) {
+			result.put(vm.name().value(), this.fleet.status(vm).path("settingsVersion").asLong());
+		}
+		return result;
+	}
+
+	private int runs(CallResult result) throws IOException, InterruptedException {
+		return this.fleet.runsOfKey(result.key()).size();
+	}
+
+	private Caller caller(String service, String account) {
+		List<EntryAddress> seeds = this.fleet.entryVms()
+			.stream()
+			.map((vm) -> EntryAddress.of(vm.host(), vm.callerPort()))
+			.toList();
+		return new Caller(seeds, service, account, new SystemClock());
+	}
+
+	private static List<EntryAddress> addresses(Caller caller) {
+		return caller.addresses().blockOptional(LIMIT).orElseThrow().addresses();
+	}
+
+	private static CallResult send(Caller caller, Call call) {
+		return caller.send(call).blockOptional(LIMIT).orElseThrow();
+	}
+
+	private static CallResult once(Caller caller, Call call, EntryAddress address, String key) {
+		return caller.sendOnce(call, address, key).blockOptional(LIMIT).orElseThrow();
+	}
+
+	private static List<CallResult> sendMany(int count, Sender sender) {
+		return Flux.range(0, count).flatMap(sender::send, PARALLEL).collectList().blockOptional(LIMIT).orElseThrow();
+	}
+
+	/**
+	 * Sends one of many calls.
+	 */
+	@FunctionalInterface
+	private interface Sender {
+
+		Mono<CallResult> send(int index);
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The demonstration: stand-ins, entry processes and a caller on one machine.
+ */
+@NullMarked
+package org.lovagevale.standins.demo;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/http/PlainHttp.java
@@ -0,0 +1,91 @@
+package org.lovagevale.standins.http;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Blocking reads of control ports and admin ports.
+ *
+ * <p>
+ * Thread-safe.
+ */
+public final class PlainHttp {
+
+	private static final Duration LIMIT = Duration.ofSeconds(5);
+
+	private static final int OK = 200;
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(LIMIT)
+		.build();
+
+	/**
+	 * Reads a text.
+	 * @param url the URL
+	 * @return the body
+	 * @throws IOException if there is no answer with status 200
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public String get(String url) throws IOException, InterruptedException {
+		return send(HttpRequest.newBuilder(URI.create(url)).timeout(LIMIT).build());
+	}
+
+	/**
+	 * Reads a JSON tree.
+	 * @param url the URL
+	 * @return the tree
+	 * @throws IOException if there is no answer with status 200
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public JsonNode getJson(String url) throws IOException, InterruptedException {
+		return Json.read(get(url));
+	}
+
+	/**
+	 * Sends a text and reads a JSON tree.
+	 * @param url the URL
+	 * @param body the text
+	 * @return the tree
+	 * @throws IOException if there is no answer with status 200
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public JsonNode post(String url, String body) throws IOException, InterruptedException {
+		HttpRequest request = HttpRequest.newBuilder(URI.create(url))
+			.timeout(LIMIT)
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		return Json.read(send(request));
+	}
+
+	/**
+	 * Tells whether a URL is answered with status 200.
+	 * @param url the URL
+	 * @return {@code true} if it is
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean isOk(String url) throws InterruptedException {
+		try {
+			get(url);
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private String send(HttpRequest request) throws IOException, InterruptedException {
+		HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
+		if (response.statusCode() != OK) {
+			throw new IOException(request.uri() + " answered with status " + response.statusCode());
+		}
+		return response.body();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/process/ChildProcesses.java
@@ -0,0 +1,137 @@
+package org.lovagevale.standins.process;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Operating system processes that end with this one.
+ *
+ * <p>
+ * A process is ended by its own handle, with the processes that it started, also when
+ * this process is interrupted. Thread-safe.
+ */
+public final class ChildProcesses implements AutoCloseable {
+
+	private static final Logger log = LoggerFactory.getLogger(ChildProcesses.class);
+
+	// A planned stop of an entry process takes longer; nobody uses it any more.
+	private static final long GRACE_MS = 1_500;
+
+	private final Path logFolder;
+
+	private final Map<String, Process> children = Collections.synchronizedMap(new LinkedHashMap<>());
+
+	private final Thread hook = new Thread(this::endAll, "end-children");
+
+	/**
+	 * Creates an empty set.
+	 * @param logFolder the folder for what the processes print
+	 */
+	public ChildProcesses(Path logFolder) {
+		this.logFolder = logFolder;
+		Runtime.getRuntime().addShutdownHook(this.hook);
+	}
+
+	/**
+	 * Starts a process; its output goes to a file named after it.
+	 * @param name its name, unique in this set
+	 * @param command the program and its arguments
+	 * @return the process
+	 * @throws IOException if it cannot be started
+	 */
+	public Process start(String name, List<String> command) throws IOException {
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+			.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(name).toFile()));
+		builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
+		Process process = builder.start();
+		this.children.put(name, process);
+		return process;
+	}
+
+	/**
+	 * Returns the file with the output of a process.
+	 * @param name its name
+	 * @return the file
+	 */
+	public Path logFile(String name) {
+		return this.logFolder.resolve(name + ".log");
+	}
+
+	/**
+	 * Returns a process.
+	 * @param name its name
+	 * @return the process
+	 * @throws IllegalArgumentException if none was started with this name
+	 */
+	public Process get(String name) {
+		Process process = this.children.get(name);
+		if (process == null) {
+			throw new IllegalArgumentException("no process named \"" + name + "\"");
+		}
+		return process;
+	}
+
+	/**
+	 * Returns the processes that have ended although nobody ended them.
+	 * @return their names
+	 */
+	public List<String> ended() {
+		synchronized (this.children) {
+			return this.children.entrySet()
+				.stream()
+				.filter((child) -> !child.getValue().isAlive())
+				.map(Map.Entry::getKey)
+				.toList();
+		}
+	}
+
+	@Override
+	public void close() {
+		endAll();
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.hook);
+		}
+		catch (IllegalStateException ex) {
+			log.debug("event=children.hook-running");
+		}
+	}
+
+	private void endAll() {
+		List<ProcessHandle> handles = new ArrayList<>();
+		synchronized (this.children) {
+			for (Process child : this.children.values()) {
+				child.descendants().forEach(handles::add);
+				handles.add(child.toHandle());
+			}
+			this.children.clear();
+		}
+		handles.forEach(ProcessHandle::destroy);
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GRACE_MS);
+		handles.forEach((handle) -> await(handle, end));
+		handles.stream().filter(ProcessHandle::isAlive).forEach(ProcessHandle::destroyForcibly);
+	}
+
+	private static void await(ProcessHandle handle, long end) {
+		try {
+			handle.onExit().get(Math.max(1, end - System.nanoTime()), TimeUnit.NANOSECONDS);
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			log.debug("event=child.still-running pid={}", handle.pid());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/process/Programs.java
@@ -0,0 +1,82 @@
+package org.lovagevale.standins.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * The command lines of the programs of this project.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ */
+public final class Programs {
+
+	private static final String STANDINS = "lovagevale-standins";
+
+	private final Path root;
+
+	private final Path standinsJar;
+
+	/**
+	 * Finds the programs.
+	 * @param root the folder of the project, with built jars
+	 * @throws IOException if the project has not been built
+	 */
+	public Programs(Path root) throws IOException {
+		this.root = root;
+		this.standinsJar = findJar(root, STANDINS);
+	}
+
+	/**
+	 * Returns the folder of the project.
+	 * @return the folder
+	 */
+	public Path root() {
+		return this.root;
+	}
+
+	/**
+	 * Returns the command line of a stand-in.
+	 * @param heapMb the largest heap in megabytes
+	 * @param args the subcommand and its arguments
+	 * @return the command line
+	 */
+	public List<String> standIn(int heapMb, List<String> args) {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.add("-Xmx" + heapMb + "m");
+		command.add("-jar");
+		command.add(this.standinsJar.toString());
+		command.addAll(args);
+		return command;
+	}
+
+	/**
+	 * Returns the command line of an entry process.
+	 * @param vm its name
+	 * @param platform the base URL of the platform
+	 * @return the command line
+	 */
+	public List<String> entry(String vm, String platform) {
+		String script = this.root.resolve("bin/lovagevale").toString();
+		return List.of(script, "--vm", vm, "--platform", platform);
+	}
+
+	private static Path findJar(Path root, String module) throws IOException {
+		Path folder = root.resolve(module).resolve("target");
+		if (Files.isDirectory(folder)) {
+			try (Stream<Path> files = Files.list(folder)) {
+				List<Path> jars = files.filter((file) -> file.toString().endsWith("-all.jar")).toList();
+				if (!jars.isEmpty()) {
+					return jars.get(0);
+				}
+			}
+		}
+		throw new IOException(module + " is not built; run bin/test first");
+	}
+
+}
