--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/AddedLatency.java
@@ -0,0 +1,111 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.lovagevale.standins.process.ChildProcesses;
+
+/**
+ * The latency that one entry process adds: requests through it against requests sent
+ * directly to the backend servers, in turns.
+ *
+ * <p>
+ * The figure is the difference of percentiles of two distributions, not a percentile of
+ * differences.
+ */
+final class AddedLatency implements Benchmark {
+
+	private static final int[] RATES = { 200, 500, 1_000, 2_000 };
+
+	private static final Map<String, Double> PERCENTILES = new TreeMap<>(
+			Map.of("p50", 50.0, "p99", 99.0, "p99_9", 99.9));
+
+	private static final int SERVERS = 6;
+
+	// Enough slots that requests never wait for each other at the servers.
+	private static final int SLOTS = 64;
+
+	private static final String PATH = "/balances/1";
+
+	private static final int WARM_UP_RATE = 1_000;
+
+	private static final int WARM_UP_ROUNDS = 30;
+
+	private static final int WARM_UP_SECONDS = 5;
+
+	@Override
+	public String name() {
+		return "added-latency";
+	}
+
+	@Override
+	public String description() {
+		return "latency added by one entry process, at several rates; target 0.37 ms at p99";
+	}
+
+	@Override
+	public void run(Environment environment, Report report) throws IOException, InterruptedException {
+		Layout layout = new Layout(1, SERVERS, SLOTS);
+		List<String> backend = List.of("--set", "serviceTime=fixed:0", "--set", "slots=" + SLOTS);
+		try (ChildProcesses children = environment.start(layout, backend); LoadClient client = new LoadClient()) {
+			warmUp(client, report);
+			for (int rate : RATES) {
+				measure(rate, environment.options(), client, report);
+			}
+			children.ended().forEach((name) -> report.addProblem(name + " ended"));
+		}
+	}
+
+	private static void measure(int rate, Options options, LoadClient client, Report report)
+			throws InterruptedException {
+		List<LoadResult> direct = new ArrayList<>();
+		List<LoadResult> through = new ArrayList<>();
+		for (int run = 0; run < options.runs(); run++) {
+			direct.add(runDirect(client, rate, options.seconds()));
+			through.add(runThrough(client, rate, options.seconds()));
+			direct.get(run).check("direct, rate " + rate + ", run " + run, report);
+			through.get(run).check("through, rate " + rate + ", run " + run, report);
+		}
+		PERCENTILES.forEach((label, percentile) -> {
+			List<Double> before = direct.stream().map((result) -> result.latencyMs(percentile)).toList();
+			List<Double> after = through.stream().map((result) -> result.latencyMs(percentile)).toList();
+			List<Double> added = new ArrayList<>();
+			for (int i = 0; i < before.size(); i++) {
+				added.add(after.get(i) - before.get(i));
+			}
+			String suffix = "_" + label + "_rate_" + rate;
+			report.add(Figure.of("direct" + suffix, "ms", before));
+			report.add(Figure.of("through" + suffix, "ms", after));
+			report.add(Figure.of("added" + suffix, "ms", added));
+		});
+	}
+
+	private static LoadResult runDirect(LoadClient client, int rate, int seconds) throws InterruptedException {
+		return new OpenLoop(rate, seconds, client.spread((i) -> Layout.serverPort(i % SERVERS), PATH)).run();
+	}
+
+	private static LoadResult runThrough(LoadClient client, int rate, int seconds) throws InterruptedException {
+		return new OpenLoop(rate, seconds, client.spread((i) -> Layout.callerPort(0), PATH)).run();
+	}
+
+	// The entry process takes servers for cold until they reported warm; then both sides
+	// run until their code is compiled.
+	private static void warmUp(LoadClient client, Report report) throws InterruptedException {
+		int rounds = 0;
+		LoadResult result = runThrough(client, WARM_UP_RATE / 10, 1);
+		while (result.failed() + result.lost() > 0 && rounds < WARM_UP_ROUNDS) {
+			result = runThrough(client, WARM_UP_RATE / 10, 1);
+			rounds++;
+		}
+		if (result.failed() + result.lost() > 0) {
+			report.addProblem("the entry process did not serve all requests after " + rounds + " s of warm-up");
+		}
+		runDirect(client, WARM_UP_RATE, WARM_UP_SECONDS);
+		runThrough(client, WARM_UP_RATE, WARM_UP_SECONDS);
+		report.say("Warm after " + (rounds + 1) + " s; measuring.");
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
@@ -0,0 +1,99 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.standins.process.Programs;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs one measurement with entry processes and stand-ins on loopback addresses.
+ */
+@Command(name = "bench", mixinStandardHelpOptions = true,
+		description = "Runs one measurement with entry processes and stand-ins on loopback addresses.")
+public final class Bench implements Callable<Integer> {
+
+	private static final List<Benchmark> BENCHMARKS = List.of(new AddedLatency());
+
+	private static final int NOT_VALID = 1;
+
+	private static final int WRONG_USAGE = 2;
+
+	private static final int ENVIRONMENT = 3;
+
+	@Spec
+	@SuppressWarnings("NullAway.Init")
+	private CommandSpec spec;
+
+	@Parameters(paramLabel = "NAME", description = "The measurement, or \"list\" to print their names.")
+	private String name = "list";
+
+	@Option(names = "--out", paramLabel = "DIR", description = "Folder for the figures, one line of JSON each.")
+	private @Nullable Path out;
+
+	@Option(names = "--runs", defaultValue = "5", description = "Repetitions; default 5.")
+	private int runs;
+
+	@Option(names = "--seconds", defaultValue = "5", description = "Length of one repetition; default 5.")
+	private int seconds;
+
+	@Option(names = "--root", hidden = true, defaultValue = ".", description = "Folder of the project.")
+	private Path root = Path.of(".");
+
+	private Bench() {
+	}
+
+	/**
+	 * Runs a measurement.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		System.setProperty("logback.configurationFile", "logback-standins.xml");
+		CommandLine line = new CommandLine(new Bench());
+		line.setExecutionExceptionHandler((ex, command, result) -> {
+			command.getErr().println("bench: " + ex.getMessage());
+			return ENVIRONMENT;
+		});
+		System.exit(line.execute(args));
+	}
+
+	@Override
+	public Integer call() throws IOException, InterruptedException {
+		PrintWriter writer = this.spec.commandLine().getOut();
+		if (this.name.equals("list")) {
+			BENCHMARKS.forEach((known) -> writer.println(known.name() + "  " + known.description()));
+			return 0;
+		}
+		Optional<Benchmark> found = BENCHMARKS.stream().filter((known) -> known.name().equals(this.name)).findFirst();
+		if (found.isEmpty()) {
+			this.spec.commandLine().getErr().println("bench: no measurement named \"" + this.name + "\"; try list");
+			return WRONG_USAGE;
+		}
+		return measure(found.get(), new Report(writer));
+	}
+
+	private int measure(Benchmark benchmark, Report report) throws IOException, InterruptedException {
+		Path folder = Files.createTempDirectory("lovagevale-bench");
+		report.say("Logs of the processes are in " + folder);
+		Options options = new Options(this.runs, this.seconds);
+		benchmark.run(new Environment(new Programs(this.root), folder, options), report);
+		report.print();
+		report.writeLines();
+		if (this.out != null) {
+			report.write(this.out, benchmark.name());
+		}
+		return report.isValid() ? 0 : NOT_VALID;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Environment.java
@@ -0,0 +1,113 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.lovagevale.standins.http.PlainHttp;
+import org.lovagevale.standins.process.ChildProcesses;
+import org.lovagevale.standins.process.Programs;
+
+/**
+ * The processes of a measurement: a platform, backend servers and entry processes on
+ * loopback addresses.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class Environment {
+
+	private static final Duration START_LIMIT = Duration.ofSeconds(90);
+
+	private static final Duration POLL = Duration.ofMillis(50);
+
+	private static final int HEAP_MB = 512;
+
+	private final Programs programs;
+
+	private final Path folder;
+
+	private final Options options;
+
+	private final PlainHttp http = new PlainHttp();
+
+	Environment(Programs programs, Path folder, Options options) {
+		this.programs = programs;
+		this.folder = folder;
+		this.options = options;
+	}
+
+	Options options() {
+		return this.options;
+	}
+
+	PlainHttp http() {
+		return this.http;
+	}
+
+	/**
+	 * Starts the processes of a layout.
+	 * @param layout the layout
+	 * @param backendOptions further arguments of the backend servers
+	 * @return the processes, to be closed by the caller
+	 * @throws IOException if a process does not become ready
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	ChildProcesses start(Layout layout, List<String> backendOptions) throws IOException, InterruptedException {
+		Path tree = this.folder.resolve("settings.jsonc");
+		Files.writeString(tree, layout.tree());
+		ChildProcesses children = new ChildProcesses(this.folder);
+		try {
+			startAll(layout, backendOptions, tree, children);
+		}
+		catch (IOException | InterruptedException ex) {
+			children.close();
+			throw ex;
+		}
+		return children;
+	}
+
+	private void startAll(Layout layout, List<String> backendOptions, Path tree, ChildProcesses children)
+			throws IOException, InterruptedException {
+		children.start("platform", this.programs.standIn(HEAP_MB,
+				List.of("platform", "--port", Integer.toString(Layout.PLATFORM_PORT), "--settings", tree.toString())));
+		children.start("backends", this.programs.standIn(HEAP_MB, backendArguments(layout, backendOptions)));
+		awaitOk(children, Layout.platformUrl() + "/control/stats");
+		awaitOk(children, Layout.controlUrl() + "/control/stats");
+		for (int i = 0; i < layout.entries(); i++) {
+			children.start(Layout.vmName(i), this.programs.entry(Layout.vmName(i), Layout.platformUrl()));
+		}
+		for (int i = 0; i < layout.entries(); i++) {
+			awaitOk(children, Layout.adminUrl(i) + "/ready");
+		}
+	}
+
+	private static List<String> backendArguments(Layout layout, List<String> further) {
+		List<String> args = new ArrayList<>(
+				List.of("backend", "--warm", "--control", Integer.toString(Layout.CONTROL_PORT)));
+		for (int i = 0; i < layout.servers(); i++) {
+			args.add("--server");
+			args.add(Layout.serverName(i) + "=" + Layout.serverPort(i));
+		}
+		args.addAll(further);
+		return args;
+	}
+
+	private void awaitOk(ChildProcesses children, String url) throws IOException, InterruptedException {
+		long end = System.nanoTime() + START_LIMIT.toNanos();
+		while (!this.http.isOk(url)) {
+			List<String> ended = children.ended();
+			if (!ended.isEmpty()) {
+				throw new IOException(ended.get(0) + " ended at its start; see " + children.logFile(ended.get(0)));
+			}
+			if (System.nanoTime() > end) {
+				throw new IOException("no answer from " + url + " within " + START_LIMIT.toSeconds() + " s");
+			}
+			Thread.sleep(POLL);
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Layout.java
@@ -0,0 +1,106 @@
+package org.lovagevale.bench;
+
+import java.util.Locale;
+import java.util.StringJoiner;
+
+/**
+ * The number of entry processes and backend servers of a measurement, and their
+ * addresses.
+ *
+ * <p>
+ * Entry processes and servers alternate over three regions. Immutable and thread-safe.
+ *
+ * @param entries entry processes, at most 99
+ * @param servers backend servers of the one service
+ * @param slots requests that one server runs at a time
+ */
+record Layout(int entries, int servers, int slots) {
+
+	static final int PLATFORM_PORT = 20_001;
+
+	static final int CONTROL_PORT = 20_002;
+
+	static final String SERVICE = "balances";
+
+	private static final int CALLER_PORT = 20_100;
+
+	private static final int PEER_PORT = 20_200;
+
+	private static final int ADMIN_PORT = 20_300;
+
+	private static final int SERVER_PORT = 21_000;
+
+	private static final int REGIONS = 3;
+
+	static String platformUrl() {
+		return "http://127.0.0.1:" + PLATFORM_PORT;
+	}
+
+	static String controlUrl() {
+		return "http://127.0.0.1:" + CONTROL_PORT;
+	}
+
+	static String adminUrl(int entry) {
+		return "http://127.0.0.1:" + (ADMIN_PORT + entry);
+	}
+
+	static String vmName(int entry) {
+		return String.format(Locale.ROOT, "entry-%02d", entry + 1);
+	}
+
+	static int callerPort(int entry) {
+		return CALLER_PORT + entry;
+	}
+
+	static String serverName(int server) {
+		return String.format(Locale.ROOT, "balances-%03d", server + 1);
+	}
+
+	static int serverPort(int server) {
+		return SERVER_PORT + server;
+	}
+
+	String tree() {
+		return """
+				{
+					"deployment": "bench",
+					"defaults": { "timeoutMs": 5000, "queueMs": 1000, "slots": %d },
+					"regions": { %s },
+					"services": { "%s": {
+						"routes": { "GET /balances": { "idempotent": true } },
+						"servers": { %s }
+					} },
+					"exchange": { "clockSkewMs": 50 },
+					"measuring": { "coldWindowMs": 1000, "coldMinimumMs": 100 }
+				}
+				""".formatted(this.slots, regions(), SERVICE, serverTree());
+	}
+
+	private String regions() {
+		StringJoiner regions = new StringJoiner(", ");
+		for (int region = 0; region < REGIONS; region++) {
+			StringJoiner vms = new StringJoiner(", ");
+			for (int i = region; i < this.entries; i += REGIONS) {
+				vms.add("\"%s\": { \"host\": \"127.0.0.1\", \"callerPort\": %d, \"peerPort\": %d, \"adminPort\": %d }"
+					.formatted(vmName(i), callerPort(i), PEER_PORT + i, ADMIN_PORT + i));
+			}
+			regions.add("\"region-%d\": { \"domains\": { \"%s\": { \"entryVms\": { %s } } } }".formatted(region + 1,
+					domain(region), vms));
+		}
+		return regions.toString();
+	}
+
+	private String serverTree() {
+		StringJoiner result = new StringJoiner(",\n");
+		for (int i = 0; i < this.servers; i++) {
+			result.add("\"%s\": { \"domain\": \"%s\", \"host\": \"127.0.0.1\", \"port\": %d }".formatted(serverName(i),
+					domain(i % REGIONS), serverPort(i)));
+		}
+		return result.toString();
+	}
+
+	private static String domain(int region) {
+		return "region-" + (region + 1) + "-a";
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Options.java
@@ -0,0 +1,13 @@
+package org.lovagevale.bench;
+
+/**
+ * How long and how often to measure.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param runs repetitions
+ * @param seconds length of one repetition in seconds
+ */
+record Options(int runs, int seconds) {
+}
--- /dev/null
+++ b/lovagevale-bench/src/test/java/org/lovagevale/bench/LayoutTests.java
@@ -0,0 +1,22 @@
+package org.lovagevale.bench;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.model.Settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against measurements with a tree that the entry processes reject.
+ */
+class LayoutTests {
+
+	@Test
+	void treeHasEveryProcess() throws SettingsException {
+		Settings settings = new JsonSettingsReader().read(1, new Layout(20, 36, 3).tree());
+		assertThat(settings.entryVms()).hasSize(20);
+		assertThat(settings.services().get(0).servers()).hasSize(36);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/test/java/org/lovagevale/bench/OpenLoopTests.java
@@ -0,0 +1,50 @@
+package org.lovagevale.bench;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against coordinated omission and against measurements by a generator that did
+ * not offer the stated load.
+ */
+class OpenLoopTests {
+
+	@Test
+	void stallLengthensEveryRequestThatShouldHaveBeenSentMeanwhile() throws InterruptedException {
+		LoadResult result = new OpenLoop(100, 1, (i) -> {
+			if (i == 10) {
+				sleep(Duration.ofMillis(300));
+			}
+			return Mono.just(Boolean.TRUE);
+		}).run();
+		assertThat(result.sent()).isEqualTo(100);
+		assertThat(result.latencyMs(100)).isGreaterThanOrEqualTo(299);
+		// 30 requests were due during the stall; half of them waited for at least 150 ms.
+		assertThat(result.latencyMs(80)).isGreaterThan(80);
+		assertThat(result.isSaturated()).isTrue();
+	}
+
+	@Test
+	void countsFailuresApartFromLatencies() throws InterruptedException {
+		LoadResult result = new OpenLoop(100, 1,
+				(i) -> (i % 2 == 0) ? Mono.just(Boolean.TRUE) : Mono.error(new IllegalStateException("refused")))
+			.run();
+		assertThat(result.failed()).isEqualTo(50);
+		assertThat(result.latency().getTotalCount()).isEqualTo(50);
+		assertThat(result.lost()).isZero();
+	}
+
+	private static void sleep(Duration time) {
+		try {
+			Thread.sleep(time);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
