--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/LinearFit.java
@@ -0,0 +1,44 @@
+package org.lovagevale.bench;
+
+/**
+ * A straight line through measured points by least squares.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param slope the slope
+ * @param intercept the value at 0
+ * @param worstResidual the largest distance of a point from the line, in units of y
+ */
+record LinearFit(double slope, double intercept, double worstResidual) {
+
+	static LinearFit of(double[] x, double[] y) {
+		if (x.length != y.length || x.length < 2) {
+			throw new IllegalArgumentException("a line needs at least two points");
+		}
+		double meanX = mean(x);
+		double meanY = mean(y);
+		double covariance = 0;
+		double variance = 0;
+		for (int i = 0; i < x.length; i++) {
+			covariance += (x[i] - meanX) * (y[i] - meanY);
+			variance += (x[i] - meanX) * (x[i] - meanX);
+		}
+		double slope = covariance / variance;
+		double intercept = meanY - slope * meanX;
+		double worst = 0;
+		for (int i = 0; i < x.length; i++) {
+			worst = Math.max(worst, Math.abs(y[i] - intercept - slope * x[i]));
+		}
+		return new LinearFit(slope, intercept, worst);
+	}
+
+	private static double mean(double[] values) {
+		double sum = 0;
+		for (double value : values) {
+			sum += value;
+		}
+		return sum / values.length;
+	}
+
+}
