--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestQueue.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestQueue.java
@@ -41,13 +41,22 @@
 
 	/**
 	 * Adds a request, if need be in the place of another one.
+	 *
+	 * <p>
+	 * A retry goes first: it arrived before the others.
 	 * @param request the request
 	 * @param capacity the most requests that may wait
 	 * @return the request that has to be refused, perhaps the new one, or {@code null} if
 	 * there was room
 	 */
 	@Nullable Displaced add(ActiveRequest request, int capacity) {
-		this.byPriority.get(request.priority().ordinal()).addLast(request);
+		Deque<ActiveRequest> requests = this.byPriority.get(request.priority().ordinal());
+		if (request.dispatched() > 0) {
+			requests.addFirst(request);
+		}
+		else {
+			requests.addLast(request);
+		}
 		this.size++;
 		if (this.size <= capacity) {
 			return null;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Router.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Router.java
@@ -20,6 +20,8 @@
 	// the requests of every entry VM.
 	private static final int MOST_COMPARED = 16;
 
+	private static final int SAMPLED = 2;
+
 	// One of this many requests warms up a cold server although a warm one is free.
 	private static final int COLD_SHARE = 4;
 
@@ -37,6 +39,9 @@
 
 	private int warmCount;
 
+	// The warm candidates in the region of this VM come first.
+	private int nearCount;
+
 	private int coldCount;
 
 	private int ejectedCount;
@@ -91,6 +96,7 @@
 			this.cold = new TrackedServer[servers.length];
 		}
 		this.warmCount = 0;
+		this.nearCount = 0;
 		this.coldCount = 0;
 		this.ejectedCount = 0;
 		boolean othersWarm = false;
@@ -118,6 +124,10 @@
 		if (server.hasWarmCapacity()) {
 			this.warm[this.warmCount] = server;
 			this.warmCount++;
+			if (server.isNear()) {
+				swap(this.nearCount, this.warmCount - 1);
+				this.nearCount++;
+			}
 		}
 	}
 
@@ -172,14 +182,11 @@
 
 	private @Nullable Selection chooseWarm(ActiveRequest request, long remaining, long now) {
 		boolean many = this.warmCount > MOST_COMPARED;
-		if (many) {
-			sample();
-		}
 		TrackedServer best = null;
 		double bestScore = Double.NaN;
 		double runnerUp = Double.NaN;
 		double bestDrawn = Double.MAX_VALUE;
-		int compared = (many) ? 2 + 2 : this.warmCount;
+		int compared = (many) ? sample() : this.warmCount;
 		for (int i = 0; i < compared; i++) {
 			TrackedServer server = this.warm[i];
 			double score = server.score(now);
@@ -202,16 +209,27 @@
 		return new Selection(best, remaining, choice);
 	}
 
-	// Moves four distinct random candidates to the front: with two, both would often be
-	// in
-	// another region.
-	private void sample() {
-		for (int i = 0; i < 2 + 2; i++) {
-			int j = i + this.random.nextInt(this.warmCount - i);
-			TrackedServer drawn = this.warm[j];
-			this.warm[j] = this.warm[i];
-			this.warm[i] = drawn;
+	// Moves two random candidates of this region and two of other regions to the front,
+	// so
+	// that requests leave the region only if that is better.
+	private int sample() {
+		int near = Math.min(SAMPLED, this.nearCount);
+		for (int i = 0; i < near; i++) {
+			swap(i, i + this.random.nextInt(this.nearCount - i));
 		}
+		int far = Math.min(SAMPLED, this.warmCount - this.nearCount);
+		for (int i = 0; i < far; i++) {
+			int from = this.nearCount + i + this.random.nextInt(this.warmCount - this.nearCount - i);
+			swap(this.nearCount + i, from);
+			swap(near + i, this.nearCount + i);
+		}
+		return near + far;
+	}
+
+	private void swap(int i, int j) {
+		TrackedServer server = this.warm[i];
+		this.warm[i] = this.warm[j];
+		this.warm[j] = server;
 	}
 
 	// The list of the platform may have changed since the last tick.
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerHealth.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerHealth.java
@@ -154,12 +154,22 @@
 	}
 
 	/**
-	 * Forgets the state: the backend server may have started again.
+	 * Forgets the state, since the backend server may have started again; peers should
+	 * know.
 	 * @param now the monotonic time in milliseconds
 	 */
 	void reset(long now) {
-		this.boot = "";
+		forget(now);
 		this.lostState = true;
+	}
+
+	/**
+	 * Forgets the state of a backend server that returns, as all processes do.
+	 * @param now the monotonic time in milliseconds
+	 */
+	void forget(long now) {
+		this.boot = "";
+		this.lostState = false;
 		become(ServerState.UNKNOWN, now);
 	}
 
@@ -235,7 +245,7 @@
 	 */
 	void age(long now) {
 		if (this.state == ServerState.DRAINING && now - this.evidenceAt >= DRAINING_HOLD_MS) {
-			reset(now);
+			forget(now);
 			this.probeFirst = true;
 		}
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/TrackedServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/TrackedServer.java
@@ -42,6 +42,8 @@
 
 	private double linkCost;
 
+	private boolean near;
+
 	private boolean listed = true;
 
 	private boolean leaving;
@@ -97,6 +99,10 @@
 		return this.probes;
 	}
 
+	boolean isNear() {
+		return this.near;
+	}
+
 	int inFlight() {
 		return this.inFlight;
 	}
@@ -117,12 +123,13 @@
 		boolean moved = !definition.host().equals(this.definition.host())
 				|| definition.port() != this.definition.port();
 		if (returns || moved) {
-			this.health.reset(now);
+			this.health.forget(now);
 		}
 		moveTo(pool);
 		this.definition = definition;
 		this.policy = pool.policy();
 		this.connections = placement.connections();
+		this.near = placement.sameRegion();
 		this.linkCost = placement.linkCost(this.policy.slots());
 		this.slots = (this.slots > 0) ? this.slots : this.policy.slots();
 		this.listed = true;
@@ -154,7 +161,7 @@
 	 */
 	void useLeaving(boolean leaving, long now) {
 		if (this.leaving && !leaving) {
-			this.health.reset(now);
+			this.health.forget(now);
 		}
 		this.leaving = leaving;
 	}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/DecisionCostTests.java
@@ -0,0 +1,43 @@
+package org.lovagevale.core.request;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a slow path from the head of a request to its end. Runs only with
+ * {@code -Dlovagevale.measure=true}, since a busy machine makes the figure worse.
+ */
+@EnabledIfSystemProperty(named = "lovagevale.measure", matches = "true")
+class DecisionCostTests {
+
+	private static final int WARM_UP = 200_000;
+
+	private static final int REQUESTS = 500_000;
+
+	@Test
+	void requestTakesFewMicroseconds() {
+		TestSettings settings = new TestSettings();
+		settings.servers = 40;
+		Session session = Session.warm(settings);
+		session.recording = false;
+		run(session, WARM_UP, 0);
+		long start = System.nanoTime();
+		run(session, REQUESTS, WARM_UP);
+		double micros = (System.nanoTime() - start) / 1_000.0 / REQUESTS;
+		System.out.printf("four events of one request, 40 servers: %.2f microseconds%n", micros);
+		assertThat(micros).isLessThan(100);
+	}
+
+	private static void run(Session session, int requests, int firstId) {
+		for (int i = 1; i <= requests; i++) {
+			int id = firstId + i;
+			session.request(id, "GET", "/vans");
+			session.clock.advance(i % 2);
+			session.answer(id, 1, 200, Session.WARM);
+			session.end(id, 1, null);
+		}
+	}
+
+}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/RoutingTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/RoutingTests.java
@@ -13,6 +13,7 @@
 import org.lovagevale.core.RequestId;
 import org.lovagevale.core.ServerState;
 import org.lovagevale.core.decision.Decision;
+import org.lovagevale.core.decision.Dispatch;
 import org.lovagevale.core.decision.Refuse;
 import org.lovagevale.core.event.HeadArrived;
 import org.lovagevale.core.fleet.WorkPermission;
@@ -44,6 +45,22 @@
 		assertThat(Session.dispatch(session.request(3, "GET", "/vans")).choice().rule()).isEqualTo("lowest-score");
 	}
 
+	@Test
+	void staysInTheRegionWithManyServersAndUsesAllOfThem() {
+		this.settings.servers = 40;
+		Session session = Session.warm(this.settings);
+		Set<String> used = new HashSet<>();
+		for (int id = 1; id <= 300; id++) {
+			Dispatch dispatch = Session.dispatch(session.request(id, "GET", "/vans"));
+			assertThat(dispatch.choice().rule()).isEqualTo("sampled-score");
+			assertThat(dispatch.server().region()).isEqualTo(TestSettings.NORTH);
+			used.add(dispatch.server().name().value());
+			session.answer(id, 1, 200, null);
+			session.end(id, 1, null);
+		}
+		assertThat(used).hasSize(20);
+	}
+
 	@Test
 	void avoidsServerThatFailsFast() {
 		Session session = Session.warm(this.settings);
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/Session.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/Session.java
@@ -44,6 +44,9 @@
 
 	static final LoadReport COLD = new LoadReport(1, 3, ServerState.COLD, "b1");
 
+	/** Whether to write lines; switched off where time is measured. */
+	boolean recording = true;
+
 	final ManualClock clock = new ManualClock(100_000, 1_000_000_000);
 
 	final List<String> lines = new ArrayList<>();
@@ -59,7 +62,9 @@
 
 	private void decided(Decision decision) {
 		this.decisions.add(decision);
-		this.lines.add("  > " + SessionText.of(decision));
+		if (this.recording) {
+			this.lines.add("  > " + SessionText.of(decision));
+		}
 	}
 
 	static Session cold(TestSettings settings) {
@@ -86,7 +91,9 @@
 
 	List<Decision> apply(Event event) {
 		this.decisions.clear();
-		this.lines.add(this.clock.millis() + " " + SessionText.of(event));
+		if (this.recording) {
+			this.lines.add(this.clock.millis() + " " + SessionText.of(event));
+		}
 		this.logic.apply(event);
 		return List.copyOf(this.decisions);
 	}
