End attempts at once when the caller is gone and retry cut-short timeouts only

The node cancels all attempts itself when a caller leaves, so waiting for the answer of a request with a key held a slot until the timeout and kept the key running; it is now recorded as unknown at once. The node reports an attempt that it could not make as an early timeout; that no longer counts against the server and is not retried. A trial that waits is refused as soon as a trial elsewhere has crashed another server. FleetLogic configures the keys, so this package no longer does.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
@@ -79,10 +79,6 @@
 		this.end.endTrial(request);
 		boolean good = event.status() < FIRST_SERVER_ERROR;
 		this.recorder.answered(attempt, request.priority(), event.report(), good, now);
-		if (request.isCallerGone()) {
-			this.end.abandon(request);
-			return true;
-		}
 		this.sink.add(new PassOn(request.id(), attempt.number(), (request.isKeyAccepted()) ? this.replayBytes : 0));
 		return true;
 	}
@@ -148,12 +144,18 @@
 				}
 			}
 			case LOST_IN_BODY -> this.retries.next(request, false, RefusalReason.SERVER_FAILED);
-			// The timeout of an attempt on a cold server may end before the deadline.
-			case TIMED_OUT -> this.retries.next(request, request.isIdempotent() && now < request.deadline(),
-					RefusalReason.DEADLINE_EXCEEDED);
+			case TIMED_OUT ->
+				this.retries.next(request, isCutShort(request, attempt, now), RefusalReason.DEADLINE_EXCEEDED);
 		}
 	}
 
+	// On a cold server, an attempt may time out long before the deadline of the request.
+	// A
+	// timeout reported early means that the attempt could not be made at all.
+	private static boolean isCutShort(ActiveRequest request, Attempt attempt, long now) {
+		return request.isIdempotent() && attempt.isOver(now) && now < request.deadline();
+	}
+
 	/**
 	 * Handles the loss of the caller.
 	 * @param event the event
@@ -165,12 +167,8 @@
 			return false;
 		}
 		request.loseCaller();
-		// With a key, the attempt goes on until it is known whether it ran: the caller
-		// may
-		// ask. The cause of a crash is found out in any case.
-		boolean goesOn = request.stage() == Stage.RUNNING && request.isKeyAccepted()
-				|| request.stage() == Stage.WAITING_FOR_CAUSE;
-		if (!goesOn) {
+		// The cause of a crash is found out in any case.
+		if (request.stage() != Stage.WAITING_FOR_CAUSE) {
 			this.end.abandon(request);
 		}
 		return true;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Attempt.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Attempt.java
@@ -13,6 +13,13 @@
  */
 record Attempt(int number, TrackedServer server, long startedAt, long endsAt) {
 
+	// Timers of the node and the clock of the logic differ by a few milliseconds.
+	private static final long TIMER_ERROR_MS = 20;
+
+	boolean isOver(long now) {
+		return now >= this.endsAt - TIMER_ERROR_MS;
+	}
+
 	long timeoutMs() {
 		return this.endsAt - this.startedAt;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
@@ -44,8 +44,6 @@
 
 	private final Fleet fleet;
 
-	private final Keys keys;
-
 	private final Map<RequestId, ActiveRequest> active = new LinkedHashMap<>();
 
 	private final AccountRates rates = new AccountRates();
@@ -83,7 +81,6 @@
 		this.self = self;
 		this.clock = clock;
 		this.fleet = fleet;
-		this.keys = keys;
 		Audit audit = new Audit(clock, sink);
 		WaitingRequests waiting = new WaitingRequests();
 		KeyGate keyGate = new KeyGate(self, keys);
@@ -200,7 +197,6 @@
 		for (ServicePool pool : this.table.pools()) {
 			queued.addAll(pool.queue().drain());
 		}
-		this.keys.configure(settings.keys());
 		this.table.configure(settings, this.clock.millis());
 		Catalog next = new Catalog(settings, this.self.vm(), this.table);
 		this.catalog = next;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomeRecorder.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomeRecorder.java
@@ -86,8 +86,13 @@
 	 * @param now the monotonic time in milliseconds
 	 */
 	void failed(Attempt attempt, Priority priority, FailureKind kind, long now) {
-		failure(attempt, priority, now);
-		if (kind != FailureKind.TIMED_OUT) {
+		boolean timedOut = kind == FailureKind.TIMED_OUT;
+		// The node also ends an attempt with a timeout, but early, that it could not
+		// make.
+		if (!timedOut || attempt.isOver(now)) {
+			failure(attempt, priority, now);
+		}
+		if (!timedOut) {
 			attempt.server().health().contactFailed(now);
 			this.table.announce(attempt.server(), now);
 		}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
@@ -105,7 +105,9 @@
 	}
 
 	private boolean pollTrial(ActiveRequest request) {
-		if (!this.fleet.isNoticeSettled(request.waitId())) {
+		boolean settled = this.fleet.isNoticeSettled(request.waitId());
+		// A trial elsewhere may have crashed another server in the meantime.
+		if (!settled && this.guard.isClear(request)) {
 			return false;
 		}
 		this.dispatcher.submit(request);
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/AdmissionTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/AdmissionTests.java
@@ -107,6 +107,19 @@
 		assertThat(session.logic.servers().get(0).inFlight()).isZero();
 	}
 
+	@Test
+	void retriesTimeoutOnlyIfTheAttemptWasCutShort() {
+		this.settings.servers = 2;
+		Session session = Session.cold(this.settings);
+		session.fleet.ownedMs.put("s0", 300L);
+		session.request(1, "GET", "/vans");
+		session.fleet.ownedMs.put("s1", 900L);
+		session.after(300);
+		assertThat(Session.servers(session.fail(1, 1, FailureKind.TIMED_OUT))).containsExactly("s1");
+		Refusal early = Session.refusal(session.fail(1, 2, FailureKind.TIMED_OUT));
+		assertThat(early.outcome()).isEqualTo(Outcome.UNKNOWN);
+	}
+
 	@Test
 	void retriesOnAnotherServerWithinTheBudgetOnly() {
 		this.settings.servers = 4;
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
@@ -53,6 +53,18 @@
 		assertThat(Session.servers(session.request(4, HEAD, "good"))).hasSize(1);
 	}
 
+	@Test
+	void refusesWaitingTrialOnceAnotherOneCrashed() {
+		Session session = Session.warm(this.settings);
+		session.fleet.strikes.put(new Fingerprint("bad"), 1);
+		session.fleet.noticesSettled = false;
+		session.request(1, HEAD, "bad");
+		session.fleet.strikes.put(new Fingerprint("bad"), 2);
+		Refusal refusal = Session.refusal(session.after(50));
+		assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
+		assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+	}
+
 	@Test
 	void startsTrialOfASuspectOnlyAfterPeersWereTold() {
 		this.settings.hedgeAfterMs = 10;
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/DecisionCostTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/DecisionCostTests.java
@@ -30,6 +30,24 @@
 		assertThat(micros).isLessThan(100);
 	}
 
+	@Test
+	void tickOfManyServersIsShort() {
+		TestSettings settings = new TestSettings();
+		settings.servers = 6_300;
+		Session session = Session.warm(settings);
+		session.recording = false;
+		for (int i = 0; i < 1_000; i++) {
+			session.after(50);
+		}
+		long start = System.nanoTime();
+		for (int i = 0; i < 1_000; i++) {
+			session.after(50);
+		}
+		double micros = (System.nanoTime() - start) / 1_000.0 / 1_000;
+		System.out.printf("one tick, 6300 quiet servers: %.0f microseconds%n", micros);
+		assertThat(micros).isLessThan(10_000);
+	}
+
 	private static void run(Session session, int requests, int firstId) {
 		for (int i = 1; i <= requests; i++) {
 			int id = firstId + i;
