Add lovagevalectl and bound the cost of hostile trees

Cause: operators need check, show, diff, status, audit and explain. A tree within the size limit could also hold one long name with many members below, whose paths would fill the memory, or thousands of unknown names that are each compared with thousands of known ones.

Change: lovagevale-ctl has one class for each subcommand; the tables for admin pages know no member by name, so new members are shown. Paths are written out only when needed, at most 1,000 errors are listed and the rest counted, and suggestions and region lists are bounded.

Conclusion: the commands are proven against files and against a stand-in admin endpoint, not yet against a running entry process.

--- /dev/null
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/ExitCode.java
@@ -0,0 +1,30 @@
+package org.lovagevale.ctl;
+
+/**
+ * The exit codes of the tool.
+ */
+enum ExitCode {
+
+	/** The command did what was asked. */
+	SUCCESS(0),
+
+	/** The checked item is not correct. */
+	INCORRECT(1),
+
+	/** The command line is wrong. */
+	USAGE(2),
+
+	/** A file cannot be read or a process cannot be reached. */
+	ENVIRONMENT(3);
+
+	private final int value;
+
+	ExitCode(int value) {
+		this.value = value;
+	}
+
+	int value() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/JsonText.java
@@ -0,0 +1,113 @@
+package org.lovagevale.ctl;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Writes any JSON value as lines and tables for people.
+ *
+ * <p>
+ * It knows no member by name except times, so members that a newer process adds are shown
+ * as well. Thread-safe.
+ */
+final class JsonText {
+
+	private static final String INDENT = "  ";
+
+	private static final String NONE = "none";
+
+	private JsonText() {
+	}
+
+	/**
+	 * Writes a value.
+	 * @param node the value
+	 * @return the lines
+	 */
+	static List<String> toLines(JsonNode node) {
+		if (node.isObject()) {
+			return objectLines(node);
+		}
+		return node.isArray() ? arrayLines(node) : List.of(cell("", node));
+	}
+
+	private static List<String> objectLines(JsonNode object) {
+		TextTable scalars = new TextTable();
+		List<String> sections = new ArrayList<>();
+		object.properties().forEach((member) -> {
+			JsonNode value = member.getValue();
+			if (value.isValueNode() || value.isEmpty()) {
+				scalars.add(List.of(member.getKey(), cell(member.getKey(), value)));
+			}
+			else {
+				sections.add("");
+				sections.add(member.getKey() + ":");
+				toLines(value).forEach((line) -> sections.add(line.isEmpty() ? "" : INDENT + line));
+			}
+		});
+		List<String> lines = new ArrayList<>(scalars.toLines());
+		lines.addAll((lines.isEmpty() && !sections.isEmpty()) ? sections.subList(1, sections.size()) : sections);
+		return lines;
+	}
+
+	private static List<String> arrayLines(JsonNode array) {
+		boolean isTable = !array.isEmpty();
+		Set<String> columns = new LinkedHashSet<>();
+		for (JsonNode item : array) {
+			isTable &= item.isObject();
+			item.fieldNames().forEachRemaining(columns::add);
+		}
+		if (!isTable) {
+			List<String> lines = new ArrayList<>();
+			array.forEach((item) -> lines.add(cell("", item)));
+			return lines;
+		}
+		TextTable table = new TextTable();
+		table.add(columns.stream().map((column) -> column.toUpperCase(Locale.ROOT)).toList());
+		for (JsonNode item : array) {
+			table.add(columns.stream().map((column) -> cell(column, item.path(column))).toList());
+		}
+		return table.toLines();
+	}
+
+	private static String cell(String name, JsonNode value) {
+		if (value.isMissingNode() || value.isNull()) {
+			return "-";
+		}
+		if (value.isObject()) {
+			return value.isEmpty() ? NONE
+					: value.properties()
+						.stream()
+						.map((member) -> member.getKey() + "=" + cell(member.getKey(), member.getValue()))
+						.collect(Collectors.joining(" "));
+		}
+		if (value.isArray()) {
+			List<String> items = new ArrayList<>();
+			value.forEach((item) -> items.add(cell("", item)));
+			return items.isEmpty() ? NONE : String.join(", ", items);
+		}
+		return (value.isIntegralNumber() && isTime(name)) ? toTime(value) : value.asText();
+	}
+
+	private static boolean isTime(String name) {
+		return name.toLowerCase(Locale.ROOT).endsWith("epochmillis");
+	}
+
+	private static String toTime(JsonNode value) {
+		try {
+			return Instant.ofEpochMilli(value.asLong()).toString();
+		}
+		catch (DateTimeException ex) {
+			return value.asText();
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/TreeFile.java
@@ -0,0 +1,67 @@
+package org.lovagevale.ctl;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.model.Settings;
+
+/**
+ * A file with a settings tree.
+ *
+ * @param path its path
+ * @param content its text
+ */
+record TreeFile(Path path, String content) {
+
+	/** Well above the limit of a tree, and small enough for the memory of the tool. */
+	private static final long MAX_BYTES = 16_777_216;
+
+	static TreeFile read(Path path) throws CtlException {
+		try {
+			if (Files.size(path) > MAX_BYTES) {
+				throw new CtlException(ExitCode.INCORRECT, path + " is too large for a settings tree");
+			}
+			return new TreeFile(path, Files.readString(path));
+		}
+		catch (NoSuchFileException ex) {
+			throw new CtlException(ExitCode.ENVIRONMENT, path + " does not exist; check the path");
+		}
+		catch (CharacterCodingException ex) {
+			throw new CtlException(ExitCode.INCORRECT, path + " is not UTF-8; save it as UTF-8");
+		}
+		catch (IOException ex) {
+			throw new CtlException(ExitCode.ENVIRONMENT,
+					path + " cannot be read (" + ex.getMessage() + "); check the path");
+		}
+	}
+
+	Settings toSettings() throws CtlException {
+		try {
+			return new JsonSettingsReader().read(1, this.content);
+		}
+		catch (SettingsException ex) {
+			throw failure(ex);
+		}
+	}
+
+	/**
+	 * Words an error for commands that need a correct tree.
+	 * @param ex the errors of the tree
+	 * @return the exception to throw
+	 */
+	CtlException failure(SettingsException ex) {
+		return new CtlException(ExitCode.INCORRECT,
+				this.path + " is not correct (" + count(ex) + "); see lovagevalectl check " + this.path);
+	}
+
+	static String count(SettingsException ex) {
+		int size = ex.errors().size();
+		return size + ((size == 1) ? " error" : " errors");
+	}
+
+}
--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/package-info.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The ctl module.
+ * The operators' command line tool, one class for each subcommand.
  */
 @NullMarked
 package org.lovagevale.ctl;
--- /dev/null
+++ b/lovagevale-ctl/src/test/java/org/lovagevale/ctl/AdminCommandsTests.java
@@ -0,0 +1,98 @@
+package org.lovagevale.ctl;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against output that hides members which a newer process adds, and against
+ * failures of a process that look like success.
+ */
+class AdminCommandsTests {
+
+	private static final String STATUS = """
+			{"phase":"SERVING","settingsVersion":7,"future":true,"suspects":[],
+			"members":[{"vm":"entry-01","beat":5},{"vm":"entry-02","beat":12,"added":"x"}],"memory":{"usedBytes":1}}
+			""";
+
+	private static final String AUDIT = """
+			{"completeSinceEpochMillis":0,"entries":[
+			{"epochMillis":1000,"event":"settings.adopted","fields":{"version":"7","note":"a\\u001b[2Jb"}}]}
+			""";
+
+	private static DisposableServer server;
+
+	@BeforeAll
+	static void start() {
+		server = HttpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.route((routes) -> routes.get("/status", (in, out) -> out.sendString(Mono.just(STATUS)))
+				.get("/audit", (in, out) -> out.sendString(Mono.just(AUDIT)))
+				.get("/explain/{id}",
+						(in, out) -> in.uri().endsWith("/a%20b") ? out.sendString(Mono.just("[1,\"x\"]"))
+								: out.status(in.uri().endsWith("/broken") ? 500 : 404).send()))
+			.bindNow();
+	}
+
+	@AfterAll
+	static void stop() {
+		server.disposeNow();
+	}
+
+	@Test
+	void statusShowsEveryMember() {
+		assertThat(run("status").out().lines()).containsExactly("phase            SERVING", "settingsVersion  7",
+				"future           true", "suspects         none", "", "members:", "  VM        BEAT  ADDED",
+				"  entry-01  5     -", "  entry-02  12    x", "", "memory:", "  usedBytes  1");
+	}
+
+	@Test
+	void auditShowsTimesAndNoControlCharacters() {
+		assertThat(run("audit").out().lines()).containsExactly("completeSinceEpochMillis  1970-01-01T00:00:00Z", "",
+				"entries:", "  EPOCHMILLIS           EVENT             FIELDS",
+				"  1970-01-01T00:00:01Z  settings.adopted  version=7 note=a [2Jb");
+	}
+
+	@Test
+	void explainEncodesTheRequestId() {
+		assertThat(run("explain", "a b").out().lines()).containsExactly("1", "x");
+		assertThat(run("explain", "a b", "--output", "json").out()).contains("[ 1, \"x\" ]");
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', textBlock = """
+			unknown    | 1 | has nothing under /explain/unknown
+			broken     | 3 | responded with status 500; check that this is its admin address
+			""")
+	void failuresOfTheProcessAreReported(String id, int code, String message) {
+		CtlRun run = run("explain", id);
+		assertThat(run.code()).isEqualTo(code);
+		assertThat(run.err().lines()).singleElement().asString().contains(message);
+	}
+
+	@Test
+	void unreachableProcessIsReported() {
+		DisposableServer closed = HttpServer.create().host("127.0.0.1").port(0).bindNow();
+		closed.disposeNow();
+		CtlRun run = CtlRun.of("status", "127.0.0.1:" + closed.port());
+		assertThat(run.code()).isEqualTo(3);
+		assertThat(run.err().lines()).singleElement().asString().contains("does not respond", "check the address");
+	}
+
+	private static CtlRun run(String command, String... more) {
+		String[] args = new String[more.length + 2];
+		args[0] = command;
+		args[1] = "127.0.0.1:" + server.port();
+		System.arraycopy(more, 0, args, 2, more.length);
+		return CtlRun.of(args);
+	}
+
+}
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/AccountsReader.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/AccountsReader.java
@@ -100,12 +100,12 @@
 			return;
 		}
 		StringBuilder reason = new StringBuilder("client account \"" + account.name() + "\" with home regions "
-				+ account.values().homeRegions() + " has no region in common with ");
+				+ RegionText.of(account.values().homeRegions()) + " has no region in common with ");
 		for (Place route : conflicts.subList(0, Math.min(conflicts.size(), MAX_ROUTES_IN_ERROR))) {
 			reason.append("route ")
 				.append(route.location())
 				.append(" with ")
-				.append(route.values().homeRegions())
+				.append(RegionText.of(route.values().homeRegions()))
 				.append(", ");
 		}
 		int more = conflicts.size() - MAX_ROUTES_IN_ERROR;
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/GroupReader.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/GroupReader.java
@@ -102,7 +102,7 @@
 		Optional<Setting> setting = group.setting(name);
 		if (setting.isEmpty()) {
 			if (!group.branches().contains(name)) {
-				this.errors.add(node.location(), "unknown member" + NearestName.suggestion(name, group.memberNames()));
+				this.errors.addUnknown(node.location(), "unknown member", name, group.memberNames());
 			}
 			return;
 		}
@@ -134,7 +134,7 @@
 		common.retainAll(outerRegions);
 		if (common.isEmpty()) {
 			this.errors.add(inner.origins().getFirst(),
-					"no region in common with " + outerRegions + " from " + outer.origins().getLast());
+					"no region in common with " + RegionText.of(outerRegions) + " from " + outer.origins().getLast());
 			return inner;
 		}
 		List<Location> origins = new ArrayList<>(outer.origins());
@@ -226,7 +226,7 @@
 			return Optional.empty();
 		}
 		if (!this.regions.contains(name.get())) {
-			this.errors.add(item.location(), "unknown region" + NearestName.suggestion(name.get(), this.regions));
+			this.errors.addUnknown(item.location(), "unknown region", name.get(), this.regions);
 			return Optional.empty();
 		}
 		return Names.isValid(name.get()) ? Optional.of(new Region(name.get())) : Optional.empty();
@@ -245,7 +245,7 @@
 	}
 
 	private static String shorten(String text) {
-		String printable = text.replaceAll("[\\p{Cntrl}\\s]", " ");
+		String printable = TreePosition.oneLine(text);
 		return (printable.length() <= 40) ? printable : printable.substring(0, 40) + "...";
 	}
 
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/NearestName.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/NearestName.java
@@ -14,6 +14,9 @@
 	/** Longer names are not compared, which bounds the time for hostile input. */
 	private static final int MAX_LENGTH = 64;
 
+	/** Bounds the time for hostile input. */
+	private static final int MAX_CANDIDATES = 2_000;
+
 	private NearestName() {
 	}
 
@@ -29,6 +32,7 @@
 		}
 		int limit = Math.max(2, name.length() / 3);
 		return known.stream()
+			.limit(MAX_CANDIDATES)
 			.filter((candidate) -> Math.abs(candidate.length() - name.length()) <= limit)
 			.min(Comparator.comparingInt((candidate) -> distance(name, candidate)))
 			.filter((candidate) -> distance(name, candidate) <= limit)
--- /dev/null
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/RegionText.java
@@ -0,0 +1,29 @@
+package org.lovagevale.settings;
+
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Writes a set of regions for error messages.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class RegionText {
+
+	/** More would hide the rest of a message. */
+	private static final int MAX_REGIONS = 8;
+
+	private RegionText() {
+	}
+
+	static String of(Set<?> regions) {
+		String end = (regions.size() > MAX_REGIONS) ? ", ... (" + regions.size() + " in all)]" : "]";
+		return regions.stream()
+			.map(Object::toString)
+			.sorted()
+			.limit(MAX_REGIONS)
+			.collect(Collectors.joining(", ", "[", end));
+	}
+
+}
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/RouteName.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/RouteName.java
@@ -14,7 +14,7 @@
 record RouteName(String method, String pathPrefix) {
 
 	/** Printable ASCII characters of a path, without the start of a query or fragment. */
-	private static final Pattern FORM = Pattern.compile("(\\*|[A-Z]{1,20}) (/[!-~&&[^?#\\\\\"]]{0,1023})");
+	private static final Pattern FORM = Pattern.compile("(\\*|[A-Z]{1,20}) (/[!-~&&[^?#\\\\\"]]{0,199})");
 
 	/** Methods that are safe to repeat by definition; "*" includes others. */
 	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/ServicesReader.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/ServicesReader.java
@@ -114,8 +114,8 @@
 		String name = own.text("domain");
 		Place domain = this.fleet.domain(name);
 		if (domain == null) {
-			this.errors.add(own.get("domain").origins().getFirst(),
-					"unknown failure domain \"" + name + "\"" + NearestName.suggestion(name, this.fleet.domainNames()));
+			this.errors.addUnknown(own.get("domain").origins().getFirst(), "unknown failure domain \"" + name + "\"",
+					name, this.fleet.domainNames());
 			return own;
 		}
 		Values placed = own.with("region", domain.values().get("region"));
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeArray.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeArray.java
@@ -5,10 +5,15 @@
 /**
  * An array of a parsed settings tree.
  *
- * @param location its place
+ * @param position its position
  * @param items its items in the order of the text
  */
-record TreeArray(Location location, List<TreeNode> items) implements TreeNode {
+record TreeArray(TreePosition position, List<TreeNode> items) implements TreeNode {
+
+	@Override
+	public Location location() {
+		return this.position.toLocation();
+	}
 
 	@Override
 	public String kind() {
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeObject.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeObject.java
@@ -7,15 +7,20 @@
 /**
  * An object of a parsed settings tree.
  *
- * @param location its place
+ * @param position its position
  * @param members its members in the order of the text
  */
-record TreeObject(Location location, Map<String, TreeNode> members) implements TreeNode {
+record TreeObject(TreePosition position, Map<String, TreeNode> members) implements TreeNode {
 
 	@Nullable TreeNode member(String name) {
 		return this.members.get(name);
 	}
 
+	@Override
+	public Location location() {
+		return this.position.toLocation();
+	}
+
 	@Override
 	public String kind() {
 		return "an object";
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeParser.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeParser.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Parses JSON with comments into a tree whose nodes know their line and column.
@@ -49,93 +50,86 @@
 			JsonLocation at = ex.getLocation();
 			int line = (at != null) ? at.getLineNr() : 0;
 			int column = (at != null) ? at.getColumnNr() : 0;
-			throw failure(new Location("", line, column), "not valid JSON: " + oneLine(ex.getOriginalMessage()));
+			throw failure(new TreePosition(null, "", line, column),
+					"not valid JSON: " + TreePosition.oneLine(ex.getOriginalMessage()));
 		}
 		catch (IOException ex) {
-			throw failure(new Location("", 0, 0), "cannot be read: " + ex.getMessage());
+			throw failure(new TreePosition(null, "", 0, 0), "cannot be read: " + ex.getMessage());
 		}
 	}
 
 	private static void checkSize(String content) throws SettingsException {
 		int bytes = content.getBytes(StandardCharsets.UTF_8).length;
 		if (bytes > MAX_BYTES) {
-			throw failure(new Location("", 1, 1),
+			throw failure(new TreePosition(null, "", 1, 1),
 					"the tree has " + bytes + " bytes, but at most " + MAX_BYTES + " are allowed");
 		}
 	}
 
 	private TreeObject parseRoot(JsonParser parser, ErrorList errors) throws IOException, SettingsException {
 		JsonToken first = parser.nextToken();
-		Location start = (first != null) ? locationOf(parser, "") : new Location("", 1, 1);
+		TreePosition start = (first != null) ? positionOf(parser, null, "") : new TreePosition(null, "", 1, 1);
 		if (first != JsonToken.START_OBJECT) {
 			throw failure(start, "the tree must be one JSON object");
 		}
 		TreeObject root = parseObject(parser, start, 1, errors);
 		if (parser.nextToken() != null) {
-			throw failure(locationOf(parser, ""), "nothing may follow the closing brace of the tree");
+			throw failure(positionOf(parser, null, ""), "nothing may follow the closing brace of the tree");
 		}
 		return root;
 	}
 
-	private TreeNode parseValue(JsonParser parser, Location location, int depth, ErrorList errors)
+	private TreeNode parseValue(JsonParser parser, TreePosition position, int depth, ErrorList errors)
 			throws IOException, SettingsException {
 		return switch (parser.currentToken()) {
-			case START_OBJECT -> parseObject(parser, location, depth + 1, errors);
-			case START_ARRAY -> parseArray(parser, location, depth + 1, errors);
-			default -> new TreeScalar(location, parser.currentToken(), parser.getText());
+			case START_OBJECT -> parseObject(parser, position, depth + 1, errors);
+			case START_ARRAY -> parseArray(parser, position, depth + 1, errors);
+			default -> new TreeScalar(position, parser.currentToken(), parser.getText());
 		};
 	}
 
-	private TreeObject parseObject(JsonParser parser, Location location, int depth, ErrorList errors)
+	private TreeObject parseObject(JsonParser parser, TreePosition position, int depth, ErrorList errors)
 			throws IOException, SettingsException {
-		checkDepth(location, depth);
+		checkDepth(position, depth);
 		Map<String, TreeNode> members = new LinkedHashMap<>();
 		while (parser.nextToken() != JsonToken.END_OBJECT) {
 			String name = parser.currentName();
-			Location place = locationOf(parser, join(location.path(), name));
+			TreePosition place = positionOf(parser, position, name);
 			parser.nextToken();
 			TreeNode value = parseValue(parser, place, depth, errors);
 			TreeNode earlier = members.putIfAbsent(name, value);
 			if (earlier != null) {
-				errors.add(place, "duplicate member; the first one is in line " + earlier.location().line());
+				errors.add(place.toLocation(),
+						"duplicate member; the first one is in line " + earlier.location().line());
 			}
 		}
-		return new TreeObject(location, members);
+		return new TreeObject(position, members);
 	}
 
-	private TreeArray parseArray(JsonParser parser, Location location, int depth, ErrorList errors)
+	private TreeArray parseArray(JsonParser parser, TreePosition position, int depth, ErrorList errors)
 			throws IOException, SettingsException {
-		checkDepth(location, depth);
+		checkDepth(position, depth);
 		List<TreeNode> items = new ArrayList<>();
 		while (parser.nextToken() != JsonToken.END_ARRAY) {
-			Location place = locationOf(parser, join(location.path(), Integer.toString(items.size())));
+			TreePosition place = positionOf(parser, position, Integer.toString(items.size()));
 			items.add(parseValue(parser, place, depth, errors));
 		}
-		return new TreeArray(location, items);
+		return new TreeArray(position, items);
 	}
 
-	private static void checkDepth(Location location, int depth) throws SettingsException {
+	private static void checkDepth(TreePosition position, int depth) throws SettingsException {
 		if (depth > MAX_DEPTH) {
-			throw failure(location, "nested more than " + MAX_DEPTH + " levels deep");
+			throw failure(position, "nested more than " + MAX_DEPTH + " levels deep");
 		}
 	}
 
-	private static Location locationOf(JsonParser parser, String path) {
+	private static TreePosition positionOf(JsonParser parser, @Nullable TreePosition parent, String name) {
 		JsonLocation at = parser.currentTokenLocation();
-		return new Location(path, at.getLineNr(), at.getColumnNr());
+		return new TreePosition(parent, name, at.getLineNr(), at.getColumnNr());
 	}
 
-	private static String join(String parent, String name) {
-		String printable = oneLine(name);
-		return parent.isEmpty() ? printable : parent + "/" + printable;
-	}
-
-	// Control characters would break an error over several lines of output.
-	private static String oneLine(String text) {
-		return text.replaceAll("[\\p{Cntrl}\\s]", " ");
-	}
-
-	private static SettingsException failure(Location location, String reason) {
+	private static SettingsException failure(TreePosition position, String reason) {
+		Location location = position.toLocation();
 		return new SettingsException(
 				List.of(new SettingsError(location.path(), location.line(), location.column(), reason)));
 	}
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeScalar.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/TreeScalar.java
@@ -5,11 +5,16 @@
 /**
  * A string, number, boolean or null of a parsed settings tree.
  *
- * @param location its place
+ * @param position its position
  * @param token the kind of value
  * @param text the value as text, without quotation marks
  */
-record TreeScalar(Location location, JsonToken token, String text) implements TreeNode {
+record TreeScalar(TreePosition position, JsonToken token, String text) implements TreeNode {
+
+	@Override
+	public Location location() {
+		return this.position.toLocation();
+	}
 
 	@Override
 	public String kind() {
--- a/lovagevale-settings/src/test/java/org/lovagevale/settings/SettingsErrorsTests.java
+++ b/lovagevale-settings/src/test/java/org/lovagevale/settings/SettingsErrorsTests.java
@@ -1,8 +1,11 @@
 package org.lovagevale.settings;
 
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -92,6 +95,26 @@
 			.noneMatch((error) -> error.contains("nested"));
 	}
 
+	/**
+	 * Guards against trees within the size limit that take minutes or gigabytes.
+	 */
+	@Test
+	@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+	void hostileTreesAreRejectedInBoundedTimeAndMemory() {
+		String members = IntStream.range(0, 80_000).mapToObj((i) -> "\"" + i + "\":1").collect(Collectors.joining(","));
+		String regions = IntStream.range(0, 20_000).mapToObj((i) -> "\"r" + i + "\"").collect(Collectors.joining(","));
+		String known = regions.replace("\",", "\":{},") + ":{}";
+		List<String> trees = List.of("{\"" + "a".repeat(40_000) + "\":{" + members + "}}", "{" + members + "}",
+				"{\"regions\":{" + known + "},\"defaults\":{\"homeRegions\":[" + regions.replace("r", "s") + "]}}",
+				"{\"regions\":{" + known + "},\"defaults\":{\"homeRegions\":[" + regions
+						+ "]},\"accounts\":{\"a\":{\"homeRegions\":[" + regions + "]}}}");
+		for (String tree : trees) {
+			List<String> errors = errorsOf(tree);
+			assertThat(errors).hasSizeLessThanOrEqualTo(1_001);
+			assertThat(errors).allMatch((error) -> error.length() < 1_000);
+		}
+	}
+
 	static List<String> errorsOf(String content) {
 		SettingsException thrown = catchThrowableOfType(SettingsException.class, () -> MiniTree.read(content));
 		assertThat(thrown).isNotNull();
