Add the tail benchmark with simple rules and a single-queue bound

The bound is a simulated single queue with perfect information. Arrivals are a Poisson process, the same for each rule in a run.

--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/AddedLatency.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/AddedLatency.java
@@ -84,11 +84,12 @@
 	}
 
 	private static LoadResult runDirect(LoadClient client, int rate, int seconds) throws InterruptedException {
-		return new OpenLoop(rate, seconds, client.spread((i) -> Layout.serverPort(i % SERVERS), PATH)).run();
+		return new OpenLoop(rate, seconds, Arrivals.even(), client.spread((i) -> Layout.serverPort(i % SERVERS), PATH))
+			.run();
 	}
 
 	private static LoadResult runThrough(LoadClient client, int rate, int seconds) throws InterruptedException {
-		return new OpenLoop(rate, seconds, client.spread((i) -> Layout.callerPort(0), PATH)).run();
+		return new OpenLoop(rate, seconds, Arrivals.even(), client.spread((i) -> Layout.callerPort(0), PATH)).run();
 	}
 
 	// The entry process takes servers for cold until they reported warm; then both sides
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
@@ -24,7 +24,7 @@
 		description = "Runs one measurement with entry processes and stand-ins on loopback addresses.")
 public final class Bench implements Callable<Integer> {
 
-	private static final List<Benchmark> BENCHMARKS = List.of(new AddedLatency(), new Measuring());
+	private static final List<Benchmark> BENCHMARKS = List.of(new AddedLatency(), new Measuring(), new Tail());
 
 	private static final int NOT_VALID = 1;
 
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/LoadResult.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/LoadResult.java
@@ -14,7 +14,8 @@
  */
 record LoadResult(Histogram latency, Histogram lag, long sent, long failed, long lost) {
 
-	private static final double NANOS_PER_MILLI = 1_000_000;
+	/** Nanoseconds in a millisecond. */
+	static final double NANOS_PER_MILLI = 1_000_000;
 
 	// A generator that sends later than this does not offer the stated load.
 	private static final double MAX_LAG_P99_MS = 1;
@@ -32,15 +33,19 @@
 	}
 
 	void check(String label, Report report) {
+		checkGenerator(label, report);
+		if (this.failed > 0) {
+			report.addProblem(label + ": " + this.failed + " of " + this.sent + " requests failed");
+		}
+	}
+
+	void checkGenerator(String label, Report report) {
 		if (isSaturated()) {
 			report.addProblem("%s: generator saturated, it sent %.3f ms late at p99".formatted(label, lagMs(99)));
 		}
 		if (this.lost > 0) {
 			report.addProblem(label + ": generator lost " + this.lost + " requests");
 		}
-		if (this.failed > 0) {
-			report.addProblem(label + ": " + this.failed + " of " + this.sent + " requests failed");
-		}
 	}
 
 }
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/OpenLoop.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/OpenLoop.java
@@ -18,8 +18,6 @@
  */
 final class OpenLoop {
 
-	private static final long SECOND_NANOS = 1_000_000_000L;
-
 	private static final int DIGITS = 3;
 
 	// Below this the thread spins, as the kernel wakes a thread about 60 us late.
@@ -43,15 +41,19 @@
 
 	private final IntFunction<Mono<Boolean>> sender;
 
+	private final Arrivals arrivals;
+
 	/**
 	 * Creates a generator for one run.
 	 * @param rate requests a second
 	 * @param seconds length of the run
+	 * @param arrivals how the requests are spread over the time
 	 * @param sender sends the request with a number and tells whether it succeeded
 	 */
-	OpenLoop(int rate, int seconds, IntFunction<Mono<Boolean>> sender) {
+	OpenLoop(int rate, int seconds, Arrivals arrivals, IntFunction<Mono<Boolean>> sender) {
 		this.rate = rate;
 		this.seconds = seconds;
+		this.arrivals = arrivals;
 		this.sender = sender;
 	}
 
@@ -59,8 +61,9 @@
 		int count = this.rate * this.seconds;
 		long start = System.nanoTime();
 		long skipped = 0;
+		long intended = start;
 		for (int i = 0; i < count; i++) {
-			long intended = start + i * SECOND_NANOS / this.rate;
+			intended += this.arrivals.nextGapNanos(this.rate);
 			waitUntil(intended);
 			this.lag.recordValue(Math.max(0, System.nanoTime() - intended));
 			if (this.open.get() >= MAX_OPEN) {
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Tail.java
@@ -0,0 +1,135 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+
+import org.HdrHistogram.Histogram;
+import org.lovagevale.standins.process.ChildProcesses;
+import reactor.core.publisher.Mono;
+
+/**
+ * Tail latency through entry processes against simple rules and against a single queue
+ * with perfect information, in turns.
+ *
+ * <p>
+ * Each simple rule runs in as many independent clients as there are entry processes and
+ * sends directly to the servers, so it saves the hop that the entry processes cost.
+ */
+final class Tail implements Benchmark {
+
+	private static final int ENTRIES = 5;
+
+	private static final int SERVERS = 12;
+
+	private static final int SLOTS = 3;
+
+	private static final double SERVICE_MS = 20;
+
+	private static final int[] LOAD_PERCENTS = { 50, 70, 85 };
+
+	private static final double[] PERCENTILES = { 50, 99, 99.9 };
+
+	private static final String OURS = "lovagevale";
+
+	private static final String PATH = "/balances/1";
+
+	private static final int WARM_UP_SECONDS = 5;
+
+	private static final int WARM_UP_ROUNDS = 40;
+
+	private static final double PERCENT = 100;
+
+	@Override
+	public String name() {
+		return "tail";
+	}
+
+	@Override
+	public String description() {
+		return "tail latency against simple rules and a single queue; target 1.3 times the single queue at p99";
+	}
+
+	@Override
+	public void run(Environment environment, Report report) throws IOException, InterruptedException {
+		Layout layout = new Layout(ENTRIES, SERVERS, SLOTS);
+		List<String> backend = List.of("--set", "serviceTime=exp:" + SERVICE_MS, "--set", "slots=" + SLOTS);
+		try (ChildProcesses children = environment.start(layout, backend); LoadClient client = new LoadClient()) {
+			warmUp(client, report);
+			for (int load : LOAD_PERCENTS) {
+				measure(load, environment.options(), client, report);
+			}
+			children.ended().forEach((name) -> report.addProblem(name + " ended"));
+		}
+	}
+
+	private static int rate(int loadPercent) {
+		double capacity = SERVERS * SLOTS * 1_000 / SERVICE_MS;
+		return (int) Math.round(capacity * loadPercent / PERCENT);
+	}
+
+	private static void measure(int load, Options options, LoadClient client, Report report)
+			throws InterruptedException {
+		Map<String, List<LoadResult>> results = new LinkedHashMap<>();
+		for (int run = 0; run < options.runs(); run++) {
+			for (Map.Entry<String, IntFunction<Mono<Boolean>>> sender : senders(client, run).entrySet()) {
+				Arrivals arrivals = Arrivals.poisson(run);
+				LoadResult result = new OpenLoop(rate(load), options.seconds(), arrivals, sender.getValue()).run();
+				result.checkGenerator(sender.getKey() + ", load " + load + " %, run " + run, report);
+				results.computeIfAbsent(sender.getKey(), (name) -> new ArrayList<>()).add(result);
+			}
+		}
+		Histogram bound = SingleQueue.simulate(rate(load), SERVERS * SLOTS, SERVICE_MS, 1);
+		results.forEach((name, list) -> addFigures(name, load, list, bound, report));
+	}
+
+	private static void addFigures(String name, int load, List<LoadResult> list, Histogram bound, Report report) {
+		for (double percentile : PERCENTILES) {
+			String suffix = "_p" + String.valueOf(percentile).replace(".0", "").replace('.', '_') + "_load_" + load;
+			List<Double> values = list.stream().map((result) -> result.latencyMs(percentile)).toList();
+			report.add(Figure.of(name + suffix, "ms", values));
+			double boundMs = bound.getValueAtPercentile(percentile) / LoadResult.NANOS_PER_MILLI;
+			report.add(Figure.of(name + "_ratio" + suffix, "times the single queue",
+					values.stream().map((value) -> value / boundMs).toList()));
+		}
+		List<Double> failed = list.stream().map((result) -> PERCENT * result.failed() / result.sent()).toList();
+		report.add(Figure.of(name + "_failed_load_" + load, "%", failed));
+	}
+
+	private static Map<String, IntFunction<Mono<Boolean>>> senders(LoadClient client, int seed) {
+		Map<String, IntFunction<Mono<Boolean>>> result = new LinkedHashMap<>();
+		result.put(OURS, client.spread((i) -> Layout.callerPort(i % ENTRIES), PATH));
+		result.put("random", clients(client, (i) -> Rule.random(seed * ENTRIES + i)));
+		result.put("round_robin", clients(client, (i) -> Rule.roundRobin(i * SERVERS / ENTRIES)));
+		result.put("least_in_flight", clients(client, (i) -> Rule.leastInFlight(seed * ENTRIES + i)));
+		result.put("two_choices", clients(client, (i) -> Rule.twoChoices(seed * ENTRIES + i)));
+		return result;
+	}
+
+	private static IntFunction<Mono<Boolean>> clients(LoadClient client, IntFunction<Rule> rule) {
+		List<RuleClient> all = new ArrayList<>();
+		for (int i = 0; i < ENTRIES; i++) {
+			all.add(new RuleClient(client, rule.apply(i), SERVERS));
+		}
+		return (i) -> all.get(i % ENTRIES).send(PATH);
+	}
+
+	private static void warmUp(LoadClient client, Report report) throws InterruptedException {
+		IntFunction<Mono<Boolean>> ours = client.spread((i) -> Layout.callerPort(i % ENTRIES), PATH);
+		int rounds = 0;
+		LoadResult result = new OpenLoop(100, 1, Arrivals.even(), ours).run();
+		while (result.failed() > 0 && rounds < WARM_UP_ROUNDS) {
+			result = new OpenLoop(100, 1, Arrivals.even(), ours).run();
+			rounds++;
+		}
+		if (result.failed() > 0) {
+			report.addProblem("the entry processes did not serve all requests after " + rounds + " s of warm-up");
+		}
+		new OpenLoop(rate(LOAD_PERCENTS[0]), WARM_UP_SECONDS, Arrivals.even(), ours).run();
+		report.say("Warm after " + (rounds + 1) + " s; measuring.");
+	}
+
+}
--- a/lovagevale-bench/src/test/java/org/lovagevale/bench/OpenLoopTests.java
+++ b/lovagevale-bench/src/test/java/org/lovagevale/bench/OpenLoopTests.java
@@ -15,7 +15,7 @@
 
 	@Test
 	void stallLengthensEveryRequestThatShouldHaveBeenSentMeanwhile() throws InterruptedException {
-		LoadResult result = new OpenLoop(100, 1, (i) -> {
+		LoadResult result = new OpenLoop(100, 1, Arrivals.even(), (i) -> {
 			if (i == 10) {
 				sleep(Duration.ofMillis(300));
 			}
@@ -30,7 +30,7 @@
 
 	@Test
 	void countsFailuresApartFromLatencies() throws InterruptedException {
-		LoadResult result = new OpenLoop(100, 1,
+		LoadResult result = new OpenLoop(100, 1, Arrivals.even(),
 				(i) -> (i % 2 == 0) ? Mono.just(Boolean.TRUE) : Mono.error(new IllegalStateException("refused")))
 			.run();
 		assertThat(result.failed()).isEqualTo(50);
--- /dev/null
+++ b/lovagevale-bench/src/test/java/org/lovagevale/bench/TailPartsTests.java
@@ -0,0 +1,41 @@
+package org.lovagevale.bench;
+
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * Guards against a bound or a baseline that is too slow, against which every load
+ * balancer would look good.
+ */
+class TailPartsTests {
+
+	@Test
+	void singleQueueAgreesWithTheory() {
+		// M/M/1 with utilization 0.5: latency is exponential with mean 10 / (1 - 0.5) ms.
+		Histogram latency = SingleQueue.simulate(50, 1, 10, 7);
+		assertThat(latency.getMean() / 1e6).isCloseTo(20, within(0.5));
+		assertThat(latency.getValueAtPercentile(99) / 1e6).isCloseTo(20 * Math.log(100), within(3.0));
+	}
+
+	@Test
+	void leastInFlightFindsTheOnlyIdleServer() {
+		Rule rule = Rule.leastInFlight(1);
+		for (int i = 0; i < 100; i++) {
+			assertThat(rule.choose(new int[] { 2, 1, 0, 3 })).isEqualTo(2);
+		}
+	}
+
+	@Test
+	void twoChoicesNeverTakeTheWorstOfTwoServersMoreOftenThanAQuarter() {
+		Rule rule = Rule.twoChoices(1);
+		int worst = 0;
+		for (int i = 0; i < 10_000; i++) {
+			worst += rule.choose(new int[] { 0, 5 });
+		}
+		assertThat(worst / 10_000.0).isCloseTo(0.25, within(0.03));
+	}
+
+}
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/process/Programs.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/process/Programs.java
@@ -49,6 +49,7 @@
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.add("-Xmx" + heapMb + "m");
+		command.add("--enable-native-access=ALL-UNNAMED");
 		command.add("-jar");
 		command.add(this.standinsJar.toString());
 		command.addAll(args);
