Bound the digest exchange and test a calm fleet

Digests went over every open link, so a link opened on demand was never idle and the exchange graph would have grown into a full mesh. Both ends now compute the graph from the published list. An entry of which only the heartbeat counter grew is relayed at most every 500 ms per link.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DigestWriter.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DigestWriter.java
@@ -125,7 +125,7 @@
 				break;
 			}
 			entries.add(member.entry());
-			link.memberSent(member);
+			link.memberSent(member, this.clock.millis());
 		}
 		return entries;
 	}
@@ -133,10 +133,11 @@
 	// A member that was not heard lately is not passed on, so that old news about it do
 	// not go round.
 	private List<Member> due(VmName peer, PeerLink link) {
+		long now = this.clock.millis();
 		long withinMs = this.published.exchange().unreachableMs();
 		return this.members.all()
 			.stream()
-			.filter((member) -> !member.vm().equals(peer) && link.isMemberDue(member))
+			.filter((member) -> !member.vm().equals(peer) && link.isMemberDue(member, now))
 			.filter((member) -> this.members.isHeard(member, withinMs))
 			.toList();
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
@@ -39,7 +39,6 @@
 import org.lovagevale.core.message.ServerEntry;
 import org.lovagevale.core.message.SuspectEntry;
 import org.lovagevale.settings.model.BackendServer;
-import org.lovagevale.settings.model.EntryVm;
 import org.lovagevale.settings.model.Settings;
 
 /**
@@ -115,11 +114,7 @@
 
 	private final PeerInbox inbox;
 
-	private Set<VmName> keptLinks = Set.of();
-
-	private long linksVersion;
-
-	private boolean linksStarted;
+	private final ExchangeGraph graph;
 
 	private long digestAt = Heartbeat.NEVER;
 
@@ -160,6 +155,7 @@
 		this.permission = new Permission(self.vm(), this.published, this.freshness, this.members, this.startRule,
 				this.stop, this.audit);
 		this.watch = new MemberWatch(this.published, this.members, this.audit);
+		this.graph = new ExchangeGraph(self.vm(), this.published, this.members);
 		this.writer = new DigestWriter(clock, this.published, this.freshness, this.members, this.reports, this.leaving,
 				this.suspects, this::ownEntry);
 		this.inbox = new PeerInbox(self, clock, this.published, this.heartbeat, this.members, this.freshness,
@@ -394,18 +390,8 @@
 	}
 
 	private void keepLinks() {
-		boolean isStarted = this.permission.isStarted();
-		if (this.published.version() == this.linksVersion && isStarted == this.linksStarted) {
-			return;
-		}
-		this.linksVersion = this.published.version();
-		this.linksStarted = isStarted;
-		List<EntryVm> vms = this.published.entryVms();
-		Set<VmName> links = isStarted ? LinkChoice.choose(this.self.vm(), vms, this.published.exchange().peerLinks())
-				: LinkChoice.all(this.self.vm(), vms);
-		if (!links.equals(this.keptLinks)) {
-			this.keptLinks = links;
-			this.sink.add(new KeepLinks(links));
+		if (this.graph.update(this.permission.isStarted())) {
+			this.sink.add(new KeepLinks(this.graph.kept()));
 		}
 	}
 
@@ -416,7 +402,7 @@
 		}
 		this.digestAt = now;
 		this.heartbeat.issue(now);
-		this.outbox.links().keySet().forEach(this::sendDigest);
+		this.outbox.links().keySet().stream().filter(this.graph::isExchange).forEach(this::sendDigest);
 		this.watch.tick();
 		this.suspects.expire();
 		this.notices.expire();
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Member.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Member.java
@@ -23,8 +23,6 @@
 
 	private long heardAt = Heartbeat.NEVER;
 
-	private long change;
-
 	private boolean reachable;
 
 	Member(VmName vm, Incarnation incarnation, MemberPhase phase, MemberEntry entry) {
@@ -54,10 +52,6 @@
 		return this.heardAt;
 	}
 
-	long change() {
-		return this.change;
-	}
-
 	boolean isReachable() {
 		return this.reachable;
 	}
@@ -71,14 +65,13 @@
 		return order > 0 || (order == 0 && beat > this.entry.beat());
 	}
 
-	void update(Incarnation incarnation, MemberPhase phase, MemberEntry entry, long change) {
+	void update(Incarnation incarnation, MemberPhase phase, MemberEntry entry) {
 		if (!incarnation.equals(this.incarnation)) {
 			this.heardAt = Heartbeat.NEVER;
 		}
 		this.incarnation = incarnation;
 		this.phase = phase;
 		this.entry = entry;
-		this.change = change;
 	}
 
 	void heard(long at) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Members.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Members.java
@@ -27,8 +27,6 @@
 
 	private final TreeMap<VmName, Member> members = new TreeMap<>();
 
-	private long changes;
-
 	Members(Clock clock) {
 		this.clock = clock;
 	}
@@ -49,7 +47,7 @@
 			add(vm, incarnation, phase, entry, provenAt);
 		}
 		else if (member.isNewer(incarnation, entry.beat())) {
-			member.update(incarnation, phase, entry, ++this.changes);
+			member.update(incarnation, phase, entry);
 			member.heard(provenAt);
 		}
 	}
@@ -76,7 +74,6 @@
 			return;
 		}
 		Member member = new Member(vm, incarnation, phase, entry);
-		member.update(incarnation, phase, entry, ++this.changes);
 		member.heard(provenAt);
 		this.members.put(vm, member);
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.message.MemberEntry;
 
 /**
  * What was sent to one peer since the link opened.
@@ -16,9 +17,16 @@
 	/** Most time between two full digests, which repair what was lost. */
 	static final long FULL_MS = 5_000;
 
+	/**
+	 * Least time between two entries of a member that differ in the heartbeat counter
+	 * only. Each hop adds it to the age at which a member is known, which must stay well
+	 * below the time after which a member counts as unreachable.
+	 */
+	static final long RELAY_MS = 500;
+
 	private final ByteBudget budget;
 
-	private final Map<VmName, Long> memberChanges = new HashMap<>();
+	private final Map<VmName, Sent> membersSent = new HashMap<>();
 
 	private long serverChange;
 
@@ -67,7 +75,7 @@
 			return;
 		}
 		this.fullAt = now;
-		this.memberChanges.clear();
+		this.membersSent.clear();
 		this.serverChange = 0;
 		this.leavingChange = 0;
 		if (this.suspectChange >= suspectChanges) {
@@ -75,12 +83,29 @@
 		}
 	}
 
-	boolean isMemberDue(Member member) {
-		return member.change() > this.memberChanges.getOrDefault(member.vm(), 0L);
+	/**
+	 * Tells whether an entry is to be sent: at once if it says something new, after some
+	 * time if only its heartbeat counter grew.
+	 * @param member the member
+	 * @param now the time in monotonic milliseconds
+	 * @return {@code true} if it is to be sent
+	 */
+	boolean isMemberDue(Member member, long now) {
+		Sent sent = this.membersSent.get(member.vm());
+		if (sent == null) {
+			return true;
+		}
+		boolean isDue = now - sent.at() >= RELAY_MS || !isSameApartFromBeat(sent.entry(), member.entry());
+		return isDue && !sent.entry().equals(member.entry());
+	}
+
+	void memberSent(Member member, long now) {
+		this.membersSent.put(member.vm(), new Sent(member.entry(), now));
 	}
 
-	void memberSent(Member member) {
-		this.memberChanges.put(member.vm(), member.change());
+	private static boolean isSameApartFromBeat(MemberEntry one, MemberEntry other) {
+		return one.incarnation().equals(other.incarnation()) && one.phase().equals(other.phase())
+				&& one.keyEpoch() == other.keyEpoch() && one.fenced() == other.fenced();
 	}
 
 	int cursor() {
@@ -115,4 +140,14 @@
 		this.suspectChange = suspectChange;
 	}
 
+	/**
+	 * An entry that was sent.
+	 *
+	 * @param entry the entry
+	 * @param at when, in monotonic milliseconds
+	 */
+	private record Sent(MemberEntry entry, long at) {
+
+	}
+
 }
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/CalmFleetTests.java
@@ -0,0 +1,44 @@
+package org.lovagevale.core.fleet;
+
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a fleet of today's size that reads the settings service or writes to its
+ * peers more than it may, or whose settings become unconfirmed although nothing fails.
+ */
+class CalmFleetTests {
+
+	private static final int VMS = 20;
+
+	private static final long WARM_UP_MS = 10_000;
+
+	private static final long MEASURED_MS = 30_000;
+
+	@Test
+	void twentyProcessesStayConfirmedWithinTheirBudgets() {
+		SimulatedFleet fleet = SimulatedFleet.calm(20261204,
+				IntStream.range(0, VMS)
+					.mapToObj((i) -> "r" + i % 3 + "/" + "ab".charAt(i / 3 % 2) + "/e" + i)
+					.toArray(String[]::new));
+		fleet.run(WARM_UP_MS);
+		int reads = fleet.reads;
+		long bytes = fleet.bytes;
+		long oldestMs = 0;
+		for (long until = WARM_UP_MS; until < WARM_UP_MS + MEASURED_MS; until += 100) {
+			fleet.run(until);
+			for (SimulatedNode node : fleet.nodes()) {
+				oldestMs = Math.max(oldestMs, node.logic.confirmedAgeMs());
+				assertThat(node.logic.permission()).isEqualTo(WorkPermission.OPEN);
+			}
+		}
+		long seconds = MEASURED_MS / 1_000;
+		assertThat((fleet.reads - reads) / seconds).as("reads a second, 1 % of 2,000").isLessThan(20);
+		assertThat((fleet.bytes - bytes) / seconds / VMS).as("bytes a second for each VM").isLessThan(29_000);
+		assertThat(oldestMs).as("age of the oldest confirmation").isLessThan(2_500);
+	}
+
+}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetHistoryTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetHistoryTests.java
@@ -22,8 +22,8 @@
 	@Property(seed = "20261204", tries = 60)
 	void fleetKeepsItsPromises(@ForAll long seed) {
 		Histories.run(seed, (one) -> {
-			SimulatedFleet fleet = new SimulatedFleet(one);
-			fleet.run();
+			SimulatedFleet fleet = SimulatedFleet.faulty(one);
+			fleet.runUntilHealed();
 			OWNED.addAndGet(fleet.owned);
 			FENCED.addAndGet(fleet.fenced);
 		});
--- a/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetMembersTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetMembersTests.java
@@ -17,6 +17,7 @@
 import org.lovagevale.core.decision.KeepLinks;
 import org.lovagevale.core.event.AddressesAsked;
 import org.lovagevale.core.event.PeerConnected;
+import org.lovagevale.core.event.SettingsReceived;
 import org.lovagevale.core.event.VmListReceived;
 import org.lovagevale.core.message.Digest;
 import org.lovagevale.core.message.MemberEntry;
@@ -181,10 +182,24 @@
 		assertThat(this.fleet.logic.ownedForMs(TestSettings.server("west"))).isZero();
 	}
 
+	@Test
+	void missedListHoldsOwnershipEvenIfTheNewListIsTheSame() {
+		longestOwnedMs(15_000);
+		while (longestOwnedMs(250) < 4_000) {
+			assertThat(this.fleet.clock.millis()).isLessThan(60_000);
+		}
+		this.fleet.apply(new SettingsReceived(TestSettings.settings(8, VMS), "next", false));
+		assertThat(longestOwnedMs(250)).as("no gap, same list").isPositive();
+		// The next turn of e1 is three windows after this one.
+		this.fleet.clock.advance(13_000);
+		this.fleet.apply(new SettingsReceived(TestSettings.settings(9, VMS), "later", false));
+		assertThat(longestOwnedMs(5_000)).as("others may use the list of a missed version").isZero();
+	}
+
 	private long longestOwnedMs(long millis) {
 		long longest = 0;
 		for (long i = 0; i < millis; i += 250) {
-			this.fleet.receive("e2", this.fleet.digest("e2", 7, 0));
+			this.fleet.receive("e2", this.fleet.digest("e2", this.fleet.logic.settings().version(), 0));
 			this.fleet.advance(250);
 			longest = Math.max(longest, this.fleet.logic.ownedForMs(TestSettings.server("west")));
 		}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/fleet/SimulatedFleet.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/SimulatedFleet.java
@@ -1,6 +1,7 @@
 package org.lovagevale.core.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.decision.Decision;
@@ -39,13 +41,11 @@
  */
 final class SimulatedFleet {
 
-	static final long STEP_MS = 50;
-
 	private static final long FENCE_MS = 2_500;
 
 	private static final long FAULTS_UNTIL_MS = 60_000;
 
-	private static final long END_MS = 85_000;
+	private static final long HEALED_MS = 25_000;
 
 	private static final List<BackendServer> SERVERS = List.of(TestSettings.server("west"),
 			TestSettings.server("east"));
@@ -56,6 +56,10 @@
 	private static final String[] MORE_VMS = { "west/a/e1", "west/b/e2", "east/a/e3", "east/b/e4", "east/b/e5",
 			"west/a/x1", "east/a/x2" };
 
+	private final long stepMs;
+
+	private final long faultsUntil;
+
 	private final SplittableRandom random;
 
 	private final Map<VmName, SimulatedNode> nodes = new TreeMap<>();
@@ -81,22 +85,49 @@
 
 	long fenced;
 
-	SimulatedFleet(long seed) {
+	int reads;
+
+	long bytes;
+
+	private SimulatedFleet(long seed, long stepMs, long faultsUntil, String... vms) {
 		this.random = new SplittableRandom(seed);
-		this.versionsByTime.put(Long.MIN_VALUE, TestSettings.settings(7, VMS));
+		this.stepMs = stepMs;
+		this.faultsUntil = faultsUntil;
+		this.versionsByTime.put(Long.MIN_VALUE, TestSettings.settings(7, vms));
+		for (String vm : vms) {
+			start(TestSettings.vm(vm).name().value());
+		}
+	}
+
+	static SimulatedFleet calm(long seed, String... vms) {
+		return new SimulatedFleet(seed, 10, 0, vms);
+	}
+
+	static SimulatedFleet faulty(long seed) {
+		SimulatedFleet fleet = new SimulatedFleet(seed, 50, FAULTS_UNTIL_MS, VMS);
+		fleet.publishMore();
+		return fleet;
+	}
+
+	private void publishMore() {
 		long second = 15_000 + this.random.nextInt(20_000);
 		this.versionsByTime.put(second, TestSettings.settings(8, MORE_VMS));
 		this.versionsByTime.put(second + this.random.nextInt(25_000), TestSettings.settings(9, VMS));
-		for (int i = 1; i <= VMS.length; i++) {
-			start("e" + i);
+	}
+
+	void runUntilHealed() {
+		run(FAULTS_UNTIL_MS + HEALED_MS);
+		for (SimulatedNode node : this.nodes.values()) {
+			assertThat(node.version).as("version of %s after healing", node.vm()).isEqualTo(9);
+			assertThat(node.logic.permission()).as("permission of %s", node.vm()).isEqualTo(WorkPermission.OPEN);
 		}
 	}
 
-	void run() {
-		while (this.now < END_MS) {
-			this.now += STEP_MS;
-			this.nodes.values().forEach((node) -> node.clock.advance(STEP_MS));
-			if (this.now < FAULTS_UNTIL_MS) {
+	void run(long until) {
+		while (this.now < until) {
+			this.now += this.stepMs;
+			this.nodes.values().forEach((node) -> node.clock.advance(this.stepMs));
+			if (this.now < this.faultsUntil) {
 				inject();
 			}
 			else {
@@ -107,10 +138,10 @@
 			answerWatches();
 			runNodes();
 		}
-		for (SimulatedNode node : this.nodes.values()) {
-			assertThat(node.version).as("version of %s after healing", node.vm()).isEqualTo(9);
-			assertThat(node.logic.permission()).as("permission of %s", node.vm()).isEqualTo(WorkPermission.OPEN);
-		}
+	}
+
+	Collection<SimulatedNode> nodes() {
+		return this.nodes.values();
 	}
 
 	private void start(String vm) {
@@ -207,25 +238,30 @@
 			case KeepLinks keep -> node.wanted = keep.peers();
 			case ReadSettings read -> {
 				assertThat(this.watches).as("one read at a time").noneMatch((watch) -> watch.node() == node);
+				this.reads++;
 				this.watches.add(new Watch(node, read.afterVersion(), this.now + read.waitMs()));
 			}
-			case ReadVmList read ->
-				arrive(node, new VmListReceived(Set.of(), Set.of("e1", "e2", "e3", "e4", "e5")), 500);
+			case ReadVmList read -> arrive(node, new VmListReceived(Set.of(), names()), 500);
 			case SendToPeer send -> send(node, send);
 			default -> {
 			}
 		}
 	}
 
+	private Set<String> names() {
+		return this.nodes.keySet().stream().map(VmName::value).collect(Collectors.toSet());
+	}
+
 	private void send(SimulatedNode from, SendToPeer send) {
 		SimulatedNode to = this.nodes.get(send.to());
-		boolean isFaulty = this.now < FAULTS_UNTIL_MS;
+		boolean isFaulty = this.now < this.faultsUntil;
+		this.bytes += MessageSize.of(send.message());
 		if (to == null || isCut(from.vm(), send.to()) || (isFaulty && isOneIn(10))) {
 			return;
 		}
 		int copies = (isFaulty && isOneIn(10)) ? 2 : 1;
 		for (int i = 0; i < copies; i++) {
-			long delay = 1 + this.random.nextInt(isFaulty ? (isOneIn(20) ? 8_000 : 400) : 60);
+			long delay = 1 + this.random.nextInt(isFaulty ? (isOneIn(20) ? 8_000 : 400) : 30);
 			arrive(to, new PeerMessageReceived(from.vm(), send.message()), delay);
 			if (send.message() instanceof SettingsBody body) {
 				Settings settings = version(body.version());
