--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
@@ -66,7 +66,7 @@
 		catch (RuntimeException ex) {
 			Throwable cause = (ex.getCause() != null) ? ex.getCause() : ex;
 			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " does not respond ("
-					+ cause.getMessage() + "); check the address and that the process runs");
+					+ reasonOf(cause) + "); check the address and that the process runs");
 		}
 		if (page == null) {
 			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " sent no response");
@@ -74,13 +74,23 @@
 		return page;
 	}
 
+	private static String reasonOf(Throwable cause) {
+		String message = cause.getMessage();
+		// Reactor Netty reports its response timeout without a message.
+		return (message != null) ? message : "nothing received for " + RESPONSE_TIMEOUT.toSeconds() + " s";
+	}
+
 	private static Mono<Page> toPage(HttpClientResponse response, ByteBufMono body) {
 		return body.asByteArray().defaultIfEmpty(new byte[0]).map((bytes) -> new Page(response.status().code(), bytes));
 	}
 
 	private JsonNode toJson(byte[] body) throws CtlException {
 		try {
-			return Printer.MAPPER.readTree(body);
+			JsonNode page = Printer.MAPPER.readTree(body);
+			if (page.isMissingNode()) {
+				throw notJson("empty body");
+			}
+			return page;
 		}
 		catch (JsonProcessingException ex) {
 			throw notJson(ex.getOriginalMessage());
--- a/lovagevale-ctl/src/test/java/org/lovagevale/ctl/AdminCommandsTests.java
+++ b/lovagevale-ctl/src/test/java/org/lovagevale/ctl/AdminCommandsTests.java
@@ -36,9 +36,12 @@
 			.port(0)
 			.route((routes) -> routes.get("/status", (in, out) -> out.sendString(Mono.just(STATUS)))
 				.get("/audit", (in, out) -> out.sendString(Mono.just(AUDIT)))
-				.get("/explain/{id}",
-						(in, out) -> in.uri().endsWith("/a%20b") ? out.sendString(Mono.just("[1,\"x\"]"))
-								: out.status(in.uri().endsWith("/broken") ? 500 : 404).send()))
+				.get("/explain/{id}", (in, out) -> switch (in.uri().substring("/explain/".length())) {
+					case "a%20b" -> out.sendString(Mono.just("[1,\"x\"]"));
+					case "empty" -> out.send();
+					case "broken" -> out.status(500).send();
+					default -> out.status(404).send();
+				}))
 			.bindNow();
 	}
 
@@ -70,6 +73,7 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', textBlock = """
 			unknown    | 1 | has nothing under /explain/unknown
+			empty      | 3 | did not respond with JSON (empty body)
 			broken     | 3 | responded with status 500; check that this is its admin address
 			""")
 	void failuresOfTheProcessAreReported(String id, int code, String message) {
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsDiff.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsDiff.java
@@ -186,7 +186,7 @@
 			if (earlier == null) {
 				add(ChangeKind.ADDED, type, name, "", servicesOf.apply(item));
 			}
-			else {
+			else if (!earlier.equals(item)) {
 				Set<ServiceName> services = new TreeSet<>(servicesOf.apply(earlier));
 				services.addAll(servicesOf.apply(item));
 				comparison.compare(earlier, item, services);
