Keep body chunks and pooled connections intact when a response comes early

Cause: a test with a response before the end of the request showed chunks released twice, since Reactor Netty already discards what it does not send; a channel was closed inside its own decoder; and an attempt whose response was complete could have closed a channel that the pool had given to another request.

Change: no second discard hook; resets run as a task of their own; an attempt closes a channel only while it is still bound to it. After the caller has left, the logic decides whether an attempt goes on, as it needs for keys. A write after the deadline is reported as a timeout, so that a pause of this process does not make servers count as unreachable.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,6 +19,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
+import reactor.netty.channel.ChannelOperations;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
@@ -49,8 +51,12 @@
 
 	private volatile @Nullable Connection connection;
 
+	private volatile @Nullable Channel channel;
+
 	private volatile boolean requestSent;
 
+	private volatile boolean late;
+
 	private volatile long writtenNanos;
 
 	private @Nullable HttpClientResponse response;
@@ -98,11 +104,16 @@
 
 	// Runs on the event loop of the server's connection, right before the first write.
 	private void beforeWrite(Connection opened) {
+		this.channel = opened.channel();
 		this.connection = opened;
-		boolean isLate = this.clock.epochMillis() >= this.dispatch.deadlineEpochMillis();
+		if (this.clock.epochMillis() >= this.dispatch.deadlineEpochMillis()) {
+			this.late = true;
+			opened.channel().close();
+			return;
+		}
 		// A closed channel never becomes active again, so nothing can be written to it.
 		boolean isOpen = opened.channel().isActive();
-		if (isLate || !isOpen || !this.stage.compareAndSet(Stage.WAITING, Stage.WRITING)) {
+		if (!isOpen || !this.stage.compareAndSet(Stage.WAITING, Stage.WRITING)) {
 			opened.channel().close();
 			return;
 		}
@@ -111,7 +122,7 @@
 
 	private void headArrived(HttpClientResponse head, Connection opened) {
 		if (isClosed()) {
-			opened.channel().close();
+			close(opened);
 			return;
 		}
 		this.response = head;
@@ -196,7 +207,8 @@
 
 	private FailureKind kindOf(Stage before, FailureKind kind) {
 		if (before == Stage.WAITING) {
-			return FailureKind.NOT_CONNECTED;
+			// A late process is no reason to take the server for unreachable.
+			return this.late ? FailureKind.TIMED_OUT : FailureKind.NOT_CONNECTED;
 		}
 		if (this.passedOn || (this.response != null && kind != FailureKind.TIMED_OUT)) {
 			return FailureKind.LOST_IN_BODY;
@@ -208,12 +220,26 @@
 		cancelTimer();
 		Connection opened = this.connection;
 		if (opened != null) {
-			opened.channel().close();
+			close(opened);
 		}
 		this.subscription.dispose();
 		this.bodyDone.tryEmitEmpty();
 	}
 
+	// Once the whole response was received, the pool may have given the channel to
+	// another
+	// request, which must not lose it. Both happen on the event loop of the channel.
+	private void close(Connection opened) {
+		Channel used = this.channel;
+		if (used != null) {
+			used.eventLoop().execute(() -> {
+				if (ChannelOperations.get(used) == opened) {
+					used.close();
+				}
+			});
+		}
+	}
+
 	private void cancelTimer() {
 		if (this.timer != null) {
 			this.timer.dispose();
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
@@ -39,6 +39,7 @@
 import org.lovagevale.core.event.PrefixArrived;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.core.publisher.Sinks;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.http.server.HttpServerRequest;
@@ -112,6 +113,8 @@
 
 	private boolean gone;
 
+	private boolean detached;
+
 	private boolean reset;
 
 	private @Nullable Runnable reportEnd;
@@ -143,7 +146,9 @@
 		this.channel.closeFuture().addListener(this.closeListener);
 		this.context.engine().open(this.id, this::onLoop, this::carryOut);
 		this.context.engine().apply(new HeadArrived(this.id, this.head));
-		return this.answer.asMono().flatMap(Function.identity()).doFinally((signal) -> onLoop(this::finish));
+		return this.answer.asMono()
+			.flatMap(Function.identity())
+			.doFinally((signal) -> onLoop((signal == SignalType.ON_COMPLETE) ? this::finish : this::callerClosed));
 	}
 
 	private void onLoop(Runnable task) {
@@ -169,6 +174,7 @@
 			case AbortAnswer d -> abort();
 			default -> throw new IllegalStateException("not a decision about a request: " + decision);
 		}
+		finishIfDetached();
 	}
 
 	private void readPrefix(ReadPrefix d) {
@@ -266,12 +272,13 @@
 		if (attempt == this.passed) {
 			abort();
 		}
+		finishIfDetached();
 	}
 
 	private void passOn(PassOn d) {
 		Attempt attempt = find(d.attempt());
 		HttpClientResponse response = (attempt != null) ? attempt.response() : null;
-		if (attempt == null || response == null || attempt.isClosed() || this.answered) {
+		if (attempt == null || response == null || attempt.isClosed() || this.answered || this.gone) {
 			return;
 		}
 		this.passed = attempt;
@@ -353,7 +360,7 @@
 	}
 
 	private void refuse(Refusal refusal) {
-		if (this.answered) {
+		if (this.answered || this.detached) {
 			abort();
 			return;
 		}
@@ -361,7 +368,7 @@
 	}
 
 	private void replay(StoredAnswer stored) {
-		if (this.answered) {
+		if (this.answered || this.detached) {
 			abort();
 			return;
 		}
@@ -389,9 +396,16 @@
 
 	private void abort() {
 		this.reset = true;
-		// A reset cannot be taken for the end of a response that has no length.
-		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
-		this.channel.close();
+		// Closing a channel while its decoder runs would release the decoder's buffer.
+		this.loop.execute(this::resetChannel);
+	}
+
+	private void resetChannel() {
+		if (this.channel.isOpen()) {
+			// A reset cannot be taken for the end of a response that has no length.
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+			this.channel.close();
+		}
 	}
 
 	private void startStallCheck() {
@@ -418,26 +432,43 @@
 	}
 
 	private void callerClosed() {
-		if (this.finished) {
+		if (this.finished || this.detached) {
 			return;
 		}
+		this.detached = true;
 		Runnable report = this.reportEnd;
 		if (report != null && this.responseReceived) {
 			// The server answered completely, which is worth more than an unknown
 			// outcome.
 			report.run();
 		}
-		leave();
-		finish();
+		reportGone();
+		if (!this.body.isComplete()) {
+			// The server waits for bytes that will never come.
+			List.copyOf(this.attempts).forEach((attempt) -> attempt.fail(FailureKind.TIMED_OUT));
+		}
+		finishIfDetached();
+	}
+
+	// After the caller has left, the logic lets an attempt with an idempotency key go on
+	// until it is known whether it ran.
+	private void finishIfDetached() {
+		if (this.detached && this.attempts.stream().allMatch(Attempt::isClosed)) {
+			finish();
+		}
 	}
 
 	// Tells the logic that nobody waits for the answer any more.
 	private void leave() {
+		this.attempts.forEach(Attempt::cancel);
+		reportGone();
+	}
+
+	private void reportGone() {
 		if (this.gone) {
 			return;
 		}
 		this.gone = true;
-		this.attempts.forEach(Attempt::cancel);
 		if (!this.reset) {
 			this.context.metrics().callerGone();
 		}
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/RequestBody.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/RequestBody.java
@@ -113,11 +113,14 @@
 
 	/**
 	 * Returns the body for an attempt.
+	 *
+	 * <p>
+	 * It has to be consumed by an outbound of Reactor Netty, which releases discarded
+	 * chunks; a second discard hook here would release them twice.
 	 * @return the body from its first byte; cancelling it leaves the body to others
 	 */
 	Flux<ByteBuf> read() {
-		return Flux.<ByteBuf>create((sink) -> this.loop.execute(() -> new Reader(sink).start()))
-			.doOnDiscard(ByteBuf.class, ReferenceCountUtil::safeRelease);
+		return Flux.create((sink) -> this.loop.execute(() -> new Reader(sink).start()));
 	}
 
 	/**
