Release or skip responses that nobody reads

Cause: paranoid leak detection reported a leaked buffer: a response that had arrived when its attempt was cancelled was never read. A server's rejection with Lovagevale-Not-Run also kept its connection until the attempt timed out.

Change: a cancelled attempt discards what has arrived; the body of a rejection is skipped up to 64 KiB, which returns the connection to its pool.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
@@ -35,6 +35,9 @@
  */
 final class Attempt {
 
+	/** Longest body that is skipped to keep a connection. */
+	private static final int MAX_SKIPPED_BYTES = 65_536;
+
 	private final Dispatch dispatch;
 
 	private final EventLoop loop;
@@ -122,6 +125,7 @@
 
 	private void headArrived(HttpClientResponse head, Connection opened) {
 		if (isClosed()) {
+			discard(opened);
 			close(opened);
 			return;
 		}
@@ -146,6 +150,25 @@
 		return opened.inbound().receive().retain();
 	}
 
+	/**
+	 * Skips the body of a response that is not passed on, so that its connection can be
+	 * used again if the body is short.
+	 */
+	void skipBody() {
+		Connection opened = this.connection;
+		if (opened == null || this.passedOn || isClosed()) {
+			return;
+		}
+		this.passedOn = true;
+		opened.inbound()
+			.receive()
+			.map(ByteBuf::readableBytes)
+			.scan(Integer::sum)
+			.takeUntil((total) -> total > MAX_SKIPPED_BYTES)
+			.subscribe((total) -> {
+			}, (error) -> cancel(), this::cancel);
+	}
+
 	/**
 	 * Ends the attempt after its whole response was received.
 	 */
@@ -220,12 +243,22 @@
 		cancelTimer();
 		Connection opened = this.connection;
 		if (opened != null) {
+			if (this.response != null && !this.passedOn) {
+				discard(opened);
+			}
 			close(opened);
 		}
 		this.subscription.dispose();
 		this.bodyDone.tryEmitEmpty();
 	}
 
+	// Buffered bytes of a body that nobody has read are released only by a subscriber.
+	private static void discard(Connection opened) {
+		opened.inbound().receive().subscribe((chunk) -> {
+		}, (error) -> {
+		}).dispose();
+	}
+
 	// Once the whole response was received, the pool may have given the channel to
 	// another
 	// request, which must not lose it. Both happen on the event loop of the channel.
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
@@ -263,6 +263,9 @@
 		boolean notRun = "true".equalsIgnoreCase(headers.get(HeaderNames.NOT_RUN));
 		this.context.engine()
 			.apply(new AnswerHeadArrived(this.id, attempt.number(), response.status().code(), notRun, report));
+		if (notRun && attempt != this.passed) {
+			attempt.skipBody();
+		}
 	}
 
 	@Override
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -299,6 +299,26 @@
 		}
 	}
 
+	// Guards against a connection lost with each request that a busy server rejects.
+	@Test
+	void rejectionByServerKeepsTheConnection() throws Exception {
+		RawServer.Script script = (head, in, caller) -> caller.getOutputStream()
+			.write(ascii(head.contains("Lovagevale-Attempt: 2") ? OK
+					: "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nLovagevale-Not-Run: true\r\n\r\nbusy"));
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port(),
+						(e) -> (e instanceof AnswerHeadArrived a && a.notRun())
+								? List.of(ScriptedLogic.dispatch(a.id(), 2, server.port(), 5_000)) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			for (int i = 0; i < 10; i++) {
+				caller.send(GET);
+				assertThat(caller.readAnswer()).startsWith("HTTP/1.1 200").endsWith("ok");
+			}
+			assertThat(server.heads).hasSize(20);
+			assertThat(server.connections.get()).isLessThanOrEqualTo(2);
+		}
+	}
+
 	// Guards against small pieces held back until more arrive.
 	@Test
 	void piecesArePassedOnAsTheyArrive() throws Exception {
