--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,6 +19,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
+import reactor.netty.channel.ChannelOperations;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
@@ -33,6 +35,9 @@
  */
 final class Attempt {
 
+	/** Longest body that is skipped to keep a connection. */
+	private static final int MAX_SKIPPED_BYTES = 65_536;
+
 	private final Dispatch dispatch;
 
 	private final EventLoop loop;
@@ -49,8 +54,12 @@
 
 	private volatile @Nullable Connection connection;
 
+	private volatile @Nullable Channel channel;
+
 	private volatile boolean requestSent;
 
+	private volatile boolean late;
+
 	private volatile long writtenNanos;
 
 	private @Nullable HttpClientResponse response;
@@ -98,11 +107,16 @@
 
 	// Runs on the event loop of the server's connection, right before the first write.
 	private void beforeWrite(Connection opened) {
+		this.channel = opened.channel();
 		this.connection = opened;
-		boolean isLate = this.clock.epochMillis() >= this.dispatch.deadlineEpochMillis();
+		if (this.clock.epochMillis() >= this.dispatch.deadlineEpochMillis()) {
+			this.late = true;
+			opened.channel().close();
+			return;
+		}
 		// A closed channel never becomes active again, so nothing can be written to it.
 		boolean isOpen = opened.channel().isActive();
-		if (isLate || !isOpen || !this.stage.compareAndSet(Stage.WAITING, Stage.WRITING)) {
+		if (!isOpen || !this.stage.compareAndSet(Stage.WAITING, Stage.WRITING)) {
 			opened.channel().close();
 			return;
 		}
@@ -111,7 +125,8 @@
 
 	private void headArrived(HttpClientResponse head, Connection opened) {
 		if (isClosed()) {
-			opened.channel().close();
+			discard(opened);
+			close(opened);
 			return;
 		}
 		this.response = head;
@@ -135,6 +150,25 @@
 		return opened.inbound().receive().retain();
 	}
 
+	/**
+	 * Skips the body of a response that is not passed on, so that its connection can be
+	 * used again if the body is short.
+	 */
+	void skipBody() {
+		Connection opened = this.connection;
+		if (opened == null || this.passedOn || isClosed()) {
+			return;
+		}
+		this.passedOn = true;
+		opened.inbound()
+			.receive()
+			.map(ByteBuf::readableBytes)
+			.scan(Integer::sum)
+			.takeUntil((total) -> total > MAX_SKIPPED_BYTES)
+			.subscribe((total) -> {
+			}, (error) -> cancel(), this::cancel);
+	}
+
 	/**
 	 * Ends the attempt after its whole response was received.
 	 */
@@ -196,7 +230,8 @@
 
 	private FailureKind kindOf(Stage before, FailureKind kind) {
 		if (before == Stage.WAITING) {
-			return FailureKind.NOT_CONNECTED;
+			// A late process is no reason to take the server for unreachable.
+			return this.late ? FailureKind.TIMED_OUT : FailureKind.NOT_CONNECTED;
 		}
 		if (this.passedOn || (this.response != null && kind != FailureKind.TIMED_OUT)) {
 			return FailureKind.LOST_IN_BODY;
@@ -208,12 +243,36 @@
 		cancelTimer();
 		Connection opened = this.connection;
 		if (opened != null) {
-			opened.channel().close();
+			if (this.response != null && !this.passedOn) {
+				discard(opened);
+			}
+			close(opened);
 		}
 		this.subscription.dispose();
 		this.bodyDone.tryEmitEmpty();
 	}
 
+	// Buffered bytes of a body that nobody has read are released only by a subscriber.
+	private static void discard(Connection opened) {
+		opened.inbound().receive().subscribe((chunk) -> {
+		}, (error) -> {
+		}).dispose();
+	}
+
+	// Once the whole response was received, the pool may have given the channel to
+	// another
+	// request, which must not lose it. Both happen on the event loop of the channel.
+	private void close(Connection opened) {
+		Channel used = this.channel;
+		if (used != null) {
+			used.eventLoop().execute(() -> {
+				if (ChannelOperations.get(used) == opened) {
+					used.close();
+				}
+			});
+		}
+	}
+
 	private void cancelTimer() {
 		if (this.timer != null) {
 			this.timer.dispose();
