Do not tell a peer what it just told

Both ends of a link relayed the same heartbeats to each other. An entry received from a peer now counts as exchanged, like one that was sent.

FleetHistoryTests: 60 histories, KeyHistoryTests: 1,000, no violation.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DigestWriter.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DigestWriter.java
@@ -125,7 +125,7 @@
 				break;
 			}
 			entries.add(member.entry());
-			link.memberSent(member, this.clock.millis());
+			link.exchanged(member.entry(), this.clock.millis());
 		}
 		return entries;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Outbox.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Outbox.java
@@ -35,7 +35,11 @@
 	}
 
 	void connected(VmName peer) {
-		this.links.put(peer, new PeerLink(new ByteBudget(this.clock.millis(), bytesPerSecond())));
+		this.links.put(peer, newLink());
+	}
+
+	PeerLink linkOrNew(VmName peer) {
+		return this.links.computeIfAbsent(peer, (name) -> newLink());
 	}
 
 	void lost(VmName peer) {
@@ -62,6 +66,10 @@
 		this.sink.add(new SendToPeer(peer, message));
 	}
 
+	private PeerLink newLink() {
+		return new PeerLink(new ByteBudget(this.clock.millis(), bytesPerSecond()));
+	}
+
 	private int bytesPerSecond() {
 		return this.published.exchange().peerBytesPerSecond();
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerInbox.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerInbox.java
@@ -121,15 +121,10 @@
 	}
 
 	private void digest(VmName from, Digest digest) {
-		if (this.outbox.link(from) == null) {
-			this.outbox.connected(from);
-		}
-		PeerLink link = this.outbox.link(from);
-		if (link != null) {
-			link.greet();
-		}
+		PeerLink link = this.outbox.linkOrNew(from);
+		link.greet();
 		long provenAt = provenAt(digest);
-		digest.members().forEach((entry) -> guarded(() -> member(entry, provenAt)));
+		digest.members().forEach((entry) -> guarded(() -> member(link, entry, provenAt)));
 		settings(from, digest, provenAt);
 		if (provenAt != Heartbeat.NEVER) {
 			digest.servers().forEach((entry) -> guarded(() -> server(entry, provenAt)));
@@ -152,9 +147,10 @@
 		return entry.vm().equals(this.self.vm().value());
 	}
 
-	private void member(MemberEntry entry, long provenAt) {
+	private void member(PeerLink link, MemberEntry entry, long provenAt) {
 		if (!isSelf(entry)) {
 			this.members.merge(entry, provenAt);
+			link.exchanged(entry, this.clock.millis());
 		}
 		else if (Incarnation.parse(entry.incarnation()).compareTo(this.self.incarnation()) > 0) {
 			this.stop.begin("replaced by a newer process", 0);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.lovagevale.base.VmName;
 import org.lovagevale.core.message.MemberEntry;
 
 /**
@@ -26,7 +25,7 @@
 
 	private final ByteBudget budget;
 
-	private final Map<VmName, Sent> membersSent = new HashMap<>();
+	private final Map<String, Exchanged> exchanged = new HashMap<>();
 
 	private long serverChange;
 
@@ -75,7 +74,7 @@
 			return;
 		}
 		this.fullAt = now;
-		this.membersSent.clear();
+		this.exchanged.clear();
 		this.serverChange = 0;
 		this.leavingChange = 0;
 		if (this.suspectChange >= suspectChanges) {
@@ -91,16 +90,22 @@
 	 * @return {@code true} if it is to be sent
 	 */
 	boolean isMemberDue(Member member, long now) {
-		Sent sent = this.membersSent.get(member.vm());
-		if (sent == null) {
+		Exchanged last = this.exchanged.get(member.vm().value());
+		if (last == null) {
 			return true;
 		}
-		boolean isDue = now - sent.at() >= RELAY_MS || !isSameApartFromBeat(sent.entry(), member.entry());
-		return isDue && !sent.entry().equals(member.entry());
+		boolean isDue = now - last.at() >= RELAY_MS || !isSameApartFromBeat(last.entry(), member.entry());
+		return isDue && !last.entry().equals(member.entry());
 	}
 
-	void memberSent(Member member, long now) {
-		this.membersSent.put(member.vm(), new Sent(member.entry(), now));
+	/**
+	 * Notes an entry that was sent to the peer or received from it. In both cases the
+	 * peer knows it, and only one direction of a link carries most heartbeats.
+	 * @param entry the entry
+	 * @param now the time in monotonic milliseconds
+	 */
+	void exchanged(MemberEntry entry, long now) {
+		this.exchanged.put(entry.vm(), new Exchanged(entry, now));
 	}
 
 	private static boolean isSameApartFromBeat(MemberEntry one, MemberEntry other) {
@@ -141,12 +146,12 @@
 	}
 
 	/**
-	 * An entry that was sent.
+	 * The last entry of a member that was sent or received.
 	 *
 	 * @param entry the entry
 	 * @param at when, in monotonic milliseconds
 	 */
-	private record Sent(MemberEntry entry, long at) {
+	private record Exchanged(MemberEntry entry, long at) {
 
 	}
 
