Make bin/demo independent of other runs and explain failures

Two demos at the same time used the same ports and each checked answers of the other's processes. The demo waits until callers are told of all VMs, expects 421 for a key of another VM as the contract says, and prints what the entry process decided about a request that failed.

Callers now repeat idempotent requests with an unknown outcome, as they may.

--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Environment.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Environment.java
@@ -9,6 +9,7 @@
 
 import org.lovagevale.standins.http.PlainHttp;
 import org.lovagevale.standins.process.ChildProcesses;
+import org.lovagevale.standins.process.Ports;
 import org.lovagevale.standins.process.Programs;
 
 /**
@@ -57,6 +58,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	ChildProcesses start(Layout layout, List<String> backendOptions) throws IOException, InterruptedException {
+		Ports.checkFree(layout.ports());
 		Path tree = this.folder.resolve("settings.jsonc");
 		Files.writeString(tree, layout.tree());
 		ChildProcesses children = new ChildProcesses(this.folder);
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Layout.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Layout.java
@@ -1,5 +1,7 @@
 package org.lovagevale.bench;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.StringJoiner;
 
@@ -60,6 +62,17 @@
 		return SERVER_PORT + server;
 	}
 
+	List<Integer> ports() {
+		List<Integer> ports = new ArrayList<>(List.of(PLATFORM_PORT, CONTROL_PORT));
+		for (int i = 0; i < this.entries; i++) {
+			ports.addAll(List.of(CALLER_PORT + i, PEER_PORT + i, ADMIN_PORT + i));
+		}
+		for (int i = 0; i < this.servers; i++) {
+			ports.add(serverPort(i));
+		}
+		return ports;
+	}
+
 	String tree() {
 		return """
 				{
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/caller/Caller.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/caller/Caller.java
@@ -237,10 +237,15 @@
 		return switch (result.outcome()) {
 			case "not-run" -> isWorthRetry(result) ? later(progress.withoutKey(), wait) : Mono.just(result);
 			case "running" -> later(progress, wait);
+			case "unknown" -> mayRepeatUnknown(progress, result) ? later(progress, wait) : Mono.just(result);
 			default -> Mono.just(result);
 		};
 	}
 
+	private static boolean mayRepeatUnknown(Progress progress, CallResult result) {
+		return progress.call().isIdempotent() && !progress.call().keyed() && isWorthRetry(result);
+	}
+
 	// Other rejections, such as 413 or 422, would only be repeated.
 	private static boolean isWorthRetry(CallResult result) {
 		return switch (result.status()) {
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/Demo.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/Demo.java
@@ -40,11 +40,9 @@
 	@Option(names = "--keep", description = "Leave the deployment running until interrupted.")
 	private boolean keep;
 
-	@Option(names = "--platform-port", defaultValue = "18001", description = "Port of the platform.")
-	private int platformPort;
-
-	@Option(names = "--control-port", defaultValue = "18200", description = "Control port of the backend servers.")
-	private int controlPort;
+	@Option(names = "--port-shift", paramLabel = "N", defaultValue = "0",
+			description = "Number to add to every port, if ports are in use.")
+	private int portShift;
 
 	private Demo() {
 	}
@@ -69,7 +67,7 @@
 		Path folder = Files.createTempDirectory("lovagevale-demo");
 		Programs programs = new Programs(this.root);
 		Path tree = this.root.resolve("examples/demo/settings.jsonc");
-		try (DemoFleet fleet = new DemoFleet(programs, tree, folder, this.platformPort, this.controlPort)) {
+		try (DemoFleet fleet = new DemoFleet(programs, tree, folder, this.portShift)) {
 			report.say("Starting the platform, " + fleet.servers().size() + " backend servers and "
 					+ fleet.entryVms().size() + " entry processes; logs are in " + folder);
 			fleet.start();
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoFleet.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoFleet.java
@@ -16,6 +16,7 @@
 import org.lovagevale.settings.model.Settings;
 import org.lovagevale.standins.http.PlainHttp;
 import org.lovagevale.standins.process.ChildProcesses;
+import org.lovagevale.standins.process.Ports;
 import org.lovagevale.standins.process.Programs;
 
 /**
@@ -33,6 +34,10 @@
 
 	private static final int HEAP_MB = 192;
 
+	private static final int PLATFORM_PORT = 18_001;
+
+	private static final int CONTROL_PORT = 18_200;
+
 	private static final String HOST = "127.0.0.1";
 
 	private final PlainHttp http = new PlainHttp();
@@ -51,18 +56,18 @@
 
 	private final int controlPort;
 
-	DemoFleet(Programs programs, Path source, Path folder, int platformPort, int controlPort)
-			throws IOException, SettingsException {
+	DemoFleet(Programs programs, Path source, Path folder, int portShift) throws IOException, SettingsException {
 		this.programs = programs;
 		this.children = new ChildProcesses(folder);
-		this.tree = Files.readString(source);
+		this.tree = Ports.shift(Files.readString(source), portShift);
 		this.treeFile = folder.resolve("settings.jsonc");
 		this.settings = new JsonSettingsReader().read(1, this.tree);
-		this.platformPort = platformPort;
-		this.controlPort = controlPort;
+		this.platformPort = PLATFORM_PORT + portShift;
+		this.controlPort = CONTROL_PORT + portShift;
 	}
 
 	void start() throws IOException, InterruptedException {
+		Ports.checkFree(ports());
 		publish(this.tree);
 		this.children.start("platform", this.programs.standIn(HEAP_MB, List.of("platform", "--port",
 				Integer.toString(this.platformPort), "--settings", this.treeFile.toString())));
@@ -112,6 +117,23 @@
 		return this.http.getJson(admin(vm) + "/status");
 	}
 
+	String explain(String vm, String request) {
+		EntryVm named = entryVms().stream()
+			.filter((candidate) -> candidate.name().value().equals(vm))
+			.findFirst()
+			.orElseThrow();
+		try {
+			return this.http.get(admin(named) + "/explain/" + request).strip();
+		}
+		catch (IOException ex) {
+			return String.valueOf(ex.getMessage());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return "interrupted";
+		}
+	}
+
 	List<String> endedProcesses() {
 		return this.children.ended();
 	}
@@ -137,6 +159,15 @@
 		this.children.close();
 	}
 
+	private List<Integer> ports() {
+		List<Integer> ports = new ArrayList<>(List.of(this.platformPort, this.controlPort));
+		servers().forEach((server) -> ports.add(server.port()));
+		for (EntryVm vm : entryVms()) {
+			ports.addAll(List.of(vm.callerPort(), vm.peerPort(), vm.adminPort()));
+		}
+		return ports;
+	}
+
 	private List<String> backendArguments() {
 		List<String> args = new ArrayList<>(List.of("backend", "--control", Integer.toString(this.controlPort), "--set",
 				"serviceTime=exp:3", "--set", "coldAnswers=5"));
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoSteps.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoSteps.java
@@ -43,6 +43,10 @@
 
 	private static final String DOMAIN = "west-1";
 
+	private static final Duration JOIN_LIMIT = Duration.ofSeconds(15);
+
+	private static final Duration JOIN_POLL = Duration.ofMillis(200);
+
 	private static final Duration LOAD = Duration.ofSeconds(20);
 
 	private static final Duration LOAD_INTERVAL = Duration.ofMillis(20);
@@ -55,8 +59,6 @@
 
 	private static final Duration LIMIT = Duration.ofSeconds(120);
 
-	private static final int CONFLICT = 409;
-
 	private static final int MISDIRECTED = 421;
 
 	private final DemoFleet fleet;
@@ -96,10 +98,18 @@
 		List.of(this.balances, this.transfers, this.documents, this.west).forEach(Caller::close);
 	}
 
-	private void askForAddresses() {
+	// A process that starts does not know the others yet; callers get all of them soon.
+	private void askForAddresses() throws InterruptedException {
+		long begin = System.nanoTime();
+		int all = this.fleet.entryVms().size();
 		List<EntryAddress> addresses = addresses(this.balances);
+		while (addresses.size() < all && System.nanoTime() - begin < JOIN_LIMIT.toNanos()) {
+			Thread.sleep(JOIN_POLL);
+			this.balances.forgetAddresses();
+			addresses = addresses(this.balances);
+		}
 		String names = addresses.stream().map(EntryAddress::vm).collect(Collectors.joining(", "));
-		this.report.check("addresses", addresses.size() == this.fleet.entryVms().size(), "callers may use " + names);
+		this.report.check("addresses", addresses.size() == all, "callers may use " + names);
 	}
 
 	private void read() {
@@ -125,7 +135,7 @@
 		this.report.check("same key again", replayed && runs(first) == 1, "answered with " + again.status()
 				+ (replayed ? ", the stored response" : "") + ", runs " + runs(first));
 		CallResult elsewhere = once(this.transfers, call, other, first.key());
-		boolean known = elsewhere.status() == CONFLICT && elsewhere.outcome().equals("ran");
+		boolean known = elsewhere.status() == MISDIRECTED && elsewhere.outcome().equals("ran");
 		this.report.check("same key through " + other.vm(), known && runs(first) == 1,
 				"answered with " + elsewhere.status() + ", outcome " + elsewhere.outcome() + ", runs " + runs(first));
 	}
@@ -144,13 +154,15 @@
 		String digest = body.sha256();
 		CallResult up = send(this.documents, Call.put("/documents/manual", body).withTimeoutMs(DOCUMENT_TIMEOUT_MS));
 		String stored = up.isSuccess() ? Json.read(up.body().text()).path("sha256").asText() : "";
-		this.report.check("upload", stored.equals(digest), DOCUMENT_BYTES + " bytes, status " + up.status()
-				+ ", digest " + (stored.equals(digest) ? "equal" : "different"));
+		this.report.check("upload", stored.equals(digest), DOCUMENT_BYTES + " bytes, " + describe(up) + ", digest "
+				+ (stored.equals(digest) ? "equal" : "different"));
+		explain(up);
 		Call get = Call.get("/documents/manual?seed=42&bytes=" + DOCUMENT_BYTES).withTimeoutMs(DOCUMENT_TIMEOUT_MS);
 		CallResult down = send(this.documents, get);
 		boolean equal = down.body().sha256().equals(digest);
-		this.report.check("download", down.isSuccess() && equal, down.body().length() + " bytes, status "
-				+ down.status() + ", digest " + (equal ? "equal" : "different"));
+		this.report.check("download", down.isSuccess() && equal,
+				down.body().length() + " bytes, " + describe(down) + ", digest " + (equal ? "equal" : "different"));
+		explain(down);
 	}
 
 	private void stayAtHome() {
@@ -229,11 +241,24 @@
 		long resent = results.stream().filter((result) -> result.attempts() > 1).count();
 		Map<String, Long> wrong = results.stream()
 			.filter((result) -> !result.isSuccess())
-			.collect(Collectors.groupingBy(
-					(result) -> result.status() + " " + result.outcome() + " " + result.reason() + result.failure(),
-					TreeMap::new, Collectors.counting()));
+			.collect(Collectors.groupingBy(DemoSteps::describe, TreeMap::new, Collectors.counting()));
 		this.report.check(step, !results.isEmpty() && correct == results.size(), correct + " of " + results.size()
 				+ " answered, " + resent + " of them after a resend" + (wrong.isEmpty() ? "" : "; others " + wrong));
+		results.stream().filter((result) -> !result.isSuccess()).findFirst().ifPresent(this::explain);
+	}
+
+	private static String describe(CallResult result) {
+		String text = "status " + result.status() + " " + result.outcome() + " " + result.reason() + result.failure();
+		return text.strip() + ((result.attempts() > 1) ? " after " + result.attempts() + " attempts" : "");
+	}
+
+	// Shows what the entry process did with a request that was not answered.
+	private void explain(CallResult result) {
+		String vm = result.header("lovagevale-vm");
+		String request = result.header("lovagevale-request-id");
+		if (!result.isSuccess() && !vm.isEmpty() && !request.isEmpty()) {
+			this.report.say("        " + vm + " says of " + request + ": " + this.fleet.explain(vm, request));
+		}
 	}
 
 	private Map<String, Long> runsInDomain() throws IOException, InterruptedException {
--- a/lovagevale-standins/src/test/java/org/lovagevale/standins/caller/CallerTests.java
+++ b/lovagevale-standins/src/test/java/org/lovagevale/standins/caller/CallerTests.java
@@ -70,6 +70,11 @@
 		assertThat(this.keys).hasSize(1);
 	}
 
+	@Test
+	void repeatsIdempotentRequestWithUnknownOutcome() {
+		assertThat(send(Call.get("/a"), "503 unknown", "200 ").attempts()).isEqualTo(2);
+	}
+
 	@Test
 	void neverRepeatsWriteWithoutKeyAfterLostConnection() {
 		CallResult result = send(Call.post("/transfers", "x").withKey(false), LOST, "200 ");
