--- /dev/null
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/log/LogLineTests.java
@@ -0,0 +1,23 @@
+package org.lovagevale.node.log;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against values that forge log lines or pairs.
+ */
+class LogLineTests {
+
+	@Test
+	void quotesWhatWouldBreakALine() {
+		String line = LogLine.event("settings.rejected")
+			.with("version", 7)
+			.with("reason", "line 3: a=\"b\"\nevent=forged\r")
+			.with("empty", "")
+			.toString();
+		assertThat(line)
+			.isEqualTo("event=settings.rejected version=7 reason=\"line 3: a=\\\"b\\\"\\nevent=forged?\" empty=\"\"");
+	}
+
+}
