Count a strike against every request on a crashed server and clear by trial

Cause: strikes were ignored when a server lost 3 or more different requests within 1 s, taken as proof that the server died by itself. A server has 3 slots, so a request that crashes busy servers takes two others with it and was never recognised: the number of servers lost was not bounded.

Ruled out: a higher count of requests, which only moves the bound with load.

Change: each lost request gets a strike. A trial that is answered clears the strikes known to it; both counters only grow, so notices and digests merge in any order. The same request now waits for a trial elsewhere instead of being refused, since most suspects only shared the server.

After: refused after 2 servers, the two others are cleared.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Fleet.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Fleet.java
@@ -95,8 +95,10 @@
 	 * Records that a trial ended without a crash.
 	 * @param fingerprint the fingerprint of the request
 	 * @param regions the regions that may know of it, empty for all
+	 * @param answered whether a backend server answered, which clears the strikes known
+	 * so far
 	 */
-	void endTrial(Fingerprint fingerprint, Set<Region> regions);
+	void endTrial(Fingerprint fingerprint, Set<Region> regions, boolean answered);
 
 	/**
 	 * Tells whether every reachable peer acknowledged a notice or the longest wait has
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
@@ -288,8 +288,8 @@
 	}
 
 	@Override
-	public void endTrial(Fingerprint fingerprint, Set<Region> regions) {
-		SuspectEntry entry = this.suspects.endTrial(fingerprint);
+	public void endTrial(Fingerprint fingerprint, Set<Region> regions, boolean answered) {
+		SuspectEntry entry = this.suspects.endTrial(fingerprint, answered);
 		if (entry != null) {
 			this.notices.send(entry, regions);
 		}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspect.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspect.java
@@ -10,8 +10,9 @@
  * What is known of a request that crashed backend servers.
  *
  * <p>
- * Invariant: strikes never decrease. They are counted for each process and added up, so
- * that simultaneous crashes at different processes count separately. Not thread-safe.
+ * Invariant: the total of strikes and the number of cleared ones never decrease, so that
+ * messages may be merged in any order. Strikes are counted for each process and added up,
+ * so that simultaneous crashes at different processes count separately. Not thread-safe.
  */
 final class Suspect {
 
@@ -25,6 +26,8 @@
 
 	private int strikesHeard;
 
+	private int cleared;
+
 	private long crashedAt = Heartbeat.NEVER;
 
 	private long change;
@@ -44,7 +47,23 @@
 		return this.regions;
 	}
 
+	/**
+	 * Returns the strikes that were not cleared.
+	 * @return the number of strikes that count
+	 */
 	int strikes() {
+		return Math.max(0, total() - this.cleared);
+	}
+
+	int cleared() {
+		return this.cleared;
+	}
+
+	void clear(int strikes) {
+		this.cleared = Math.max(this.cleared, strikes);
+	}
+
+	int total() {
 		int sum = this.strikesByOrigin.values().stream().mapToInt(Integer::intValue).sum();
 		return Math.max(sum, this.strikesHeard);
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspects.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspects.java
@@ -51,7 +51,10 @@
 		if (isQuarantined(suspect)) {
 			return SuspectStatus.QUARANTINED;
 		}
-		return suspect.isOnTrial(this.clock.millis()) ? SuspectStatus.ON_TRIAL : SuspectStatus.SUSPECT;
+		if (suspect.isOnTrial(this.clock.millis())) {
+			return SuspectStatus.ON_TRIAL;
+		}
+		return (suspect.strikes() > 0) ? SuspectStatus.SUSPECT : SuspectStatus.CLEAR;
 	}
 
 	/**
@@ -76,12 +79,15 @@
 		return toNotice(suspect);
 	}
 
-	@Nullable SuspectEntry endTrial(Fingerprint fingerprint) {
+	@Nullable SuspectEntry endTrial(Fingerprint fingerprint, boolean answered) {
 		Suspect suspect = find(fingerprint.value());
 		if (suspect == null) {
 			return null;
 		}
 		suspect.endTrial(this.self.vm());
+		if (answered) {
+			suspect.clear(suspect.total());
+		}
 		changed(suspect);
 		return toNotice(suspect);
 	}
@@ -113,7 +119,7 @@
 	 */
 	void heard(VmName from, SuspectEntry entry, long sentAt) {
 		Suspect suspect = merge(from, entry, sentAt);
-		if (suspect != null && entry.strikes() > suspect.strikes()) {
+		if (suspect != null && entry.strikes() > suspect.total()) {
 			suspect.countHeard(entry.strikes());
 			changed(suspect);
 		}
@@ -135,13 +141,13 @@
 	}
 
 	SuspectEntry toEntry(Suspect suspect) {
-		return toEntry(suspect, suspect.strikes());
+		return toEntry(suspect, suspect.total());
 	}
 
 	List<SuspectEntry> entries() {
 		return this.suspects.values()
 			.stream()
-			.filter((suspect) -> !isExpired(suspect))
+			.filter((suspect) -> !isExpired(suspect) && suspect.strikes() > 0)
 			.sorted(Comparator.comparing(Suspect::fingerprint))
 			.map(this::toEntry)
 			.toList();
@@ -158,6 +164,7 @@
 		}
 		Suspect suspect = findOrAdd(entry.fingerprint(), entry.regions(), at);
 		suspect.crashed(at);
+		suspect.clear(entry.cleared());
 		if (entry.trialMs() > 0) {
 			suspect.setTrial(from, this.clock.millis() + entry.trialMs());
 		}
@@ -215,7 +222,7 @@
 		long now = this.clock.millis();
 		long trialMs = Math.max(0, suspect.trialUntil(this.self.vm()) - now);
 		return new SuspectEntry(suspect.fingerprint(), strikes, Math.max(0, now - suspect.crashedAt()), trialMs,
-				suspect.regions());
+				suspect.regions(), suspect.cleared());
 	}
 
 	private String ownOrigin() {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/SuspectEntry.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SuspectEntry.java
@@ -13,6 +13,8 @@
  * @param ageMs time since the last crash in milliseconds
  * @param trialMs time for which a trial still runs in milliseconds, 0 if none
  * @param regions the regions that may know of it, empty for all
+ * @param cleared strikes that a later trial without a crash has cleared
  */
-public record SuspectEntry(String fingerprint, int strikes, long ageMs, long trialMs, List<String> regions) {
+public record SuspectEntry(String fingerprint, int strikes, long ageMs, long trialMs, List<String> regions,
+		int cleared) {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ActiveRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ActiveRequest.java
@@ -69,8 +69,6 @@
 
 	private int answerStatus;
 
-	private @Nullable Attempt lostAttempt;
-
 	ActiveRequest(RequestId id, RequestHead head, Scope scope, @Nullable IdempotencyKey key, long now) {
 		this.id = id;
 		this.head = head;
@@ -301,12 +299,4 @@
 		this.answerStatus = status;
 	}
 
-	@Nullable Attempt lostAttempt() {
-		return this.lostAttempt;
-	}
-
-	void useLostAttempt(@Nullable Attempt attempt) {
-		this.lostAttempt = attempt;
-	}
-
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
@@ -76,7 +76,7 @@
 		}
 		this.end.cancelOthers(request, attempt.number());
 		request.answer(event.status());
-		this.end.endTrial(request);
+		this.end.endTrial(request, true);
 		boolean good = event.status() < FIRST_SERVER_ERROR;
 		this.recorder.answered(attempt, request.priority(), event.report(), good, now);
 		this.sink.add(new PassOn(request.id(), attempt.number(), (request.isKeyAccepted()) ? this.replayBytes : 0));
@@ -139,7 +139,7 @@
 				this.retries.next(request, true, RefusalReason.SERVER_FAILED);
 			}
 			case LOST_BEFORE_HEAD -> {
-				if (!this.guard.lost(request, attempt, now)) {
+				if (!this.guard.strike(request, attempt)) {
 					this.retries.next(request, request.isIdempotent(), RefusalReason.SERVER_FAILED);
 				}
 			}
@@ -167,10 +167,7 @@
 			return false;
 		}
 		request.loseCaller();
-		// The cause of a crash is found out in any case.
-		if (request.stage() != Stage.WAITING_FOR_CAUSE) {
-			this.end.abandon(request);
-		}
+		this.end.abandon(request);
 		return true;
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/CrashGuard.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/CrashGuard.java
@@ -13,11 +13,6 @@
  */
 final class CrashGuard {
 
-	private static final int UNRELATED_FINGERPRINTS = 3;
-
-	// The connections of a server that dies break within a few milliseconds.
-	private static final long CAUSE_WAIT_MS = 20;
-
 	private static final long TRIAL_RETRY_MS = 1_000;
 
 	private final Fleet fleet;
@@ -47,7 +42,7 @@
 		}
 		switch (this.fleet.suspectStatus(request.fingerprint())) {
 			case QUARANTINED -> this.end.refuse(request, RefusalReason.QUARANTINED, 0);
-			case ON_TRIAL -> this.end.refuse(request, RefusalReason.ON_TRIAL, TRIAL_RETRY_MS);
+			case ON_TRIAL -> awaitOtherTrial(request, now);
 			default -> startTrial(request, now);
 		}
 		return false;
@@ -63,69 +58,51 @@
 		return status == SuspectStatus.CLEAR || status != SuspectStatus.QUARANTINED && request.isOnTrial();
 	}
 
-	private void startTrial(ActiveRequest request, long now) {
-		if (request.isTrialUsed()) {
+	// Most suspects only shared a server with the request that crashed it, so it is worth
+	// waiting for the end of the trial.
+	private void awaitOtherTrial(ActiveRequest request, long now) {
+		long until = Math.min(request.deadline(), request.arrivedAt() + request.policy().queueMs());
+		if (now >= until) {
 			this.end.refuse(request, RefusalReason.ON_TRIAL, TRIAL_RETRY_MS);
 			return;
 		}
-		long trialMs = Math.max(1, request.deadline() - now);
-		request.startTrial();
-		long notice = this.fleet.startTrial(request.fingerprint(), trialMs, request.scope().regions());
-		request.waitFor(Stage.WAITING_FOR_TRIAL, notice);
+		request.waitUntil(Stage.WAITING_FOR_OTHER_TRIAL, until);
 		this.waiting.add(request);
-		this.audit.record("request.trial", "request", request.id().toString(), "fingerprint",
-				request.fingerprint().value());
 	}
 
 	/**
-	 * Handles the loss of a connection before the head of an answer.
+	 * Tells whether a request still has to wait for the trial of another one.
 	 * @param request the request
-	 * @param attempt the attempt that was lost
 	 * @param now the monotonic time in milliseconds
-	 * @return {@code true} if the caller has to wait until the cause is known or peers
-	 * were told
+	 * @return {@code true} if it has to wait
 	 */
-	boolean lost(ActiveRequest request, Attempt attempt, long now) {
-		LostConnections lost = attempt.server().lost();
-		lost.add(request.fingerprint(), now);
-		int fingerprints = lost.fingerprints(now);
-		boolean moreMayFollow = fingerprints < UNRELATED_FINGERPRINTS
-				&& fingerprints + attempt.server().inFlight() >= UNRELATED_FINGERPRINTS;
-		if (moreMayFollow && request.attempts().isEmpty()) {
-			request.useLostAttempt(attempt);
-			request.waitUntil(Stage.WAITING_FOR_CAUSE, now + CAUSE_WAIT_MS);
-			this.waiting.add(request);
-			return true;
-		}
-		return judge(request, attempt, now);
+	boolean isOtherTrialRunning(ActiveRequest request, long now) {
+		return now < request.waitUntil() && this.fleet.suspectStatus(request.fingerprint()) == SuspectStatus.ON_TRIAL;
 	}
 
-	/**
-	 * Tells whether the cause of a loss can be decided.
-	 * @param request the request
-	 * @param attempt the attempt that was lost
-	 * @param now the monotonic time in milliseconds
-	 * @return {@code true} if it can
-	 */
-	boolean isCauseKnown(ActiveRequest request, Attempt attempt, long now) {
-		return now >= request.waitUntil() || isUnrelated(attempt, now);
-	}
-
-	private static boolean isUnrelated(Attempt attempt, long now) {
-		return attempt.server().lost().fingerprints(now) >= UNRELATED_FINGERPRINTS;
+	private void startTrial(ActiveRequest request, long now) {
+		if (request.isTrialUsed()) {
+			this.end.refuse(request, RefusalReason.ON_TRIAL, TRIAL_RETRY_MS);
+			return;
+		}
+		long trialMs = Math.max(1, request.deadline() - now);
+		request.startTrial();
+		long notice = this.fleet.startTrial(request.fingerprint(), trialMs, request.scope().regions());
+		request.waitFor(Stage.WAITING_FOR_TRIAL, notice);
+		this.waiting.add(request);
+		this.audit.record("request.trial", "request", request.id().toString(), "fingerprint",
+				request.fingerprint().value());
 	}
 
 	/**
-	 * Counts a lost connection against the request unless the server died by itself.
+	 * Counts a connection lost before the head of an answer against the request. A
+	 * request that only shared the server with the one that crashed it is cleared by its
+	 * trial.
 	 * @param request the request
 	 * @param attempt the attempt that was lost
-	 * @param now the monotonic time in milliseconds
 	 * @return {@code true} if the caller has to wait until peers were told
 	 */
-	boolean judge(ActiveRequest request, Attempt attempt, long now) {
-		if (isUnrelated(attempt, now)) {
-			return false;
-		}
+	boolean strike(ActiveRequest request, Attempt attempt) {
 		// A strike ends the trial for peers too.
 		request.endTrial();
 		long notice = this.fleet.strike(request.fingerprint(), request.scope().regions());
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestEnd.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestEnd.java
@@ -209,11 +209,12 @@
 	/**
 	 * Ends the trial of a request, if there is one, without a crash.
 	 * @param request the request
+	 * @param answered whether a backend server answered
 	 */
-	void endTrial(ActiveRequest request) {
+	void endTrial(ActiveRequest request, boolean answered) {
 		if (request.isOnTrial()) {
 			request.endTrial();
-			this.fleet.endTrial(request.fingerprint(), request.scope().regions());
+			this.fleet.endTrial(request.fingerprint(), request.scope().regions(), answered);
 		}
 	}
 
@@ -221,7 +222,7 @@
 		if (request.stage() == Stage.QUEUED) {
 			request.pool().queue().remove(request);
 		}
-		endTrial(request);
+		endTrial(request, false);
 		request.enter(Stage.ENDED);
 		this.active.remove(request.id());
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
@@ -229,7 +229,8 @@
 			request.useScope(route.scopeFor(account), account);
 		}
 		RefusalReason barred = request.barred();
-		if (barred != null && (request.stage() == Stage.READING || request.stage() == Stage.WAITING_FOR_TRIAL)) {
+		if (barred != null && (request.stage() == Stage.READING || request.stage() == Stage.WAITING_FOR_TRIAL
+				|| request.stage() == Stage.WAITING_FOR_OTHER_TRIAL)) {
 			this.end.refuse(request, barred, 0);
 		}
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Stage.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Stage.java
@@ -14,15 +14,15 @@
 	/** Peers are told that it runs as a trial. */
 	WAITING_FOR_TRIAL,
 
+	/** It is suspect, and another request with its fingerprint runs as a trial. */
+	WAITING_FOR_OTHER_TRIAL,
+
 	/** It waits for a backend server. */
 	QUEUED,
 
 	/** At least one attempt is running and none is answered. */
 	RUNNING,
 
-	/** A connection was lost, and other losses may show that it was not the cause. */
-	WAITING_FOR_CAUSE,
-
 	/** Peers are told that it crashed a backend server. */
 	WAITING_FOR_NOTICE,
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/TrackedServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/TrackedServer.java
@@ -26,8 +26,6 @@
 
 	private final LoadEstimate load = new LoadEstimate();
 
-	private final LostConnections lost = new LostConnections();
-
 	private final ProbeBudget probes = new ProbeBudget();
 
 	private BackendServer definition;
@@ -91,10 +89,6 @@
 		return this.outcomes;
 	}
 
-	LostConnections lost() {
-		return this.lost;
-	}
-
 	ProbeBudget probes() {
 		return this.probes;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
 import org.lovagevale.core.FailureKind;
 import org.lovagevale.core.Outcome;
@@ -85,7 +84,7 @@
 			case WAITING_FOR_OUTCOME -> pollOutcome(request, now);
 			case WAITING_FOR_TRIAL -> pollTrial(request);
 			case WAITING_FOR_NOTICE -> pollNotice(request);
-			case WAITING_FOR_CAUSE -> pollCause(request, now);
+			case WAITING_FOR_OTHER_TRIAL -> pollOtherTrial(request, now);
 			default -> true;
 		};
 	}
@@ -132,15 +131,11 @@
 		return true;
 	}
 
-	private boolean pollCause(ActiveRequest request, long now) {
-		@Nullable Attempt attempt = request.lostAttempt();
-		if (attempt != null && !this.guard.isCauseKnown(request, attempt, now)) {
+	private boolean pollOtherTrial(ActiveRequest request, long now) {
+		if (this.guard.isOtherTrialRunning(request, now)) {
 			return false;
 		}
-		request.useLostAttempt(null);
-		if (attempt == null || !this.guard.judge(request, attempt, now)) {
-			this.retries.next(request, request.isIdempotent(), RefusalReason.SERVER_FAILED);
-		}
+		this.dispatcher.submit(request);
 		return true;
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetRequestsTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/fleet/FleetRequestsTests.java
@@ -91,10 +91,23 @@
 		this.fleet.receive("e0", new Notice(5, suspect(0, 0)));
 		assertThat(this.fleet.logic.isNoticeSettled(trial)).isTrue();
 		this.fleet.receive("e2", new Notice(5, suspect(0, 0)));
-		this.fleet.logic.endTrial(BAD, Set.of());
+		this.fleet.logic.endTrial(BAD, Set.of(), false);
 		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.SUSPECT);
 	}
 
+	// Requests that shared a server with the one that crashed it must not stay suspect.
+	@Test
+	void anAnsweredTrialClearsTheStrikesItKnewOf() {
+		this.fleet.logic.strike(BAD, Set.of());
+		this.fleet.logic.startTrial(BAD, 1_000, Set.of());
+		this.fleet.logic.endTrial(BAD, Set.of(), true);
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.CLEAR);
+		this.fleet.receive("e2", new Notice(1, suspect(1, 0)));
+		assertThat(this.fleet.logic.suspectStatus(BAD)).as("a crash elsewhere").isEqualTo(SuspectStatus.SUSPECT);
+		this.fleet.receive("e3", new Notice(1, suspect(1, 0)));
+		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.QUARANTINED);
+	}
+
 	@Test
 	void fullQuarantineDropsTheOldestSuspectFirst() {
 		this.fleet.receive("e2", new Notice(1, suspect(2, 0)));
@@ -108,10 +121,10 @@
 	@Test
 	void messagesForOtherRegionsAreDroppedAndCounted() {
 		List<String> east = List.of("east");
-		this.fleet.receive("e5", new Notice(1, new SuspectEntry("aa", 2, 0, 0, east)));
+		this.fleet.receive("e5", new Notice(1, new SuspectEntry("aa", 2, 0, 0, east, 0)));
 		this.fleet.receive("e5", new OutcomeQuery(1, key("e1", "a").toString(), east));
 		this.fleet.receive("e5", new KeyArchive("e5", incarnation(), List.of(), List.of(), 60_000, east));
-		this.fleet.receive("e5", this.fleet.digest("e5", List.of(), List.of(new SuspectEntry("aa", 2, 0, 0, east))));
+		this.fleet.receive("e5", this.fleet.digest("e5", List.of(), List.of(new SuspectEntry("aa", 2, 0, 0, east, 0))));
 		assertThat(this.fleet.logic.counters().outsideHome()).isEqualTo(4);
 		assertThat(this.fleet.logic.suspectStatus(BAD)).isEqualTo(SuspectStatus.CLEAR);
 		assertThat(this.fleet.sent("e5", OutcomeAnswer.class)).isEmpty();
@@ -220,7 +233,7 @@
 	}
 
 	private static SuspectEntry suspect(int strikes, long trialMs) {
-		return new SuspectEntry("aa", strikes, 0, trialMs, List.of("west"));
+		return new SuspectEntry("aa", strikes, 0, trialMs, List.of("west"), 0);
 	}
 
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
@@ -44,10 +44,12 @@
 		session.request(1, HEAD, "bad");
 		assertThat(Session.servers(session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD))).hasSize(1);
 		assertThat(session.fleet.trials).contains(new Fingerprint("bad"));
-		assertThat(Session.refusal(session.request(2, HEAD, "bad")).reason()).isEqualTo(RefusalReason.ON_TRIAL);
-		Refusal refusal = Session.refusal(session.fail(1, 2, FailureKind.LOST_BEFORE_HEAD));
-		assertThat(refusal.outcome()).isEqualTo(Outcome.UNKNOWN);
-		refusal = Session.refusal(session.request(3, HEAD, "bad"));
+		assertThat(Session.servers(session.request(2, HEAD, "bad"))).isEmpty();
+		List<Decision> decisions = session.fail(1, 2, FailureKind.LOST_BEFORE_HEAD);
+		assertThat(decisions).extracting(SessionText::of)
+			.anyMatch((line) -> line.startsWith("refuse 1 ") && line.contains("UNKNOWN"))
+			.anyMatch((line) -> line.startsWith("refuse 2 QUARANTINED NOT_RUN"));
+		Refusal refusal = Session.refusal(session.request(3, HEAD, "bad"));
 		assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
 		assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
 		assertThat(Session.servers(session.request(4, HEAD, "good"))).hasSize(1);
@@ -79,33 +81,32 @@
 		assertThat(session.fleet.trials).isEmpty();
 	}
 
+	// With an exception for servers that lose several requests, a request that crashes
+	// busy
+	// servers was never recognised.
 	@Test
-	void serverThatDiesWithThreeRequestsIsNotHeldAgainstThem() {
-		this.settings.servers = 2;
-		this.settings.out.add(1);
+	void requestThatCrashesBusyServersIsRefusedAfterTwoAndTheOthersAreCleared() {
 		Session session = Session.warm(this.settings);
-		for (int id = 1; id <= 3; id++) {
-			session.request(id, HEAD, "f" + id);
-		}
+		session.request(1, HEAD, "bad");
+		session.request(2, HEAD, "good");
+		session.request(3, HEAD, "fine");
 		for (int id = 1; id <= 3; id++) {
 			session.fail(id, 1, FailureKind.LOST_BEFORE_HEAD);
 		}
-		assertThat(session.fleet.strikes).isEmpty();
-		assertThat(session.logic.running()).isZero();
+		session.fail(1, 2, FailureKind.LOST_BEFORE_HEAD);
+		session.answer(2, 2, 200, null);
+		session.answer(3, 2, 200, null);
+		assertThat(Session.refusal(session.request(4, HEAD, "bad")).reason()).isEqualTo(RefusalReason.QUARANTINED);
+		assertThat(Session.servers(session.request(5, HEAD, "good"))).hasSize(1);
 	}
 
 	@Test
-	void requestOfManyOnAServerIsHeldResponsibleIfOnlyItsConnectionIsLost() {
-		this.settings.servers = 2;
-		this.settings.out.add(1);
+	void waitsForTheTrialOfTheSameRequest() {
 		Session session = Session.warm(this.settings);
-		for (int id = 1; id <= 3; id++) {
-			session.request(id, HEAD, "f" + id);
-		}
-		List<Decision> decisions = session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD);
-		assertThat(decisions).noneMatch(CrashTests::isAnswer);
-		session.after(50);
-		assertThat(session.fleet.strikes).containsOnlyKeys(new Fingerprint("f1"));
+		session.request(1, HEAD, "shared");
+		session.fail(1, 1, FailureKind.LOST_BEFORE_HEAD);
+		assertThat(session.request(2, HEAD, "shared")).noneMatch(CrashTests::isAnswer);
+		assertThat(Session.servers(session.answer(1, 2, 200, null))).hasSize(1);
 	}
 
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/FakeFleet.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/FakeFleet.java
@@ -120,9 +120,12 @@
 	}
 
 	@Override
-	public void endTrial(Fingerprint fingerprint, Set<Region> regions) {
+	public void endTrial(Fingerprint fingerprint, Set<Region> regions, boolean answered) {
 		this.log.accept("end-trial " + fingerprint + " " + regions);
 		this.trials.remove(fingerprint);
+		if (answered) {
+			this.strikes.remove(fingerprint);
+		}
 	}
 
 	@Override
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
@@ -31,7 +31,7 @@
  */
 class PeerCodecTests {
 
-	private static final SuspectEntry SUSPECT = new SuspectEntry("ab12", 1, 20, 0, List.of("lk-west"));
+	private static final SuspectEntry SUSPECT = new SuspectEntry("ab12", 1, 20, 0, List.of("lk-west"), 1);
 
 	private final PeerCodec codec = new PeerCodec();
 
