--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerLink.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.lovagevale.base.VmName;
+import org.lovagevale.core.message.MemberEntry;
 
 /**
  * What was sent to one peer since the link opened.
@@ -16,9 +16,16 @@
 	/** Most time between two full digests, which repair what was lost. */
 	static final long FULL_MS = 5_000;
 
+	/**
+	 * Least time between two entries of a member that differ in the heartbeat counter
+	 * only. Each hop adds it to the age at which a member is known, which must stay well
+	 * below the time after which a member counts as unreachable.
+	 */
+	static final long RELAY_MS = 500;
+
 	private final ByteBudget budget;
 
-	private final Map<VmName, Long> memberChanges = new HashMap<>();
+	private final Map<String, Exchanged> exchanged = new HashMap<>();
 
 	private long serverChange;
 
@@ -67,7 +74,7 @@
 			return;
 		}
 		this.fullAt = now;
-		this.memberChanges.clear();
+		this.exchanged.clear();
 		this.serverChange = 0;
 		this.leavingChange = 0;
 		if (this.suspectChange >= suspectChanges) {
@@ -75,12 +82,35 @@
 		}
 	}
 
-	boolean isMemberDue(Member member) {
-		return member.change() > this.memberChanges.getOrDefault(member.vm(), 0L);
+	/**
+	 * Tells whether an entry is to be sent: at once if it says something new, after some
+	 * time if only its heartbeat counter grew.
+	 * @param member the member
+	 * @param now the time in monotonic milliseconds
+	 * @return {@code true} if it is to be sent
+	 */
+	boolean isMemberDue(Member member, long now) {
+		Exchanged last = this.exchanged.get(member.vm().value());
+		if (last == null) {
+			return true;
+		}
+		boolean isDue = now - last.at() >= RELAY_MS || !isSameApartFromBeat(last.entry(), member.entry());
+		return isDue && !last.entry().equals(member.entry());
 	}
 
-	void memberSent(Member member) {
-		this.memberChanges.put(member.vm(), member.change());
+	/**
+	 * Notes an entry that was sent to the peer or received from it. In both cases the
+	 * peer knows it, and only one direction of a link carries most heartbeats.
+	 * @param entry the entry
+	 * @param now the time in monotonic milliseconds
+	 */
+	void exchanged(MemberEntry entry, long now) {
+		this.exchanged.put(entry.vm(), new Exchanged(entry, now));
+	}
+
+	private static boolean isSameApartFromBeat(MemberEntry one, MemberEntry other) {
+		return one.incarnation().equals(other.incarnation()) && one.phase().equals(other.phase())
+				&& one.keyEpoch() == other.keyEpoch() && one.fenced() == other.fenced();
 	}
 
 	int cursor() {
@@ -115,4 +145,14 @@
 		this.suspectChange = suspectChange;
 	}
 
+	/**
+	 * The last entry of a member that was sent or received.
+	 *
+	 * @param entry the entry
+	 * @param at when, in monotonic milliseconds
+	 */
+	private record Exchanged(MemberEntry entry, long at) {
+
+	}
+
 }
