Bound connections of callers and mark replayed responses

Cause: the number of caller connections had no bound on a small heap, and a replayed response is generated by the entry process but had no outcome header.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Answers.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Answers.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.core.Outcome;
 import org.lovagevale.core.Refusal;
 import org.lovagevale.core.StoredAnswer;
 import reactor.core.publisher.Flux;
@@ -57,6 +58,7 @@
 	}
 
 	static Mono<Void> replay(HttpServerResponse out, HttpMethod method, StoredAnswer answer) {
+		out.header(HeaderNames.OUTCOME, Outcome.RAN.toHeader());
 		String type = answer.contentType().isEmpty() ? null : answer.contentType();
 		return bytes(out, method, answer.status(), type, answer.body());
 	}
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -48,6 +48,9 @@
 	/** Largest size of all headers of a request in bytes. */
 	private static final int MAX_HEAD_BYTES = 16_384;
 
+	// A connection takes up to about 10 KiB, so these fit into the heap of a small VM.
+	private static final int MAX_CONNECTIONS = 4_096;
+
 	/** Longest silence of a caller between two requests. */
 	private static final Duration IDLE = Duration.ofSeconds(60);
 
@@ -93,6 +96,7 @@
 				.protocol(HttpProtocol.HTTP11)
 				.compress(false)
 				.idleTimeout(IDLE)
+				.maxConnections(MAX_CONNECTIONS)
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_LINE_BYTES).maxHeaderSize(MAX_HEAD_BYTES))
 				.handle(this::handle)
