Test bodyless responses, 100 (Continue) and replays

Cause: HEAD, 204, 304, Expect and replays were implemented but not tested.

Conclusion: their framing is kept, and the connection stays usable.

--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -23,10 +23,12 @@
 import org.lovagevale.core.Outcome;
 import org.lovagevale.core.RequestId;
 import org.lovagevale.core.ServerState;
+import org.lovagevale.core.StoredAnswer;
 import org.lovagevale.core.decision.CancelAttempt;
 import org.lovagevale.core.decision.Decision;
 import org.lovagevale.core.decision.Dispatch;
 import org.lovagevale.core.decision.ReadPrefix;
+import org.lovagevale.core.decision.Replay;
 import org.lovagevale.core.event.AnswerEnded;
 import org.lovagevale.core.event.AnswerHeadArrived;
 import org.lovagevale.core.event.AttemptFailed;
@@ -319,6 +321,54 @@
 		}
 	}
 
+	// Guards against a body where HTTP allows none, which the caller would take for the
+	// next response, and against a caller that waits for 100 (Continue) in vain.
+	@Test
+	void framingOfUnusualResponsesIsKept() throws Exception {
+		RawServer.Script script = (head, in, caller) -> {
+			in.readNBytes((int) RawCaller.lengthOf(head));
+			String answer = head.startsWith("HEAD") ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+					: head.startsWith("GET /none") ? "HTTP/1.1 204 None\r\n\r\n"
+							: head.startsWith("GET /same") ? "HTTP/1.1 304 Same\r\nETag: \"1\"\r\n\r\n" : OK;
+			caller.getOutputStream().write(ascii(answer));
+		};
+		try (RawServer server = new RawServer(script);
+				HttpFixture node = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(node.port)) {
+			caller.send("HEAD /t HTTP/1.1\r\nHost: a\r\n\r\n");
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 200")
+				.containsIgnoringCase("content-length: 5");
+			caller.send("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 204")
+				.doesNotContainIgnoringCase("transfer-encoding");
+			caller.send("GET /same HTTP/1.1\r\nHost: a\r\n\r\n");
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 304").contains("ETag: \"1\"");
+			caller.send("PUT /t HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 100");
+			caller.send("abc");
+			assertThat(caller.readAnswer()).startsWith("HTTP/1.1 200").endsWith("ok");
+			assertThat(server.heads).last().asString().doesNotContainIgnoringCase("expect");
+			assertThat(server.connections.get()).isEqualTo(1);
+		}
+	}
+
+	// Guards against a replay that callers cannot tell from a new response.
+	@Test
+	void replayCarriesTheStoredResponse() throws Exception {
+		try (HttpFixture node = new HttpFixture(1,
+				(e) -> (e instanceof HeadArrived h)
+						? List.of(new Replay(h.id(), new StoredAnswer(201, "text/plain", ascii("first")))) : null);
+				RawCaller caller = new RawCaller(node.port)) {
+			for (int i = 0; i < 2; i++) {
+				caller.send(GET);
+				assertThat(caller.readAnswer()).startsWith("HTTP/1.1 201")
+					.containsIgnoringCase("content-type: text/plain")
+					.contains("Lovagevale-Outcome: ran")
+					.endsWith("\r\n\r\nfirst");
+			}
+		}
+	}
+
 	// Guards against small pieces held back until more arrive.
 	@Test
 	void piecesArePassedOnAsTheyArrive() throws Exception {
