--- a/lovagevale-node/src/main/java/org/lovagevale/node/Lovagevale.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/Lovagevale.java
@@ -84,7 +84,7 @@
 		Clock clock = new SystemClock();
 		SecureRandom secure = new SecureRandom();
 		Self self = new Self(new VmName(this.vm), new Incarnation(clock.epochMillis(), secure.nextInt()));
-		EntryProcess process = new EntryProcess(self, this.platform, this.threads, clock,
+		EntryProcess process = new EntryProcess(self, withoutSlash(this.platform), this.threads, clock,
 				new SeededRandom(secure.nextLong()));
 		Thread hook = new Thread(() -> stop(process), "stop");
 		Runtime.getRuntime().addShutdownHook(hook);
@@ -132,6 +132,11 @@
 		}
 	}
 
+	// Paths are appended to the address.
+	private static URI withoutSlash(URI uri) {
+		return URI.create(uri.toString().replaceAll("/+$", ""));
+	}
+
 	private void setLogLevel() {
 		Level level = Level.toLevel(this.logLevel, null);
 		if (level == null) {
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
@@ -169,8 +169,14 @@
 			case Dispatch d -> dispatch(d);
 			case PassOn d -> passOn(d);
 			case CancelAttempt d -> cancel(d);
-			case Refuse d -> refuse(d.refusal());
-			case Replay d -> replay(d.answer());
+			case Refuse d when !this.gone -> refuse(d.refusal());
+			case Replay d when !this.gone -> replay(d.answer());
+			case Refuse d -> {
+				// The process has answered by itself, or nobody waits any more.
+			}
+			case Replay d -> {
+				// As above.
+			}
 			case AbortAnswer d -> abort();
 			default -> throw new IllegalStateException("not a decision about a request: " + decision);
 		}
@@ -178,7 +184,9 @@
 	}
 
 	private void readPrefix(ReadPrefix d) {
-		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(d.idleTimeoutMs());
+		if (d.idleTimeoutMs() > 0) {
+			this.idleNanos = TimeUnit.MILLISECONDS.toNanos(d.idleTimeoutMs());
+		}
 		if (this.head.contentLength() > d.maxRequestBytes()) {
 			tooLarge();
 			return;
@@ -363,7 +371,7 @@
 	}
 
 	private void refuse(Refusal refusal) {
-		if (this.answered || this.detached) {
+		if (this.answered) {
 			abort();
 			return;
 		}
@@ -371,7 +379,7 @@
 	}
 
 	private void replay(StoredAnswer stored) {
-		if (this.answered || this.detached) {
+		if (this.answered) {
 			abort();
 			return;
 		}
@@ -461,10 +469,18 @@
 		}
 	}
 
-	// Tells the logic that nobody waits for the answer any more.
+	// Tells the logic that nobody waits for the answer any more, and ends the attempts
+	// that it would let go on, since they cannot send or pass on the rest.
 	private void leave() {
-		this.attempts.forEach(Attempt::cancel);
 		reportGone();
+		for (Attempt attempt : List.copyOf(this.attempts)) {
+			if (attempt == this.passed) {
+				attempt.cancel();
+			}
+			else {
+				attempt.fail(FailureKind.TIMED_OUT);
+			}
+		}
 	}
 
 	private void reportGone() {
