--- a/lovagevale-core/src/main/java/org/lovagevale/core/EntryLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/EntryLogic.java
@@ -8,6 +8,7 @@
 import org.lovagevale.core.decision.Decision;
 import org.lovagevale.core.event.Event;
 import org.lovagevale.core.event.Ticked;
+import org.lovagevale.core.fleet.FleetCounters;
 import org.lovagevale.core.fleet.FleetLogic;
 import org.lovagevale.core.keys.KeyTable;
 import org.lovagevale.core.keys.Keys;
@@ -65,4 +66,12 @@
 				this.requests.running(), this.requests.queued());
 	}
 
+	/**
+	 * Returns the counts of what peers and the platform sent and was not used.
+	 * @return the counts since the start
+	 */
+	public FleetCounters fleetCounters() {
+		return this.fleet.counters();
+	}
+
 }
