--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Placement.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Placement.java
@@ -1,10 +1,10 @@
 package org.lovagevale.core.request;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.fleet.Rendezvous;
 import org.lovagevale.settings.model.BackendServer;
 import org.lovagevale.settings.model.EntryVm;
 
@@ -22,14 +22,6 @@
 
 	private static final double OTHER_DOMAIN_COST = 0.1;
 
-	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-	private static final long FNV_PRIME = 0x100000001b3L;
-
-	private static final long MIX = 0x9e3779b97f4a7c15L;
-
-	private static final int MIX_SHIFT = 32;
-
 	/**
 	 * Computes the placement.
 	 * @param server the backend server
@@ -50,25 +42,16 @@
 	}
 
 	private static boolean isAmongFirst(BackendServer server, int count, VmName self, List<EntryVm> entryVms) {
-		long own = weight(server, self);
+		long own = Rendezvous.score(server.name().value(), self.value());
 		int before = 0;
 		for (EntryVm vm : entryVms) {
-			if (!vm.name().equals(self) && Long.compareUnsigned(weight(server, vm.name()), own) > 0) {
+			if (!vm.name().equals(self) && Rendezvous.score(server.name().value(), vm.name().value()) > own) {
 				before++;
 			}
 		}
 		return before < count;
 	}
 
-	private static long weight(BackendServer server, VmName vm) {
-		long hash = FNV_OFFSET;
-		for (byte b : (server.name() + "/" + vm).getBytes(StandardCharsets.UTF_8)) {
-			hash = (hash ^ b) * FNV_PRIME;
-		}
-		hash = (hash ^ (hash >>> MIX_SHIFT)) * MIX;
-		return hash ^ (hash >>> MIX_SHIFT);
-	}
-
 	/**
 	 * Returns the cost of the link in the unit of the score.
 	 * @param slots the slots of the backend server
