Pass on what an entry process says about a failed request

Cause: a process that does not know a request names the VM to ask, but lovagevalectl replaced this by a general hint. Scores were printed with 16 digits.

Change: the message of the process is printed with its status, and text output rounds fractions to 3 digits.

--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
@@ -47,17 +47,31 @@
 	 */
 	JsonNode get(String path) throws CtlException {
 		Page page = read(path);
-		if (page.status() == HttpResponseStatus.NOT_FOUND.code()) {
-			throw new CtlException(ExitCode.INCORRECT, "the process at " + this.address + " has nothing under " + path
-					+ "; check the spelling, or ask the process that handled the request");
-		}
 		if (page.status() != HttpResponseStatus.OK.code()) {
-			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " responded with status "
-					+ page.status() + "; check that this is its admin address");
+			throw failure(page);
 		}
 		return toJson(page.body());
 	}
 
+	private CtlException failure(Page page) {
+		boolean absent = page.status() == HttpResponseStatus.NOT_FOUND.code();
+		String advice = messageOf(page.body());
+		if (advice.isEmpty()) {
+			advice = absent ? "check the spelling" : "check that this is its admin address";
+		}
+		return new CtlException(absent ? ExitCode.INCORRECT : ExitCode.ENVIRONMENT,
+				"the process at " + this.address + " responded with status " + page.status() + ": " + advice);
+	}
+
+	private static String messageOf(byte[] body) {
+		try {
+			return Printer.MAPPER.readTree(body).path("message").asText();
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
 	private Page read(String path) throws CtlException {
 		Page page;
 		try {
--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/JsonText.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/JsonText.java
@@ -1,5 +1,7 @@
 package org.lovagevale.ctl;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.DateTimeException;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -20,6 +22,9 @@
  */
 final class JsonText {
 
+	/** More digits than people compare in a table; JSON output has all. */
+	private static final int DECIMALS = 3;
+
 	private static final String INDENT = "  ";
 
 	private static final String NONE = "none";
@@ -94,9 +99,20 @@
 			value.forEach((item) -> items.add(cell("", item)));
 			return items.isEmpty() ? NONE : String.join(", ", items);
 		}
+		if (value.isFloatingPointNumber()) {
+			return toDecimal(value);
+		}
 		return (value.isIntegralNumber() && isTime(name)) ? toTime(value) : value.asText();
 	}
 
+	private static String toDecimal(JsonNode value) {
+		if (!Double.isFinite(value.asDouble())) {
+			return value.asText();
+		}
+		BigDecimal rounded = BigDecimal.valueOf(value.asDouble()).setScale(DECIMALS, RoundingMode.HALF_UP);
+		return rounded.stripTrailingZeros().toPlainString();
+	}
+
 	private static boolean isTime(String name) {
 		return name.toLowerCase(Locale.ROOT).endsWith("epochmillis");
 	}
