--- /dev/null
+++ b/lovagevale-checks/src/test/java/org/lovagevale/checks/EntryFleet.java
@@ -0,0 +1,201 @@
+package org.lovagevale.checks;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.model.BackendServer;
+import org.lovagevale.settings.model.EntryVm;
+import org.lovagevale.settings.model.Settings;
+import org.lovagevale.standins.backend.BackendGroup;
+import org.lovagevale.standins.backend.BackendStandIn;
+import org.lovagevale.standins.backend.Behaviour;
+import org.lovagevale.standins.caller.Caller;
+import org.lovagevale.standins.caller.EntryAddress;
+import org.lovagevale.standins.http.PlainHttp;
+import org.lovagevale.standins.platform.PlatformStandIn;
+import org.lovagevale.standins.process.ChildProcesses;
+import org.lovagevale.standins.process.Ports;
+import org.lovagevale.standins.process.Programs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The demo's deployment with real entry processes and stand-ins in this process.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class EntryFleet implements AutoCloseable {
+
+	static final Duration LIMIT = Duration.ofSeconds(60);
+
+	private static final int PORT_SHIFT = -6_000;
+
+	private static final String HOST = "127.0.0.1";
+
+	private final PlainHttp http = new PlainHttp();
+
+	private final PlatformStandIn platform = new PlatformStandIn();
+
+	private final BackendGroup backends = new BackendGroup();
+
+	private final Programs programs;
+
+	private final ChildProcesses children;
+
+	private final Settings settings;
+
+	private final String tree;
+
+	private final String platformUrl;
+
+	EntryFleet(Path logs) throws Exception {
+		Path root = Path.of(System.getProperty("lovagevale.root"));
+		this.programs = new Programs(root);
+		this.children = new ChildProcesses(logs);
+		this.tree = Ports.shift(Files.readString(root.resolve("examples/demo/settings.jsonc")), PORT_SHIFT);
+		this.settings = new JsonSettingsReader().read(1, this.tree);
+		this.platform.publish(this.tree);
+		this.platformUrl = "http://" + HOST + ":" + this.platform.start(HOST, 0);
+		for (BackendServer server : servers()) {
+			this.backends.add(server.name().value(), HOST, server.port(), Behaviour.defaults(), false);
+		}
+		for (EntryVm vm : vms()) {
+			start(vm);
+		}
+		for (EntryVm vm : vms()) {
+			awaitReady(vm);
+		}
+	}
+
+	void start(EntryVm vm) throws IOException {
+		this.children.start(vm.name().value(), this.programs.entry(vm.name().value(), this.platformUrl));
+	}
+
+	void awaitReady(EntryVm vm) throws Exception {
+		await("readiness of " + vm.name(), () -> this.http.isOk(admin(vm) + "/ready"));
+	}
+
+	// The demo's servers are known as warm only after a while, since little is sent.
+	void awaitAllWarm() throws Exception {
+		for (EntryVm vm : vms()) {
+			await("warm servers at " + vm.name(),
+					() -> status(vm).path("servers").findValuesAsText("state").stream().allMatch("WARM"::equals));
+		}
+	}
+
+	void kill(EntryVm vm) throws Exception {
+		Process process = this.children.get(vm.name().value());
+		process.destroyForcibly().waitFor();
+	}
+
+	void signal(EntryVm vm, String signal) throws Exception {
+		long pid = this.children.get(vm.name().value()).pid();
+		int code = new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+		assertThat(code).isZero();
+	}
+
+	Process process(EntryVm vm) {
+		return this.children.get(vm.name().value());
+	}
+
+	long publish(UnaryOperator<String> edit) {
+		String edited = edit.apply(this.tree);
+		assertThat(edited).isNotEqualTo(this.tree);
+		return this.platform.publish(edited);
+	}
+
+	long publishOriginal() {
+		return this.platform.publish(this.tree);
+	}
+
+	PlatformStandIn platform() {
+		return this.platform;
+	}
+
+	BackendGroup backends() {
+		return this.backends;
+	}
+
+	BackendStandIn backend(String name) {
+		return this.backends.server(name);
+	}
+
+	List<EntryVm> vms() {
+		return this.settings.entryVms();
+	}
+
+	List<BackendServer> servers() {
+		return this.settings.services().stream().flatMap((service) -> service.servers().stream()).toList();
+	}
+
+	Caller caller(String service, String account) {
+		List<EntryAddress> seeds = vms().stream().map((vm) -> EntryAddress.of(vm.host(), vm.callerPort())).toList();
+		return new Caller(seeds, service, account, new SystemClock());
+	}
+
+	EntryAddress addressOf(Caller caller, EntryVm vm) {
+		return caller.addresses()
+			.blockOptional(LIMIT)
+			.orElseThrow()
+			.addresses()
+			.stream()
+			.filter((address) -> address.vm().equals(vm.name().value()))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	JsonNode status(EntryVm vm) throws Exception {
+		return this.http.getJson(admin(vm) + "/status");
+	}
+
+	long versionAt(EntryVm vm) throws Exception {
+		return status(vm).path("settingsVersion").asLong();
+	}
+
+	static void await(String what, Condition condition) throws Exception {
+		long end = System.nanoTime() + LIMIT.toNanos();
+		while (!isMet(condition)) {
+			assertThat(System.nanoTime()).as(what + " within " + LIMIT).isLessThan(end);
+			Thread.sleep(20);
+		}
+	}
+
+	private static boolean isMet(Condition condition) throws Exception {
+		try {
+			return condition.isMet();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private static String admin(EntryVm vm) {
+		return "http://" + vm.host() + ":" + vm.adminPort();
+	}
+
+	@Override
+	public void close() {
+		this.children.close();
+		this.backends.close();
+		this.platform.close();
+	}
+
+	/**
+	 * Something to wait for.
+	 */
+	@FunctionalInterface
+	interface Condition {
+
+		boolean isMet() throws Exception;
+
+	}
+
+}
