Retry only requests whose body can be sent again

The node keeps at most 64 KiB of a body. A retry of a longer one after it was shed failed with an early timeout, and the caller was told unknown although the request provably had not run. Such a request is now refused as not run, and is neither retried after a loss nor hedged.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ActiveRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ActiveRequest.java
@@ -55,6 +55,8 @@
 
 	private boolean callerGone;
 
+	private boolean bodySent;
+
 	private boolean onTrial;
 
 	private boolean trialUsed;
@@ -280,6 +282,21 @@
 		this.possibleRuns--;
 	}
 
+	/**
+	 * Records that an attempt sent the body or a part of it.
+	 */
+	void markBodySent() {
+		this.bodySent = true;
+	}
+
+	/**
+	 * Tells whether another attempt can send the whole body.
+	 * @return {@code false} if the body was sent and is too long to be kept
+	 */
+	boolean canSendBody() {
+		return !this.bodySent || this.head.isReplayable();
+	}
+
 	boolean mayHaveRun() {
 		return this.possibleRuns > 0;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Answers.java
@@ -70,6 +70,7 @@
 		if (event.notRun()) {
 			release(request, attempt);
 			request.markNotRun();
+			request.markBodySent();
 			this.recorder.shed(attempt, event.report(), now);
 			this.retries.next(request, true, RefusalReason.OVERLOADED);
 			return true;
@@ -133,6 +134,9 @@
 			this.end.abort(request);
 			return;
 		}
+		if (kind != FailureKind.NOT_CONNECTED) {
+			request.markBodySent();
+		}
 		switch (kind) {
 			case NOT_CONNECTED -> {
 				request.markNotRun();
@@ -149,9 +153,8 @@
 		}
 	}
 
-	// On a cold server, an attempt may time out long before the deadline of the request.
-	// A
-	// timeout reported early means that the attempt could not be made at all.
+	// The end of a cold window cuts an attempt short. The node reports an attempt that it
+	// could not make as a timeout that comes early.
 	private static boolean isCutShort(ActiveRequest request, Attempt attempt, long now) {
 		return request.isIdempotent() && attempt.isOver(now) && now < request.deadline();
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Retries.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Retries.java
@@ -57,7 +57,7 @@
 	}
 
 	private static boolean isRepeatable(ActiveRequest request) {
-		boolean safe = request.isIdempotent() || !request.mayHaveRun();
+		boolean safe = (request.isIdempotent() || !request.mayHaveRun()) && request.canSendBody();
 		return safe && !request.head().retried() && request.policy().retryPercent() > 0 && request.barred() == null;
 	}
 
@@ -72,7 +72,8 @@
 			return;
 		}
 		boolean late = now - request.attempts().get(0).startedAt() >= afterMs && now < request.deadline();
-		if (!late || !isRepeatable(request) || request.isOnTrial() || !this.guard.isClear(request)) {
+		if (!late || !isRepeatable(request) || !request.head().isReplayable() || request.isOnTrial()
+				|| !this.guard.isClear(request)) {
 			return;
 		}
 		RetryBudget budget = request.pool().retries();
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Router.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Router.java
@@ -211,9 +211,8 @@
 		return new Selection(best, remaining, choice);
 	}
 
-	// Moves two random candidates of this region and two of other regions to the front,
-	// so
-	// that requests leave the region only if that is better.
+	// Moves random candidates to the front, two of this region and two of others, so that
+	// requests leave the region only if that is better.
 	private int sample() {
 		int near = Math.min(SAMPLED, this.nearCount);
 		for (int i = 0; i < near; i++) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomes.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomes.java
@@ -24,9 +24,8 @@
 
 	private static final int SLOW_RESPONSES = 3;
 
-	// With exponential service times, 4 times the average alone set aside warm servers in
-	// a
-	// simulation: three such responses in a row come once in 160,000.
+	// With exponential service times, three responses in a row are 4 times as slow as the
+	// average once in 160,000, which set aside warm servers in a simulation.
 	private static final int SLOW_DEVIATIONS = 6;
 
 	// Below this, a response is not slow whatever the average is.
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerTable.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerTable.java
@@ -91,9 +91,8 @@
 		ServicePool pool = this.pools.computeIfAbsent(service.name(),
 				(name) -> new ServicePool(name, service.policy(), this.released));
 		pool.usePolicy(service.policy());
-		// A new process may use what peers observed before it started; a backend server
-		// that
-		// returns starts anew.
+		// A new process may use what peers observed before it started, but a backend
+		// server that returns starts anew.
 		long knownSince = (this.configured) ? now : now - ServerHealth.MOST_PEER_AGE_MS;
 		List<TrackedServer> tracked = new ArrayList<>();
 		for (BackendServer definition : service.servers()) {
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/AdmissionTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/AdmissionTests.java
@@ -152,6 +152,17 @@
 		assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
 	}
 
+	@Test
+	void doesNotRetryABodyThatIsNoLongerHeld() {
+		this.settings.servers = 4;
+		Session session = Session.warm(this.settings);
+		RequestHead head = new RequestHead("POST", "/vans/notes", "", null, null, 0, false, -1, "127.0.0.1");
+		session.request(1, head);
+		assertThat(Session.servers(session.fail(1, 1, FailureKind.NOT_CONNECTED))).hasSize(1);
+		Refusal refusal = Session.refusal(session.shed(1, 2));
+		assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+	}
+
 	@Test
 	void runsRequestThatIsNotIdempotentAtMostOnceWithoutKey() {
 		this.settings.servers = 4;
