--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/CrashTests.java
@@ -81,9 +81,8 @@
 		assertThat(session.fleet.trials).isEmpty();
 	}
 
-	// With an exception for servers that lose several requests, a request that crashes
-	// busy
-	// servers was never recognised.
+	// An exception for servers that lose several requests at once left a request that
+	// crashes busy servers undetected.
 	@Test
 	void requestThatCrashesBusyServersIsRefusedAfterTwoAndTheOthersAreCleared() {
 		Session session = Session.warm(this.settings);
