--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Rendezvous.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Rendezvous.java
@@ -12,7 +12,7 @@
  * <p>
  * Thread-safe.
  */
-final class Rendezvous {
+public final class Rendezvous {
 
 	// FNV-1a, 64 bits.
 	private static final long OFFSET = 0xcbf29ce484222325L;
@@ -28,7 +28,13 @@
 	private Rendezvous() {
 	}
 
-	static long score(String subject, String candidate) {
+	/**
+	 * Computes the score of a candidate.
+	 * @param subject what is to be assigned
+	 * @param candidate who may get it
+	 * @return the score, higher is better when compared as signed numbers
+	 */
+	public static long score(String subject, String candidate) {
 		long hash = add(add(add(OFFSET, subject), "\0"), candidate);
 		hash = (hash ^ (hash >>> 30)) * MIX_1;
 		hash = (hash ^ (hash >>> 27)) * MIX_2;
