Wait in a test until the last request is closed

The end of a response is reported to the logic right before the request is closed on the event loop, so the test looked too early.

A request that is never closed still fails it.

Conclusion: the expectation is the same, without the race.

--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -439,7 +439,7 @@
 				assertThat(ended.stored().body()).asString(StandardCharsets.US_ASCII).isEqualTo("ok");
 				assertThat(ended.stored().contentType()).isEqualTo("text/plain");
 			});
-			assertThat(node.engine.open()).isZero();
+			await(() -> node.engine.open() == 0);
 		}
 	}
 
