Wait for killed processes and document the stand-ins

A measurement with several layouts failed because the ports of the last one were not free yet: processes were killed but not waited for. The message about a process that ended now has its exit code.

--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Environment.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Environment.java
@@ -103,7 +103,7 @@
 		while (!this.http.isOk(url)) {
 			List<String> ended = children.ended();
 			if (!ended.isEmpty()) {
-				throw new IOException(ended.get(0) + " ended at its start; see " + children.logFile(ended.get(0)));
+				throw new IOException(children.describeEnd(ended.get(0)));
 			}
 			if (System.nanoTime() > end) {
 				throw new IOException("no answer from " + url + " within " + START_LIMIT.toSeconds() + " s");
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Report.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Report.java
@@ -53,7 +53,8 @@
 			say(String.format(Locale.ROOT, "%-52s %12.4f %12.4f %12.4f %5d  %s", figure.name(), figure.median(),
 					figure.min(), figure.max(), figure.runs(), figure.unit()));
 		}
-		say(isValid() ? "The run is valid." : "The run is NOT valid: " + String.join("; ", this.problems));
+		say(isValid() ? "The run is valid."
+				: "The run is NOT valid, for " + this.problems.size() + " reasons given above.");
 	}
 
 	void write(Path folder, String name) throws IOException {
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoFleet.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoFleet.java
@@ -183,7 +183,7 @@
 		while (!this.http.isOk(url)) {
 			List<String> ended = this.children.ended();
 			if (!ended.isEmpty()) {
-				throw new IOException(ended.get(0) + " ended at its start; see " + this.children.logFile(ended.get(0)));
+				throw new IOException(this.children.describeEnd(ended.get(0)));
 			}
 			if (System.nanoTime() > end) {
 				throw new IOException("no answer from " + url + " within " + START_LIMIT.toSeconds() + " s");
--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/process/ChildProcesses.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/process/ChildProcesses.java
@@ -28,6 +28,8 @@
 	// A planned stop of an entry process takes longer; nobody uses it any more.
 	private static final long GRACE_MS = 1_500;
 
+	private static final long KILL_MS = 5_000;
+
 	private final Path logFolder;
 
 	private final Map<String, Process> children = Collections.synchronizedMap(new LinkedHashMap<>());
@@ -96,6 +98,15 @@
 		}
 	}
 
+	/**
+	 * Describes how a process ended.
+	 * @param name its name
+	 * @return its exit code and where its output is
+	 */
+	public String describeEnd(String name) {
+		return name + " ended with exit code " + get(name).exitValue() + "; see " + logFile(name);
+	}
+
 	@Override
 	public void close() {
 		endAll();
@@ -119,7 +130,11 @@
 		handles.forEach(ProcessHandle::destroy);
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GRACE_MS);
 		handles.forEach((handle) -> await(handle, end));
-		handles.stream().filter(ProcessHandle::isAlive).forEach(ProcessHandle::destroyForcibly);
+		List<ProcessHandle> alive = handles.stream().filter(ProcessHandle::isAlive).toList();
+		alive.forEach(ProcessHandle::destroyForcibly);
+		// The ports must be free when this method returns.
+		long killedEnd = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_MS);
+		alive.forEach((handle) -> await(handle, killedEnd));
 	}
 
 	private static void await(ProcessHandle handle, long end) {
