--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/Waits.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
 import org.lovagevale.core.FailureKind;
 import org.lovagevale.core.Outcome;
@@ -85,7 +84,7 @@
 			case WAITING_FOR_OUTCOME -> pollOutcome(request, now);
 			case WAITING_FOR_TRIAL -> pollTrial(request);
 			case WAITING_FOR_NOTICE -> pollNotice(request);
-			case WAITING_FOR_CAUSE -> pollCause(request, now);
+			case WAITING_FOR_OTHER_TRIAL -> pollOtherTrial(request, now);
 			default -> true;
 		};
 	}
@@ -98,12 +97,21 @@
 		if (outcome == null) {
 			return false;
 		}
-		RefusalReason reason = RefusalReason.KEY_OF_OTHER_VM;
+		RefusalReason reason = reasonOf(outcome);
 		long retryAfterMs = (outcome == Outcome.RUNNING) ? RETRY_AFTER_MS : 0;
 		this.end.refuseAs(request, new Refusal(reason, outcome, retryAfterMs, Messages.of(reason, outcome)));
 		return true;
 	}
 
+	private static RefusalReason reasonOf(Outcome outcome) {
+		return switch (outcome) {
+			case RAN -> RefusalReason.KEY_ENDED;
+			case RUNNING -> RefusalReason.KEY_RUNNING;
+			case NOT_RUN -> RefusalReason.KEY_OF_OTHER_VM;
+			case UNKNOWN -> RefusalReason.KEY_OWNER_UNREACHABLE;
+		};
+	}
+
 	private boolean pollTrial(ActiveRequest request) {
 		boolean settled = this.fleet.isNoticeSettled(request.waitId());
 		// A trial elsewhere may have crashed another server in the meantime.
@@ -123,15 +131,11 @@
 		return true;
 	}
 
-	private boolean pollCause(ActiveRequest request, long now) {
-		@Nullable Attempt attempt = request.lostAttempt();
-		if (attempt != null && !this.guard.isCauseKnown(request, attempt, now)) {
+	private boolean pollOtherTrial(ActiveRequest request, long now) {
+		if (this.guard.isOtherTrialRunning(request, now)) {
 			return false;
 		}
-		request.useLostAttempt(null);
-		if (attempt == null || !this.guard.judge(request, attempt, now)) {
-			this.retries.next(request, request.isIdempotent(), RefusalReason.SERVER_FAILED);
-		}
+		this.dispatcher.submit(request);
 		return true;
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/request/FakeFleet.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/request/FakeFleet.java
@@ -29,6 +29,11 @@
 
 	WorkPermission permission = WorkPermission.OPEN;
 
+	/**
+	 * Calls after which the permission closes, as it does for a process that was paused.
+	 */
+	int callsUntilFenced = Integer.MAX_VALUE;
+
 	/** Time for which this process owns a server; servers without entry are not owned. */
 	final Map<String, Long> ownedMs = new HashMap<>();
 
@@ -61,7 +66,8 @@
 
 	@Override
 	public WorkPermission permission() {
-		return this.permission;
+		this.callsUntilFenced--;
+		return (this.callsUntilFenced >= 0) ? this.permission : WorkPermission.FENCED;
 	}
 
 	@Override
@@ -114,9 +120,12 @@
 	}
 
 	@Override
-	public void endTrial(Fingerprint fingerprint, Set<Region> regions) {
+	public void endTrial(Fingerprint fingerprint, Set<Region> regions, boolean answered) {
 		this.log.accept("end-trial " + fingerprint + " " + regions);
 		this.trials.remove(fingerprint);
+		if (answered) {
+			this.strikes.remove(fingerprint);
+		}
 	}
 
 	@Override
--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/AdminClient.java
@@ -47,17 +47,31 @@
 	 */
 	JsonNode get(String path) throws CtlException {
 		Page page = read(path);
-		if (page.status() == HttpResponseStatus.NOT_FOUND.code()) {
-			throw new CtlException(ExitCode.INCORRECT, "the process at " + this.address + " has nothing under " + path
-					+ "; check the spelling, or ask the process that handled the request");
-		}
 		if (page.status() != HttpResponseStatus.OK.code()) {
-			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " responded with status "
-					+ page.status() + "; check that this is its admin address");
+			throw failure(page);
 		}
 		return toJson(page.body());
 	}
 
+	private CtlException failure(Page page) {
+		boolean absent = page.status() == HttpResponseStatus.NOT_FOUND.code();
+		String advice = messageOf(page.body());
+		if (advice.isEmpty()) {
+			advice = absent ? "check the spelling" : "check that this is its admin address";
+		}
+		return new CtlException(absent ? ExitCode.INCORRECT : ExitCode.ENVIRONMENT,
+				"the process at " + this.address + " responded with status " + page.status() + ": " + advice);
+	}
+
+	private static String messageOf(byte[] body) {
+		try {
+			return Printer.MAPPER.readTree(body).path("message").asText();
+		}
+		catch (IOException ex) {
+			return "";
+		}
+	}
+
 	private Page read(String path) throws CtlException {
 		Page page;
 		try {
@@ -66,7 +80,7 @@
 		catch (RuntimeException ex) {
 			Throwable cause = (ex.getCause() != null) ? ex.getCause() : ex;
 			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " does not respond ("
-					+ cause.getMessage() + "); check the address and that the process runs");
+					+ reasonOf(cause) + "); check the address and that the process runs");
 		}
 		if (page == null) {
 			throw new CtlException(ExitCode.ENVIRONMENT, "the process at " + this.address + " sent no response");
@@ -74,13 +88,23 @@
 		return page;
 	}
 
+	private static String reasonOf(Throwable cause) {
+		String message = cause.getMessage();
+		// Reactor Netty reports its response timeout without a message.
+		return (message != null) ? message : "nothing received for " + RESPONSE_TIMEOUT.toSeconds() + " s";
+	}
+
 	private static Mono<Page> toPage(HttpClientResponse response, ByteBufMono body) {
 		return body.asByteArray().defaultIfEmpty(new byte[0]).map((bytes) -> new Page(response.status().code(), bytes));
 	}
 
 	private JsonNode toJson(byte[] body) throws CtlException {
 		try {
-			return Printer.MAPPER.readTree(body);
+			JsonNode page = Printer.MAPPER.readTree(body);
+			if (page.isMissingNode()) {
+				throw notJson("empty body");
+			}
+			return page;
 		}
 		catch (JsonProcessingException ex) {
 			throw notJson(ex.getOriginalMessage());
