--- a/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoSteps.java
+++ b/lovagevale-standins/src/main/java/org/lovagevale/standins/demo/DemoSteps.java
@@ -59,6 +59,8 @@
 
 	private static final Duration LIMIT = Duration.ofSeconds(120);
 
+	private static final int CONFLICT = 409;
+
 	private static final int MISDIRECTED = 421;
 
 	private final DemoFleet fleet;
@@ -135,7 +137,7 @@
 		this.report.check("same key again", replayed && runs(first) == 1, "answered with " + again.status()
 				+ (replayed ? ", the stored response" : "") + ", runs " + runs(first));
 		CallResult elsewhere = once(this.transfers, call, other, first.key());
-		boolean known = elsewhere.status() == MISDIRECTED && elsewhere.outcome().equals("ran");
+		boolean known = elsewhere.status() == CONFLICT && elsewhere.outcome().equals("ran");
 		this.report.check("same key through " + other.vm(), known && runs(first) == 1,
 				"answered with " + elsewhere.status() + ", outcome " + elsewhere.outcome() + ", runs " + runs(first));
 	}
