Show the reach of a quarantined request and the audit start readably

lovagevalectl printed REGIONS none for a suspect request without home regions, although it is known in all regions, and completeSince as bare milliseconds: its test used the name completeSinceEpochMillis, which no entry process sends. An empty list of regions is now shown as all and completeSince as a time; the tests use the name that is sent.

--- a/lovagevale-ctl/src/main/java/org/lovagevale/ctl/JsonText.java
+++ b/lovagevale-ctl/src/main/java/org/lovagevale/ctl/JsonText.java
@@ -17,8 +17,8 @@
  * Writes any JSON value as lines and tables for people.
  *
  * <p>
- * It knows no member by name except times, so members that a newer process adds are shown
- * as well. Thread-safe.
+ * It knows no member by name except times and regions, so members that a newer process
+ * adds are shown as well. Thread-safe.
  */
 final class JsonText {
 
@@ -29,6 +29,13 @@
 
 	private static final String NONE = "none";
 
+	/** An empty list of regions is no restriction, so "none" would say the opposite. */
+	private static final String ALL_REGIONS = "all";
+
+	private static final String REGIONS = "regions";
+
+	private static final String COMPLETE_SINCE = "completeSince";
+
 	private JsonText() {
 	}
 
@@ -97,7 +104,7 @@
 		if (value.isArray()) {
 			List<String> items = new ArrayList<>();
 			value.forEach((item) -> items.add(cell("", item)));
-			return items.isEmpty() ? NONE : String.join(", ", items);
+			return items.isEmpty() ? emptyList(name) : String.join(", ", items);
 		}
 		if (value.isFloatingPointNumber()) {
 			return toDecimal(value);
@@ -105,6 +112,10 @@
 		return (value.isIntegralNumber() && isTime(name)) ? toTime(value) : value.asText();
 	}
 
+	private static String emptyList(String name) {
+		return name.equals(REGIONS) ? ALL_REGIONS : NONE;
+	}
+
 	private static String toDecimal(JsonNode value) {
 		if (!Double.isFinite(value.asDouble())) {
 			return value.asText();
@@ -114,7 +125,7 @@
 	}
 
 	private static boolean isTime(String name) {
-		return name.toLowerCase(Locale.ROOT).endsWith("epochmillis");
+		return name.equals(COMPLETE_SINCE) || name.toLowerCase(Locale.ROOT).endsWith("epochmillis");
 	}
 
 	private static String toTime(JsonNode value) {
--- a/lovagevale-ctl/src/test/java/org/lovagevale/ctl/AdminCommandsTests.java
+++ b/lovagevale-ctl/src/test/java/org/lovagevale/ctl/AdminCommandsTests.java
@@ -12,18 +12,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against output that hides members which a newer process adds, and against
- * failures of a process that look like success.
+ * Guards against output that hides members which a newer process adds, that shows a
+ * quarantined request without home regions as one that is known nowhere, or the start of
+ * the audit trail as a bare number, and against failures of a process that look like
+ * success.
  */
 class AdminCommandsTests {
 
 	private static final String STATUS = """
 			{"phase":"SERVING","settingsVersion":7,"future":true,"suspects":[],
-			"members":[{"vm":"entry-01","beat":5},{"vm":"entry-02","beat":12,"added":"x"}],"memory":{"share":1.23456,"high":1e999,"usedBytes":1}}
+			"members":[{"vm":"entry-01","beat":5},{"vm":"entry-02","beat":12,"added":"x"}],"memory":{"share":1.23456,"high":1e999,"usedBytes":1},
+			"trials":[{"regions":[],"servers":[]}]}
 			""";
 
 	private static final String AUDIT = """
-			{"completeSinceEpochMillis":0,"entries":[
+			{"completeSince":0,"entries":[
 			{"epochMillis":1000,"event":"settings.adopted","fields":{"version":"7","note":"a\\u001b[2Jb"}}]}
 			""";
 
@@ -56,13 +59,13 @@
 		assertThat(run("status").out().lines()).containsExactly("phase            SERVING", "settingsVersion  7",
 				"future           true", "suspects         none", "", "members:", "  VM        BEAT  ADDED",
 				"  entry-01  5     -", "  entry-02  12    x", "", "memory:", "  share      1.235",
-				"  high       Infinity", "  usedBytes  1");
+				"  high       Infinity", "  usedBytes  1", "", "trials:", "  REGIONS  SERVERS", "  all      none");
 	}
 
 	@Test
 	void auditShowsTimesAndNoControlCharacters() {
-		assertThat(run("audit").out().lines()).containsExactly("completeSinceEpochMillis  1970-01-01T00:00:00Z", "",
-				"entries:", "  EPOCHMILLIS           EVENT             FIELDS",
+		assertThat(run("audit").out().lines()).containsExactly("completeSince  1970-01-01T00:00:00Z", "", "entries:",
+				"  EPOCHMILLIS           EVENT             FIELDS",
 				"  1970-01-01T00:00:01Z  settings.adopted  version=7 note=a [2Jb");
 	}
 
