Add bin/bench control and bin/bench capacity

Cause: the cost of control at the target size rested on trials without a program that repeats them. Change: control measures digests, settings, ticks, requests and heap with the real logic and codec and a manual clock, each at five points with a line and its worst residual. capacity computes the sums at the target size from the lines of JSON and marks each row as measured, interpolated or extrapolated. lovagevale-bench may use core and peer. Conclusion: unit tests of the parts pass; no full run yet, so there are no figures in this commit.

--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
@@ -24,7 +24,10 @@
 		description = "Runs one measurement with entry processes and stand-ins on loopback addresses.")
 public final class Bench implements Callable<Integer> {
 
-	private static final List<Benchmark> BENCHMARKS = List.of(new AddedLatency(), new Measuring(), new Tail());
+	private static final List<Benchmark> BENCHMARKS = List.of(new AddedLatency(), new Measuring(), new Tail(),
+			new Control());
+
+	private static final String CAPACITY = "capacity";
 
 	private static final int NOT_VALID = 1;
 
@@ -36,7 +39,8 @@
 	@SuppressWarnings("NullAway.Init")
 	private CommandSpec spec;
 
-	@Parameters(paramLabel = "NAME", description = "The measurement, or \"list\" to print their names.")
+	@Parameters(paramLabel = "NAME",
+			description = "The measurement, \"list\" to print their names, or \"capacity\" to compute the target size.")
 	private String name = "list";
 
 	@Option(names = "--out", paramLabel = "DIR", description = "Folder for the figures, one line of JSON each.")
@@ -48,6 +52,13 @@
 	@Option(names = "--seconds", defaultValue = "5", description = "Length of one repetition; default 5.")
 	private int seconds;
 
+	@Option(names = "--in", paramLabel = "DIR", defaultValue = ".",
+			description = "For capacity: folder with the figures of control.")
+	private Path in = Path.of(".");
+
+	@Option(names = "--vms", defaultValue = "130", description = "For capacity: number of entry VMs; default 130.")
+	private int vms;
+
 	@Option(names = "--root", hidden = true, defaultValue = ".", description = "Folder of the project.")
 	private Path root = Path.of(".");
 
@@ -73,8 +84,12 @@
 		PrintWriter writer = this.spec.commandLine().getOut();
 		if (this.name.equals("list")) {
 			BENCHMARKS.forEach((known) -> writer.println(known.name() + "  " + known.description()));
+			writer.println(CAPACITY + "  cost at the target size, from the figures of control in the folder --in");
 			return 0;
 		}
+		if (this.name.equals(CAPACITY)) {
+			return compute(writer);
+		}
 		Optional<Benchmark> found = BENCHMARKS.stream().filter((known) -> known.name().equals(this.name)).findFirst();
 		if (found.isEmpty()) {
 			this.spec.commandLine().getErr().println("bench: no measurement named \"" + this.name + "\"; try list");
@@ -83,6 +98,17 @@
 		return measure(found.get(), new Report(writer));
 	}
 
+	private int compute(PrintWriter writer) throws IOException {
+		Capacity capacity = new Capacity(FigureFile.read(this.in, "control"), FigureFile.read(this.in, "measuring"),
+				FigureFile.read(this.in, "added-latency"), this.vms);
+		List<Capacity.Row> rows = capacity.rows();
+		writer.println("At " + ControlTree.TARGET_SERVERS + " servers and " + this.vms + " entry VMs, for each VM:");
+		writer.println(Capacity.Row.header());
+		rows.forEach(writer::println);
+		writer.flush();
+		return rows.stream().allMatch((row) -> row.verdict().equals("holds")) ? 0 : NOT_VALID;
+	}
+
 	private int measure(Benchmark benchmark, Report report) throws IOException, InterruptedException {
 		Path folder = Files.createTempDirectory("lovagevale-bench");
 		report.say("Logs of the processes are in " + folder);
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Capacity.java
@@ -0,0 +1,196 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalDouble;
+
+import org.lovagevale.bench.FigureFile.Basis;
+import org.lovagevale.bench.FigureFile.Estimate;
+
+/**
+ * What control costs one entry process at the target size, from measured figures, against
+ * its limits.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ */
+final class Capacity {
+
+	private static final int[] CHANGES = { 0, 50, 200, 500 };
+
+	private static final int SERVERS = ControlTree.TARGET_SERVERS;
+
+	private static final double CPU_LIMIT_PERCENT = 2.6;
+
+	private static final double MEMORY_LIMIT_MB = 256;
+
+	private static final double BYTES_LIMIT = 29_000;
+
+	private static final double SETTINGS_LIMIT_S = 18;
+
+	// 1 % of 2,000 reads a second.
+	private static final double READS_LIMIT = 20;
+
+	private static final double LATENCY_LIMIT_MS = 0.37;
+
+	private static final double CALLS_PER_SECOND = 1.3e6;
+
+	private static final double SETTINGS_CHANGES_PER_SECOND = 20_000 / 86_400.0;
+
+	private static final double TICKS_PER_SECOND = 20;
+
+	// Hops of the settings from a reader to the last process in a graph of 6 links.
+	private static final double SETTINGS_HOPS = 4;
+
+	private static final double BYTES_PER_MB = 1e6;
+
+	private static final double MILLIS_PER_SECOND = 1e3;
+
+	private static final double MICROS_PER_SECOND = 1e6;
+
+	private static final double PERCENT = 100;
+
+	private final FigureFile control;
+
+	private final FigureFile measuring;
+
+	private final FigureFile latency;
+
+	private final int vms;
+
+	Capacity(FigureFile control, FigureFile measuring, FigureFile latency, int vms) {
+		this.control = control;
+		this.measuring = measuring;
+		this.latency = latency;
+		this.vms = vms;
+	}
+
+	/**
+	 * Computes all rows.
+	 * @return the rows
+	 * @throws IOException if figures are missing
+	 */
+	List<Row> rows() throws IOException {
+		List<Row> rows = new ArrayList<>();
+		for (int changes : CHANGES) {
+			Estimate bytes = exchange("digest_bytes", changes);
+			rows.add(Row.of("digest bytes sent, " + changes + " state changes/s", bytes, "B/s", BYTES_LIMIT));
+		}
+		for (int changes : CHANGES) {
+			rows.add(Row.of("processor time of control, " + changes + " state changes/s", cpu(changes), "% of a core",
+					CPU_LIMIT_PERCENT));
+		}
+		rows.add(Row.of("- of it ticks", scaled(entry("tick"), tickFactor()), "% of a core", CPU_LIMIT_PERCENT));
+		rows.add(Row.of("- of it settings changes", settingsCpu(), "% of a core", CPU_LIMIT_PERCENT));
+		Estimate heap = scaled(entry("heap"), 1 / BYTES_PER_MB);
+		rows.add(Row.of("heap of the logic and settings", heap, "MB", MEMORY_LIMIT_MB));
+		rows.add(memory(heap));
+		rows.add(Row.of("settings in force everywhere", settingsSeconds(), "s", SETTINGS_LIMIT_S));
+		rows.add(Row.of("reads of the platform, all VMs", exchange("platform_reads", 0), "1/s", READS_LIMIT));
+		rows.add(Row.of("settings bytes sent by changes", settingsBytes(), "B/s", BYTES_LIMIT));
+		rows.add(latency());
+		rows.add(Row.of("decisions of requests (no limit)", requests(), "% of a core", Double.POSITIVE_INFINITY));
+		return rows;
+	}
+
+	private Estimate exchange(String name, int changes) throws IOException {
+		return this.control.at(name + "_servers_" + SERVERS + "_changes_" + changes + "_entries", this.vms);
+	}
+
+	private Estimate entry(String name) throws IOException {
+		return this.control.at(name + "_servers", SERVERS);
+	}
+
+	private static Estimate scaled(Estimate estimate, double factor) {
+		return new Estimate(estimate.value() * factor, estimate.basis());
+	}
+
+	// The exchange is measured with the ticks of the fleet logic, which thus count twice.
+	private Estimate cpu(int changes) throws IOException {
+		return exchange("digest_cpu", changes).plus(entry("tick"), tickFactor()).plus(settingsCpu(), 1);
+	}
+
+	private static double tickFactor() {
+		return PERCENT * TICKS_PER_SECOND / MICROS_PER_SECOND;
+	}
+
+	private Estimate settingsCpu() throws IOException {
+		Estimate millis = entry("settings_read").plus(entry("settings_adopt_next"), 1);
+		return scaled(millis, PERCENT * SETTINGS_CHANGES_PER_SECOND / MILLIS_PER_SECOND);
+	}
+
+	private Estimate settingsSeconds() throws IOException {
+		Estimate simulated = this.control.at("settings_everywhere_servers_" + SERVERS + "_entries", this.vms);
+		return scaled(simulated.plus(entry("settings_read"), SETTINGS_HOPS), 1 / MILLIS_PER_SECOND);
+	}
+
+	private Estimate settingsBytes() throws IOException {
+		Estimate bytes = this.control.at("settings_bytes_servers_" + SERVERS + "_entries", this.vms);
+		return scaled(bytes, SETTINGS_CHANGES_PER_SECOND);
+	}
+
+	private Estimate requests() throws IOException {
+		return scaled(entry("request"), PERCENT * CALLS_PER_SECOND / this.vms / MICROS_PER_SECOND);
+	}
+
+	// The process without servers, from the line over the numbers of servers.
+	private Row memory(Estimate heap) {
+		OptionalDouble base = this.measuring.median("intercept_memory_per_server");
+		if (base.isEmpty()) {
+			return Row.notMeasured("memory of the process", "MB", MEMORY_LIMIT_MB);
+		}
+		Estimate sum = new Estimate(heap.value() + base.getAsDouble(), Basis.EXTRAPOLATED);
+		return Row.of("memory of the process", sum, "MB", MEMORY_LIMIT_MB);
+	}
+
+	private Row latency() {
+		OptionalDouble added = this.latency.median("added_p99_rate_2000");
+		if (added.isEmpty()) {
+			return Row.notMeasured("added latency, p99, 2000/s", "ms", LATENCY_LIMIT_MS);
+		}
+		Estimate estimate = new Estimate(added.getAsDouble(), Basis.MEASURED);
+		return Row.of("added latency, p99, 2000/s", estimate, "ms", LATENCY_LIMIT_MS);
+	}
+
+	/**
+	 * One value against its limit.
+	 *
+	 * @param name what it is
+	 * @param value the value, NaN if it was not measured
+	 * @param unit the unit
+	 * @param limit the greatest value that holds
+	 * @param basis where the value comes from
+	 */
+	record Row(String name, double value, String unit, double limit, String basis) {
+
+		static Row of(String name, Estimate estimate, String unit, double limit) {
+			return new Row(name, estimate.value(), unit, limit, estimate.basis().name().toLowerCase(Locale.ROOT));
+		}
+
+		static Row notMeasured(String name, String unit, double limit) {
+			return new Row(name, Double.NaN, unit, limit, "not measured");
+		}
+
+		static String header() {
+			return String.format(Locale.ROOT, "%-46s %12s %10s  %-12s %-13s %s", "row", "value", "limit", "unit",
+					"basis", "verdict");
+		}
+
+		String verdict() {
+			if (Double.isNaN(this.value)) {
+				return "unknown";
+			}
+			return (this.value <= this.limit) ? "holds" : "misses";
+		}
+
+		@Override
+		public String toString() {
+			return String.format(Locale.ROOT, "%-46s %12.2f %10.2f  %-12s %-13s %s", this.name, this.value, this.limit,
+					this.unit, this.basis, verdict());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/EntryCost.java
@@ -0,0 +1,185 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.SeededRandom;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.EntryLogic;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.event.SettingsReceived;
+import org.lovagevale.settings.JsonSettingsReader;
+import org.lovagevale.settings.SettingsException;
+import org.lovagevale.settings.model.Settings;
+
+/**
+ * What settings, ticks, requests and memory cost one entry process, for growing numbers
+ * of backend servers.
+ */
+final class EntryCost {
+
+	private static final int[] SERVERS = { 100, 400, 1_600, 3_200, ControlTree.TARGET_SERVERS };
+
+	/** The number of entry VMs in the trees. */
+	private static final int ENTRIES = 130;
+
+	private static final int WARM_UP_READS = 30;
+
+	private static final int READS = 10;
+
+	private static final int WARM_UP_TICKS = 2_000;
+
+	private static final int TICKS = 1_000;
+
+	private static final int WARM_UP_REQUESTS = 60_000;
+
+	private static final int REQUESTS = 40_000;
+
+	// Keeps the load at 1,000 requests a second of simulated time.
+	private static final int REQUESTS_PER_TICK = 50;
+
+	// The small states are measured several at a time, as the heap is not exact.
+	private static final int HEAP_SERVERS = 6_400;
+
+	private static final double NANOS_PER_MICRO = 1e3;
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private final Options options;
+
+	private final Report report;
+
+	private final ControlFigures figures;
+
+	EntryCost(Options options, Report report, ControlFigures figures) {
+		this.options = options;
+		this.report = report;
+		this.figures = figures;
+	}
+
+	void measure() throws IOException {
+		try {
+			for (int servers : SERVERS) {
+				ControlTree tree = new ControlTree(ENTRIES, servers);
+				this.report.say("Measuring one entry process with " + servers + " servers.");
+				measureSettings(tree);
+				measureEvents(tree);
+				measureHeap(tree);
+			}
+		}
+		catch (SettingsException ex) {
+			throw new IOException("the generated tree is not valid: " + ex.getMessage(), ex);
+		}
+	}
+
+	private void measureSettings(ControlTree tree) throws SettingsException {
+		String content = tree.content();
+		readAndAdopt(content, WARM_UP_READS);
+		for (int run = 0; run < this.options.runs(); run++) {
+			double[] millis = readAndAdopt(content, READS);
+			add("settings_read", tree, "ms", millis[0]);
+			add("settings_adopt_first", tree, "ms", millis[1]);
+			add("settings_adopt_next", tree, "ms", millis[2]);
+			add("settings_bytes", tree, "B", content.getBytes(StandardCharsets.UTF_8).length);
+		}
+	}
+
+	private static double[] readAndAdopt(String content, int count) throws SettingsException {
+		JsonSettingsReader reader = new JsonSettingsReader();
+		Self self = new Self(new VmName(ControlTree.vmName(0)), new Incarnation(1_000, 1));
+		double[] nanos = new double[3];
+		for (int i = 0; i < count; i++) {
+			EntryLogic logic = new EntryLogic(self, new ManualClock(100_000, 1_000_000_000), new SeededRandom(i));
+			long start = System.nanoTime();
+			Settings first = reader.read(1, content);
+			nanos[0] += System.nanoTime() - start;
+			nanos[1] += adopt(logic, first, content);
+			nanos[2] += adopt(logic, reader.read(2, content), content);
+		}
+		for (int i = 0; i < nanos.length; i++) {
+			nanos[i] /= NANOS_PER_MILLI * count;
+		}
+		return nanos;
+	}
+
+	private static long adopt(EntryLogic logic, Settings settings, String content) {
+		long start = System.nanoTime();
+		logic.apply(new SettingsReceived(settings, content, true));
+		return System.nanoTime() - start;
+	}
+
+	private void measureEvents(ControlTree tree) {
+		WarmEntry entry = new WarmEntry(tree, tree.settings(1), tree.content());
+		tick(entry, WARM_UP_TICKS);
+		for (int run = 0; run < this.options.runs(); run++) {
+			add("tick", tree, "us", tick(entry, TICKS));
+		}
+		int id = 1;
+		request(entry, tree, id, WARM_UP_REQUESTS);
+		id += WARM_UP_REQUESTS;
+		long dispatched = entry.dispatched();
+		for (int run = 0; run < this.options.runs(); run++) {
+			add("request", tree, "us", request(entry, tree, id, REQUESTS));
+			id += REQUESTS;
+		}
+		long expected = (long) REQUESTS * this.options.runs();
+		if (entry.dispatched() - dispatched != expected) {
+			this.report.addProblem(tree + ": " + (entry.dispatched() - dispatched) + " of " + expected
+					+ " requests were sent to a server");
+		}
+	}
+
+	private static double tick(WarmEntry entry, int count) {
+		long before = entry.tickNanos();
+		for (int i = 0; i < count; i++) {
+			entry.tick();
+		}
+		return (entry.tickNanos() - before) / NANOS_PER_MICRO / count;
+	}
+
+	// Without the ticks between the requests.
+	private static double request(WarmEntry entry, ControlTree tree, int firstId, int count) {
+		int services = tree.services();
+		long nanos = 0;
+		for (int i = 0; i < count; i += REQUESTS_PER_TICK) {
+			entry.tick();
+			long start = System.nanoTime();
+			for (int j = i; j < i + REQUESTS_PER_TICK; j++) {
+				entry.request(firstId + j, ControlTree.path(j % services));
+			}
+			nanos += System.nanoTime() - start;
+		}
+		return nanos / NANOS_PER_MICRO / count;
+	}
+
+	private void measureHeap(ControlTree tree) throws SettingsException {
+		int count = Math.max(1, HEAP_SERVERS / tree.servers());
+		for (int run = 0; run < this.options.runs(); run++) {
+			long before = usedHeap();
+			List<WarmEntry> entries = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				String content = tree.content();
+				entries.add(new WarmEntry(tree, new JsonSettingsReader().read(1, content), content));
+			}
+			long used = usedHeap() - before;
+			add("heap", tree, "B", (double) used / entries.size());
+		}
+	}
+
+	private static long usedHeap() {
+		Runtime runtime = Runtime.getRuntime();
+		for (int i = 0; i < 3; i++) {
+			System.gc();
+		}
+		return runtime.totalMemory() - runtime.freeMemory();
+	}
+
+	private void add(String name, ControlTree tree, String unit, double value) {
+		this.figures.add(name, "servers", tree.servers(), unit, value);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/ExchangeCost.java
@@ -0,0 +1,148 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.lovagevale.peer.PeerException;
+
+/**
+ * Bytes and processor time of the digests of one entry process, for growing fleets.
+ */
+final class ExchangeCost {
+
+	private static final int[] ENTRIES = { 20, 40, 80, 120, 200 };
+
+	private static final int[] SERVERS = { 40, ControlTree.TARGET_SERVERS };
+
+	private static final int[] CHANGES = { 0, 50, 200, 500 };
+
+	// Each exchange runs in one thread, of which processor time is taken; four exchanges
+	// of 200 VMs fit into the heap.
+	private static final int THREADS = 4;
+
+	// A full digest is sent on each link every 5 s.
+	private static final long SETTLE_MS = 6_000;
+
+	private static final long SETTINGS_LIMIT_MS = 30_000;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private static final double PERCENT = 100;
+
+	private final Options options;
+
+	private final Report report;
+
+	private final ControlFigures figures;
+
+	ExchangeCost(Options options, Report report, ControlFigures figures) {
+		this.options = options;
+		this.report = report;
+		this.figures = figures;
+	}
+
+	void measure() throws IOException, InterruptedException {
+		warmUp();
+		ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+		try {
+			List<Future<?>> points = new ArrayList<>();
+			for (int entries : ENTRIES) {
+				for (int servers : SERVERS) {
+					for (int changes : CHANGES) {
+						points.add(threads.submit(() -> {
+							measure(new ControlTree(entries, servers), changes);
+							return null;
+						}));
+					}
+				}
+			}
+			for (Future<?> point : points) {
+				point.get();
+			}
+		}
+		catch (ExecutionException ex) {
+			throw new IOException("a simulated exchange failed: " + ex.getCause(), ex);
+		}
+		finally {
+			threads.shutdownNow();
+		}
+	}
+
+	private static void warmUp() throws IOException {
+		try {
+			new SimulatedExchange(new ControlTree(20, 400), 200).run(20_000);
+		}
+		catch (PeerException ex) {
+			throw new IOException("a simulated exchange failed", ex);
+		}
+	}
+
+	private void measure(ControlTree tree, int changes) throws PeerException {
+		SimulatedExchange exchange = new SimulatedExchange(tree, changes);
+		exchange.run(SETTLE_MS);
+		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+		String name = "servers_" + tree.servers() + "_changes_" + changes;
+		double seconds = this.options.seconds();
+		double nodeSeconds = seconds * tree.entries();
+		boolean isOpen = exchange.isOpen();
+		for (int run = 0; run < this.options.runs(); run++) {
+			ExchangeTotals before = exchange.totals();
+			long cpu = threads.getCurrentThreadCpuTime();
+			exchange.run((long) (seconds * MILLIS_PER_SECOND));
+			cpu = threads.getCurrentThreadCpuTime() - cpu;
+			ExchangeTotals totals = exchange.totals().minus(before);
+			isOpen = isOpen && exchange.isOpen();
+			add("digest_bytes_" + name, tree, "B/s per VM", totals.digestBytes() / nodeSeconds);
+			add("digest_messages_" + name, tree, "1/s per VM", totals.digests() / nodeSeconds);
+			add("digest_cpu_" + name, tree, "% of a core per VM", PERCENT * cpu / NANOS_PER_SECOND / nodeSeconds);
+			add("platform_reads_" + name, tree, "1/s in all", totals.reads() / seconds);
+		}
+		if (!isOpen) {
+			addProblem(tree + ", " + changes + " changes: a process was not open");
+		}
+		say("Measured " + tree + " with " + changes + " changes a second.");
+		if (changes == 0) {
+			publish(exchange, tree);
+		}
+	}
+
+	private void publish(SimulatedExchange exchange, ControlTree tree) throws PeerException {
+		for (int run = 0; run < this.options.runs(); run++) {
+			ExchangeTotals before = exchange.totals();
+			long millis = exchange.publish(SETTINGS_LIMIT_MS);
+			ExchangeTotals totals = exchange.totals().minus(before);
+			if (millis >= SETTINGS_LIMIT_MS) {
+				addProblem(tree + ": settings were not in force everywhere");
+			}
+			add("settings_everywhere_servers_" + tree.servers(), tree, "ms", millis);
+			add("settings_bytes_servers_" + tree.servers(), tree, "B per change and VM",
+					(double) totals.otherBytes() / tree.entries());
+		}
+	}
+
+	private void say(String line) {
+		synchronized (this.report) {
+			this.report.say(line);
+		}
+	}
+
+	private void addProblem(String problem) {
+		synchronized (this.report) {
+			this.report.addProblem(problem);
+		}
+	}
+
+	private void add(String name, ControlTree tree, String unit, double value) {
+		this.figures.add(name, "entries", tree.entries(), unit, value);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-bench/src/test/java/org/lovagevale/bench/CapacityTests.java
@@ -0,0 +1,51 @@
+package org.lovagevale.bench;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.bench.FigureFile.Basis;
+import org.lovagevale.bench.FigureFile.Estimate;
+import org.lovagevale.peer.PeerException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * Guards against a sizing that passes off extrapolated values as measured ones, and
+ * against a simulated fleet that measures nothing because it never opens.
+ */
+class CapacityTests {
+
+	@Test
+	void valuesOutsideOfTheMeasuredPointsAreMarkedAsExtrapolated() throws IOException {
+		FigureFile file = FigureFile.of(List.of("{\"name\":\"tick_servers_100\",\"median\":1}",
+				"{\"name\":\"tick_servers_200\",\"median\":3}", "{\"name\":\"slope_tick_per_servers\",\"median\":9}"));
+		assertThat(file.at("tick_servers", 100)).isEqualTo(new Estimate(1, Basis.MEASURED));
+		assertThat(file.at("tick_servers", 150)).isEqualTo(new Estimate(2, Basis.INTERPOLATED));
+		Estimate outside = file.at("tick_servers", 300);
+		assertThat(outside.value()).isCloseTo(5, within(1e-9));
+		assertThat(outside.basis()).isEqualTo(Basis.EXTRAPOLATED);
+		assertThat(new Estimate(1, Basis.MEASURED).plus(outside, 2).basis()).isEqualTo(Basis.EXTRAPOLATED);
+	}
+
+	@Test
+	void missingFiguresAreNamedAndNeverHold() throws IOException {
+		FigureFile none = FigureFile.of(List.of());
+		assertThatThrownBy(() -> none.at("tick_servers", 1)).hasMessageContaining("no series tick_servers");
+		assertThat(Capacity.Row.notMeasured("memory", "MB", 256).verdict()).isEqualTo("unknown");
+	}
+
+	@Test
+	void simulatedFleetOpensAndTakesNewSettingsEverywhere() throws PeerException {
+		SimulatedExchange exchange = new SimulatedExchange(new ControlTree(9, 20), 10);
+		exchange.run(3_000);
+		assertThat(exchange.isOpen()).isTrue();
+		ExchangeTotals before = exchange.totals();
+		exchange.run(1_000);
+		assertThat(exchange.totals().minus(before).digestBytes()).isPositive();
+		assertThat(exchange.publish(10_000)).isLessThan(5_000);
+	}
+
+}
