Bound the time of bin/bench control

Cause: a run with five repetitions at each point was stopped after 200 s of wall time with 18 of 40 exchanges measured; the cost of a simulated exchange grows faster than its size.

--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Bench.java
@@ -52,6 +52,10 @@
 	@Option(names = "--seconds", defaultValue = "5", description = "Length of one repetition; default 5.")
 	private int seconds;
 
+	@Option(names = "--limit", defaultValue = "3600",
+			description = "For control: seconds after which no further exchange is measured; default 3600.")
+	private int limit;
+
 	@Option(names = "--in", paramLabel = "DIR", defaultValue = ".",
 			description = "For capacity: folder with the figures of control.")
 	private Path in = Path.of(".");
@@ -112,7 +116,7 @@
 	private int measure(Benchmark benchmark, Report report) throws IOException, InterruptedException {
 		Path folder = Files.createTempDirectory("lovagevale-bench");
 		report.say("Logs of the processes are in " + folder);
-		Options options = new Options(this.runs, this.seconds);
+		Options options = new Options(this.runs, this.seconds, this.limit);
 		benchmark.run(new Environment(new Programs(this.root), folder, options), report);
 		report.print();
 		report.writeLines();
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/ControlFigures.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/ControlFigures.java
@@ -50,6 +50,9 @@
 				y[i] = figure.median();
 				i++;
 			}
+			if (x.length < 2) {
+				return;
+			}
 			addLine(name, series, LinearFit.of(x, y), report);
 		});
 	}
--- a/lovagevale-bench/src/main/java/org/lovagevale/bench/Options.java
+++ b/lovagevale-bench/src/main/java/org/lovagevale/bench/Options.java
@@ -8,6 +8,7 @@
  *
  * @param runs repetitions
  * @param seconds length of one repetition in seconds
+ * @param limitSeconds time after which control starts no further point, in seconds
  */
-record Options(int runs, int seconds) {
+record Options(int runs, int seconds, int limitSeconds) {
 }
