Say unknown when a body with an idempotency key is too large

Cause: a body found too large only while it arrives was answered with not-run by the node itself, without asking the key table. An earlier copy with the same key may have run, and a delayed one may still run, so that refusal could be false.

Change: with a key the outcome is unknown. The test oversizedBodyGets413 covers it; before the change it got not-run.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/Exchange.java
@@ -213,7 +213,9 @@
 	@Override
 	public void tooLarge() {
 		leave();
-		Outcome outcome = this.dispatched ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+		// An earlier or delayed copy with the same key may run, and the key was not asked.
+		boolean mayRun = this.dispatched || this.head.key() != null;
+		Outcome outcome = mayRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
 		this.context.metrics().refused(RefusalReason.BODY_TOO_LARGE.toHeader(), outcome.toHeader());
 		refuse(new Refusal(RefusalReason.BODY_TOO_LARGE, outcome, 0, "Send a smaller request body."));
 	}
