--- a/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -75,10 +75,11 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
 
-	private static final long TICK_MS = 20;
+	/** Shorter ticks cost more than the whole control allowance of an idle process. */
+	private static final long TICK_MS = 50;
 
 	/** Ticks between two looks at the phase, which copies the tables of the logic. */
-	private static final int TICKS_PER_LOOK = 10;
+	private static final int TICKS_PER_LOOK = 4;
 
 	private static final int AUDIT_CAPACITY = 4_096;
 
