--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/Audit.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/AuditRecorder.java
@@ -1,11 +1,9 @@
-package org.lovagevale.core.request;
+package org.lovagevale.core;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.lovagevale.base.Clock;
-import org.lovagevale.core.AuditEntry;
-import org.lovagevale.core.DecisionSink;
 import org.lovagevale.core.decision.RecordAudit;
 
 /**
@@ -15,13 +13,18 @@
  * Callers pass names and fingerprints only, never paths or accounts, since entries may be
  * read outside the home regions. Not thread-safe.
  */
-final class Audit {
+public final class AuditRecorder {
 
 	private final Clock clock;
 
 	private final DecisionSink sink;
 
-	Audit(Clock clock, DecisionSink sink) {
+	/**
+	 * Creates a recorder.
+	 * @param clock gives the time of entries
+	 * @param sink takes the entries as decisions
+	 */
+	public AuditRecorder(Clock clock, DecisionSink sink) {
 		this.clock = clock;
 		this.sink = sink;
 	}
@@ -31,12 +34,12 @@
 	 * @param event the event
 	 * @param fields names and values in turn
 	 */
-	void record(String event, String... fields) {
-		Map<String, String> map = new LinkedHashMap<>();
-		for (int i = 0; i + 1 < fields.length; i += 2) {
-			map.put(fields[i], fields[i + 1]);
+	public void add(String event, Object... fields) {
+		Map<String, String> named = new LinkedHashMap<>();
+		for (int i = 0; i < fields.length; i += 2) {
+			named.put(fields[i].toString(), fields[i + 1].toString());
 		}
-		this.sink.add(new RecordAudit(new AuditEntry(this.clock.epochMillis(), event, map)));
+		this.sink.add(new RecordAudit(new AuditEntry(this.clock.epochMillis(), event, named)));
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DomainAudit.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/DomainAudit.java
@@ -5,6 +5,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.FailureDomain;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.settings.model.DomainSettings;
 import org.lovagevale.settings.model.Settings;
 
@@ -20,7 +21,7 @@
 	private DomainAudit() {
 	}
 
-	static void add(Audit audit, @Nullable Settings previous, Settings settings) {
+	static void add(AuditRecorder audit, @Nullable Settings previous, Settings settings) {
 		Map<FailureDomain, Boolean> before = new HashMap<>();
 		if (previous != null) {
 			previous.domains().forEach((domain) -> before.put(domain.name(), domain.out()));
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/FleetLogic.java
@@ -12,6 +12,7 @@
 import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.DecisionSink;
 import org.lovagevale.core.Fingerprint;
 import org.lovagevale.core.MemberPhase;
@@ -68,7 +69,7 @@
 
 	private final long startedAt;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private final Counters counters = new Counters();
 
@@ -134,7 +135,7 @@
 		this.sink = sink;
 		this.keys = keys;
 		this.startedAt = clock.millis();
-		this.audit = new Audit(clock, sink);
+		this.audit = new AuditRecorder(clock, sink);
 		this.published = new Published(self.vm());
 		this.members = new Members(clock);
 		this.freshness = new SettingsFreshness(clock, this.published);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/MemberWatch.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/MemberWatch.java
@@ -1,5 +1,7 @@
 package org.lovagevale.core.fleet;
 
+import org.lovagevale.core.AuditRecorder;
+
 /**
  * Records in the audit trail when members become unreachable and come back.
  *
@@ -12,9 +14,9 @@
 
 	private final Members members;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
-	MemberWatch(Published published, Members members, Audit audit) {
+	MemberWatch(Published published, Members members, AuditRecorder audit) {
 		this.published = published;
 		this.members = members;
 		this.audit = audit;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Permission.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Permission.java
@@ -1,6 +1,7 @@
 package org.lovagevale.core.fleet;
 
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.settings.model.EntryVm;
 
 /**
@@ -23,14 +24,14 @@
 
 	private final PlannedStop stop;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private boolean started;
 
 	private boolean fenced;
 
 	Permission(VmName self, Published published, SettingsFreshness freshness, Members members, StartRule startRule,
-			PlannedStop stop, Audit audit) {
+			PlannedStop stop, AuditRecorder audit) {
 		this.self = self;
 		this.published = published;
 		this.freshness = freshness;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PlannedStop.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PlannedStop.java
@@ -5,6 +5,7 @@
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.DecisionSink;
 import org.lovagevale.core.Self;
 import org.lovagevale.core.decision.Exit;
@@ -38,14 +39,14 @@
 
 	private final Outbox outbox;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private Step step = Step.NONE;
 
 	private long nextAt;
 
 	PlannedStop(Self self, Clock clock, DecisionSink sink, Keys keys, Published published, Members members,
-			Outbox outbox, Audit audit) {
+			Outbox outbox, AuditRecorder audit) {
 		this.self = self;
 		this.clock = clock;
 		this.sink = sink;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspects.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/Suspects.java
@@ -11,6 +11,7 @@
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.Fingerprint;
 import org.lovagevale.core.Self;
 import org.lovagevale.core.message.SuspectEntry;
@@ -30,13 +31,13 @@
 
 	private final Published published;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private final Map<String, Suspect> suspects = new HashMap<>();
 
 	private long changes;
 
-	Suspects(Self self, Clock clock, Published published, Audit audit) {
+	Suspects(Self self, Clock clock, Published published, AuditRecorder audit) {
 		this.self = self;
 		this.clock = clock;
 		this.published = published;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/CrashGuard.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/CrashGuard.java
@@ -1,5 +1,6 @@
 package org.lovagevale.core.request;
 
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.RefusalReason;
 import org.lovagevale.core.fleet.Fleet;
 import org.lovagevale.core.fleet.SuspectStatus;
@@ -19,11 +20,11 @@
 
 	private final RequestEnd end;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private final WaitingRequests waiting;
 
-	CrashGuard(Fleet fleet, RequestEnd end, Audit audit, WaitingRequests waiting) {
+	CrashGuard(Fleet fleet, RequestEnd end, AuditRecorder audit, WaitingRequests waiting) {
 		this.fleet = fleet;
 		this.end = end;
 		this.audit = audit;
@@ -90,7 +91,7 @@
 		long notice = this.fleet.startTrial(request.fingerprint(), trialMs, request.scope().regions());
 		request.waitFor(Stage.WAITING_FOR_TRIAL, notice);
 		this.waiting.add(request);
-		this.audit.record("request.trial", "request", request.id().toString(), "fingerprint",
+		this.audit.add("request.trial", "request", request.id().toString(), "fingerprint",
 				request.fingerprint().value());
 	}
 
@@ -106,7 +107,7 @@
 		// A strike ends the trial for peers too.
 		request.endTrial();
 		long notice = this.fleet.strike(request.fingerprint(), request.scope().regions());
-		this.audit.record("request.strike", "request", request.id().toString(), "fingerprint",
+		this.audit.add("request.strike", "request", request.id().toString(), "fingerprint",
 				request.fingerprint().value(), "server", attempt.server().toString());
 		if (!request.attempts().isEmpty()) {
 			return false;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RequestLogic.java
@@ -9,6 +9,7 @@
 import org.lovagevale.base.AccountName;
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.RandomSource;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.DecisionSink;
 import org.lovagevale.core.RefusalReason;
 import org.lovagevale.core.RequestId;
@@ -81,7 +82,7 @@
 		this.self = self;
 		this.clock = clock;
 		this.fleet = fleet;
-		Audit audit = new Audit(clock, sink);
+		AuditRecorder audit = new AuditRecorder(clock, sink);
 		WaitingRequests waiting = new WaitingRequests();
 		KeyGate keyGate = new KeyGate(self, keys);
 		this.table = new ServerTable(self.vm(), fleet, audit);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomeRecorder.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerOutcomeRecorder.java
@@ -1,6 +1,7 @@
 package org.lovagevale.core.request;
 
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.FailureKind;
 import org.lovagevale.core.LoadReport;
 import org.lovagevale.settings.model.Priority;
@@ -15,9 +16,9 @@
 
 	private final ServerTable table;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
-	ServerOutcomeRecorder(ServerTable table, Audit audit) {
+	ServerOutcomeRecorder(ServerTable table, AuditRecorder audit) {
 		this.table = table;
 		this.audit = audit;
 	}
@@ -61,7 +62,7 @@
 		boolean eject = server.outcomes().addFailure(priority, attempt.timeoutMs(), pool.averages(), now);
 		if (eject && server.isWarm() && pool.canSetAside(now)) {
 			long ms = server.outcomes().eject(now);
-			this.audit.record("server.ejected", "server", server.toString(), "ms", Long.toString(ms));
+			this.audit.add("server.ejected", "server", server.toString(), "ms", Long.toString(ms));
 		}
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerTable.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/ServerTable.java
@@ -16,6 +16,7 @@
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.AuditRecorder;
 import org.lovagevale.core.ServerStatus;
 import org.lovagevale.core.fleet.Fleet;
 import org.lovagevale.core.message.ServerEntry;
@@ -39,7 +40,7 @@
 
 	private final Fleet fleet;
 
-	private final Audit audit;
+	private final AuditRecorder audit;
 
 	private final Map<ServiceName, ServicePool> pools = new LinkedHashMap<>();
 
@@ -53,7 +54,7 @@
 
 	private int cursor;
 
-	ServerTable(VmName self, Fleet fleet, Audit audit) {
+	ServerTable(VmName self, Fleet fleet, AuditRecorder audit) {
 		this.self = self;
 		this.fleet = fleet;
 		this.audit = audit;
@@ -166,7 +167,7 @@
 	private void noteState(TrackedServer server) {
 		String change = server.takeStateChange();
 		if (!change.isEmpty()) {
-			this.audit.record("server.state", "server", server.toString(), "change", change);
+			this.audit.add("server.state", "server", server.toString(), "change", change);
 		}
 	}
 
