--- a/lovagevale-node/src/main/java/org/lovagevale/node/log/LogLine.java
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/LogLine.java
@@ -1,4 +1,4 @@
-package org.lovagevale.node.log;
+package org.lovagevale.base;
 
 import java.util.Map;
 
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
@@ -0,0 +1,215 @@
+package org.lovagevale.core.catalog;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.ServerName;
+
+/**
+ * The state of the published items as far as this process knows it.
+ *
+ * <p>
+ * Invariants: neither the revision nor the version of the configuration ever decreases.
+ * An item that vanished while nothing could be read is kept for {@link #RETURN_MS}, since
+ * servers that live register again within that time. Not thread-safe.
+ */
+public final class Catalog {
+
+	/** Time in which living servers register again after an outage, in milliseconds. */
+	public static final long RETURN_MS = 2_200;
+
+	/**
+	 * A state that is not confirmed for this long counts as an outage, in milliseconds.
+	 * Servers are removed after three missed heartbeats, which take longer than this.
+	 */
+	public static final long OUTAGE_MS = 3_000;
+
+	private final CatalogDecoder decoder;
+
+	private final Map<String, PublishedItem> items = new HashMap<>();
+
+	private final Map<String, CatalogItem> meanings = new HashMap<>();
+
+	private @Nullable ServingConfiguration configuration;
+
+	private long revision;
+
+	private long confirmedAt = Long.MIN_VALUE;
+
+	private long returnUntil = Long.MIN_VALUE;
+
+	/**
+	 * Creates an empty catalog.
+	 * @param decoder decodes items
+	 */
+	public Catalog(CatalogDecoder decoder) {
+		this.decoder = decoder;
+	}
+
+	/**
+	 * Returns the newest configuration.
+	 * @return the configuration, or {@code null} before the first one
+	 */
+	public @Nullable ServingConfiguration configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Returns the revision of the published state that this catalog shows.
+	 * @return the revision, 0 before the first state
+	 */
+	public long revision() {
+		return this.revision;
+	}
+
+	/**
+	 * Returns the age of this state.
+	 * @param now the monotonic time in milliseconds
+	 * @return milliseconds since the state was known to be the newest
+	 */
+	public long ageMs(long now) {
+		return (this.confirmedAt == Long.MIN_VALUE) ? Long.MAX_VALUE : Math.max(0, now - this.confirmedAt);
+	}
+
+	/**
+	 * Returns the listed backend servers.
+	 * @return the servers by identity
+	 */
+	public Map<ServerName, BackendInstance> servers() {
+		Map<ServerName, BackendInstance> servers = new HashMap<>();
+		for (CatalogItem meaning : this.meanings.values()) {
+			if (meaning instanceof CatalogItem.Listed listed) {
+				servers.put(listed.instance().id(), listed.instance());
+			}
+		}
+		return servers;
+	}
+
+	/**
+	 * Returns the evacuated failure domains.
+	 * @return the failure domains
+	 */
+	public Set<FailureDomain> evacuated() {
+		Set<FailureDomain> domains = new HashSet<>();
+		for (CatalogItem meaning : this.meanings.values()) {
+			if (meaning instanceof CatalogItem.Evacuated evacuated) {
+				domains.add(evacuated.domain());
+			}
+		}
+		return domains;
+	}
+
+	/**
+	 * Returns all items.
+	 * @return the items
+	 */
+	public Collection<PublishedItem> items() {
+		return List.copyOf(this.items.values());
+	}
+
+	/**
+	 * Replaces the state by a complete one.
+	 * @param state all items
+	 * @param asOf the revision of the state
+	 * @param observedAt the monotonic time at which it was the newest, in milliseconds
+	 * @return the difference; none if the state is older than the known one
+	 */
+	public CatalogChange replace(List<PublishedItem> state, long asOf, long observedAt) {
+		if (asOf < this.revision) {
+			return CatalogChange.NONE;
+		}
+		noteOutage(observedAt);
+		Set<String> missing = new HashSet<>(this.items.keySet());
+		state.forEach((item) -> missing.remove(item.key()));
+		if (observedAt < this.returnUntil) {
+			missing.removeIf((key) -> this.meanings.get(key) instanceof CatalogItem.Listed);
+		}
+		return apply(state, missing, asOf, observedAt);
+	}
+
+	/**
+	 * Applies the difference to an older state.
+	 * @param base the revision that the difference starts from
+	 * @param change the difference
+	 * @param asOf the revision that it leads to
+	 * @param observedAt the monotonic time at which that was the newest, in milliseconds
+	 * @return the difference as applied, or {@code null} if this catalog does not have
+	 * the base
+	 */
+	public @Nullable CatalogChange advance(long base, CatalogChange change, long asOf, long observedAt) {
+		if (asOf < this.revision) {
+			return CatalogChange.NONE;
+		}
+		if (base > this.revision) {
+			return null;
+		}
+		noteOutage(observedAt);
+		return apply(change.changed(), change.removed(), asOf, observedAt);
+	}
+
+	private void noteOutage(long observedAt) {
+		if (this.confirmedAt != Long.MIN_VALUE && observedAt - this.confirmedAt > OUTAGE_MS) {
+			this.returnUntil = observedAt + RETURN_MS;
+		}
+	}
+
+	private CatalogChange apply(Collection<PublishedItem> state, Collection<String> gone, long asOf, long observedAt) {
+		List<PublishedItem> changed = new ArrayList<>();
+		List<String> removed = new ArrayList<>();
+		for (PublishedItem item : state) {
+			if (update(item)) {
+				changed.add(item);
+			}
+		}
+		for (String key : gone) {
+			if (this.items.remove(key) != null) {
+				this.meanings.remove(key);
+				removed.add(key);
+			}
+		}
+		this.revision = asOf;
+		this.confirmedAt = Math.max(this.confirmedAt, observedAt);
+		return new CatalogChange(changed, removed);
+	}
+
+	private boolean update(PublishedItem item) {
+		PublishedItem present = this.items.get(item.key());
+		if (present != null && item.revision() <= present.revision()) {
+			return false;
+		}
+		CatalogItem meaning = this.decoder.decode(item);
+		this.items.put(item.key(), item);
+		CatalogItem before = this.meanings.get(item.key());
+		if (meaning instanceof CatalogItem.Listed listed && before instanceof CatalogItem.Listed known) {
+			// A report may be published after one that was made later.
+			if (listed.isOlderThan(known)) {
+				return false;
+			}
+			this.meanings.put(item.key(), meaning);
+			return !listed.instance().equals(known.instance());
+		}
+		this.meanings.put(item.key(), meaning);
+		if (meaning instanceof CatalogItem.Configured configured) {
+			return adopt(configured.configuration());
+		}
+		return !Objects.equals(before, meaning);
+	}
+
+	private boolean adopt(ServingConfiguration next) {
+		ServingConfiguration known = this.configuration;
+		if (known != null && next.version() <= known.version()) {
+			return false;
+		}
+		this.configuration = next;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/CatalogItem.java
@@ -0,0 +1,58 @@
+package org.lovagevale.core.catalog;
+
+import org.lovagevale.base.FailureDomain;
+
+/**
+ * The meaning of a published item.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ */
+public sealed interface CatalogItem {
+
+	/**
+	 * A configuration.
+	 *
+	 * @param configuration the configuration
+	 */
+	record Configured(ServingConfiguration configuration) implements CatalogItem {
+	}
+
+	/**
+	 * A backend server.
+	 *
+	 * @param instance the server
+	 * @param report a counter that the server increases with each report in one lifetime
+	 */
+	record Listed(BackendInstance instance, long report) implements CatalogItem {
+
+		/**
+		 * Tells whether this report was made before another one.
+		 * @param other the other report of a server with the same identity
+		 * @return {@code true} if it is older
+		 */
+		boolean isOlderThan(Listed other) {
+			long start = this.instance.startedAtEpochMs();
+			long otherStart = other.instance.startedAtEpochMs();
+			return start < otherStart || start == otherStart && this.report < other.report;
+		}
+
+	}
+
+	/**
+	 * A failure domain whose servers get no requests.
+	 *
+	 * @param domain the failure domain
+	 */
+	record Evacuated(FailureDomain domain) implements CatalogItem {
+	}
+
+	/**
+	 * An item that names nothing to use.
+	 *
+	 * @param reason why it is not used
+	 */
+	record Unusable(String reason) implements CatalogItem {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/TrafficShare.java
@@ -0,0 +1,26 @@
+package org.lovagevale.core.catalog;
+
+import org.lovagevale.base.ServiceName;
+
+/**
+ * The share of a route's requests that one service gets.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param weight its weight relative to the other shares, positive
+ */
+public record TrafficShare(ServiceName service, double weight) {
+
+	/**
+	 * Checks the weight.
+	 * @throws IllegalArgumentException if the weight is negative or not a number
+	 */
+	public TrafficShare {
+		if (!(weight >= 0)) {
+			throw new IllegalArgumentException("weight of " + service + " is " + weight);
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * What an entry process believes about routes, services and backend servers.
+ */
+@NullMarked
+package org.lovagevale.core.catalog;
+
+import org.jspecify.annotations.NullMarked;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/MessageSize.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/MessageSize.java
@@ -11,6 +11,7 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionMessage;
 import org.lovagevale.core.message.ServerEntry;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
@@ -58,6 +59,7 @@
 			case OutcomeAnswer answer -> text(answer.key()) + text(answer.outcome());
 			case KeyArchive archive -> text(archive.vm()) + text(archive.incarnation()) + texts(archive.ran())
 					+ texts(archive.unknown()) + texts(archive.regions());
+			case RegionMessage region -> 0;
 		};
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerInbox.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/fleet/PeerInbox.java
@@ -15,6 +15,7 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionMessage;
 import org.lovagevale.core.message.ServerEntry;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
@@ -103,6 +104,8 @@
 			case KeyArchive archive -> archive(from, archive);
 			case Hello hello -> {
 			}
+			case RegionMessage region -> {
+			}
 		}
 	}
 
@@ -117,6 +120,7 @@
 			case OutcomeAnswer answer -> List.of();
 			case SettingsBody body -> List.of();
 			case SettingsRequest request -> List.of();
+			case RegionMessage region -> List.of();
 		};
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/PeerMessage.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/PeerMessage.java
@@ -7,6 +7,6 @@
  * Times are ages or durations, never clock readings, since clocks of VMs differ.
  */
 public sealed interface PeerMessage permits Hello, Digest, SettingsRequest, SettingsBody, Notice, NoticeAck,
-		OutcomeQuery, OutcomeAnswer, KeyArchive {
+		OutcomeQuery, OutcomeAnswer, KeyArchive, RegionMessage {
 
 }
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PlacedServer.java
@@ -0,0 +1,183 @@
+package org.lovagevale.core.placing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+
+/**
+ * What a dispatcher knows of one backend server.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class PlacedServer {
+
+	/** Other users of the machine change how long work takes about this often, in ms. */
+	private static final double SLOWNESS_MEMORY_MS = 150;
+
+	/** What is expected when nothing fresh is known, as a factor of the usual time. */
+	private static final double SLOWNESS_UNKNOWN = 1.6;
+
+	/** A report of requests of others counts for this long, in milliseconds. */
+	private static final long REPORT_MS = 1_000;
+
+	private static final double PACE_MEMORY = 8;
+
+	private static final double LEAST_PACE = 0.5;
+
+	private static final double MOST_PACE = 20;
+
+	/** A server that sheds is treated as full for this long, in milliseconds. */
+	private static final long SHED_MS = 120;
+
+	private static final double PERCENT = 100;
+
+	private final Map<SlotId, Long> granted = new HashMap<>();
+
+	private final ColdGate gate = new ColdGate();
+
+	private final Ejection ejection = new Ejection();
+
+	private BackendInstance instance;
+
+	private ServerLoad load = ServerLoad.UNKNOWN;
+
+	private long loadAt = Long.MIN_VALUE;
+
+	private int foreign;
+
+	private long coldUntil;
+
+	private long fullUntil = Long.MIN_VALUE;
+
+	private double pace = 1;
+
+	PlacedServer(BackendInstance instance, long now) {
+		this.instance = instance;
+		this.coldUntil = now + instance.warmupLeftMs();
+	}
+
+	BackendInstance instance() {
+		return this.instance;
+	}
+
+	Ejection ejection() {
+		return this.ejection;
+	}
+
+	ColdGate gate() {
+		return this.gate;
+	}
+
+	void update(BackendInstance next, long now) {
+		if (!next.equals(this.instance)) {
+			this.coldUntil = Math.max(this.coldUntil, now + next.warmupLeftMs());
+		}
+		this.instance = next;
+	}
+
+	boolean isCold(long now) {
+		return now < this.coldUntil;
+	}
+
+	void chill(long untilMs) {
+		this.coldUntil = Math.max(this.coldUntil, untilMs);
+	}
+
+	void warmupLeft(long leftMs, long now) {
+		this.coldUntil = now + leftMs;
+	}
+
+	void grant(SlotId id, long until) {
+		this.granted.put(id, until);
+	}
+
+	boolean release(SlotId id) {
+		return this.granted.remove(id) != null;
+	}
+
+	void expire(long now) {
+		this.granted.values().removeIf((until) -> until < now);
+	}
+
+	void releaseAllOf(VmName vm) {
+		this.granted.keySet().removeIf((id) -> id.vm().equals(vm));
+	}
+
+	int granted() {
+		return this.granted.size();
+	}
+
+	/**
+	 * Returns the requests that are probably at the server.
+	 * @param now the monotonic time in milliseconds
+	 * @return those granted here and those of others that it reported lately
+	 */
+	int outstanding(long now) {
+		boolean fresh = this.load.isKnown() && now - this.loadAt < REPORT_MS;
+		return this.granted.size() + (fresh ? this.foreign : 0);
+	}
+
+	int slots() {
+		return this.load.isKnown() ? Math.max(1, this.load.slots()) : Math.max(1, this.instance.slots());
+	}
+
+	boolean isFull(long now) {
+		return now < this.fullUntil || outstanding(now) >= slots();
+	}
+
+	long loadAgeMs(long now) {
+		return this.load.isKnown() ? now - this.loadAt : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Takes a report of the server.
+	 * @param next the report
+	 * @param now the monotonic time in milliseconds
+	 */
+	void report(ServerLoad next, long now) {
+		if (!next.isKnown()) {
+			return;
+		}
+		this.load = next;
+		this.loadAt = now;
+		this.foreign = Math.max(0, next.running() + next.waiting() - this.granted.size());
+	}
+
+	void shed(long now) {
+		this.fullUntil = now + SHED_MS;
+	}
+
+	/**
+	 * Learns from the time a request took.
+	 * @param tookMs the time in milliseconds
+	 * @param workMs the usual time in milliseconds
+	 */
+	void took(int tookMs, int workMs) {
+		double sample = tookMs / Math.max(1.0, workMs);
+		double bounded = Math.max(LEAST_PACE, Math.min(MOST_PACE, sample));
+		this.pace += (bounded - this.pace) / PACE_MEMORY;
+	}
+
+	double pace() {
+		return this.pace;
+	}
+
+	/**
+	 * Estimates how long work takes at this server.
+	 * @param now the monotonic time in milliseconds
+	 * @return a factor of the usual time
+	 */
+	double slowness(long now) {
+		double expected = SLOWNESS_UNKNOWN;
+		if (this.load.isKnown()) {
+			double told = this.load.slownessPercent() / PERCENT;
+			double trust = Math.exp(-(now - this.loadAt) / SLOWNESS_MEMORY_MS);
+			expected += (told - expected) * trust;
+		}
+		return expected * Math.max(1, this.pace);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -0,0 +1,139 @@
+package org.lovagevale.core.placing;
+
+import java.util.Collection;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.Region;
+
+/**
+ * Chooses a server for a request by the time that its response is expected to take.
+ *
+ * <p>
+ * Stateless except for its source of random numbers. Not thread-safe.
+ */
+final class ServerChoice {
+
+	/** There and back between two regions, in milliseconds. */
+	private static final double REGION_MS = 60;
+
+	/** There and back between two failure domains of a region, in milliseconds. */
+	private static final double DOMAIN_MS = 2;
+
+	/** Cost of a large response from another failure domain, as waiting time in ms. */
+	private static final double LARGE_DOMAIN_MS = 60;
+
+	/** Cost of a large response from another region, as waiting time in ms. */
+	private static final double LARGE_REGION_MS = 900;
+
+	/** Work takes this much longer when the last slot of a server is used. */
+	private static final double LAST_SLOT_FACTOR = 1.5;
+
+	/** A cold server takes this much longer. */
+	private static final double COLD_FACTOR = 2;
+
+	/** A failing server costs a repetition of the work this many times its share. */
+	private static final double FAILING_FACTOR = 3;
+
+	/** Requests to a server of another region that may be outstanding at once. */
+	private static final int REMOTE_MOST = 2;
+
+	private static final double TIE_BREAK = 0.1;
+
+	private static final int TIE_STEPS = 1_000;
+
+	private final Region region;
+
+	private final RandomSource random;
+
+	ServerChoice(Region region, RandomSource random) {
+		this.region = region;
+		this.random = random;
+	}
+
+	/**
+	 * Chooses the best server that has a free slot.
+	 * @param request the request
+	 * @param servers the servers of its service
+	 * @param evacuated failure domains that get no requests
+	 * @param coldRate the requests a second that a cold server bears, 0 if this process
+	 * must not use cold servers
+	 * @param now the monotonic time in milliseconds
+	 * @return the choice, or {@code null} if no server is free
+	 */
+	@Nullable Candidate choose(SlotRequest request, Collection<PlacedServer> servers, Set<FailureDomain> evacuated,
+			double coldRate, long now) {
+		Candidate best = null;
+		for (PlacedServer server : servers) {
+			if (!isUsable(request, server, evacuated, now) || !hasRoom(server, coldRate, now)) {
+				continue;
+			}
+			double cost = cost(request, server, now);
+			if (best == null || cost < best.costMs()) {
+				best = new Candidate(server, cost);
+			}
+		}
+		return best;
+	}
+
+	boolean isUsable(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated, long now) {
+		return isPermitted(request, server, evacuated) && !server.ejection().isEjected(now)
+				&& !request.tried().contains(server.instance().id());
+	}
+
+	boolean isPermitted(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated) {
+		Region place = server.instance().region();
+		return !server.instance().draining() && !evacuated.contains(server.instance().domain())
+				&& (request.homes().isEmpty() || request.homes().contains(place));
+	}
+
+	boolean isLocal(PlacedServer server) {
+		return server.instance().region().equals(this.region);
+	}
+
+	private boolean hasRoom(PlacedServer server, double coldRate, long now) {
+		if (server.isFull(now)) {
+			return false;
+		}
+		boolean local = isLocal(server);
+		if (server.isCold(now)) {
+			return local && coldRate > 0 && server.gate().isOpen(now) && server.granted() < 2;
+		}
+		return local || server.granted() < REMOTE_MOST;
+	}
+
+	private double cost(SlotRequest request, PlacedServer server, long now) {
+		double work = request.workMs() * server.slowness(now);
+		if (server.outstanding(now) + 1 >= server.slots()) {
+			work *= LAST_SLOT_FACTOR;
+		}
+		if (server.isCold(now)) {
+			work *= COLD_FACTOR;
+		}
+		work *= 1 + FAILING_FACTOR * server.ejection().failing();
+		work += distance(request, server);
+		return work * (1 + TIE_BREAK * this.random.nextInt(TIE_STEPS) / TIE_STEPS);
+	}
+
+	private double distance(SlotRequest request, PlacedServer server) {
+		if (!isLocal(server)) {
+			return REGION_MS + (request.large() ? LARGE_REGION_MS : 0);
+		}
+		if (!server.instance().domain().equals(request.domain())) {
+			return DOMAIN_MS + (request.large() ? LARGE_DOMAIN_MS : 0);
+		}
+		return 0;
+	}
+
+	/**
+	 * A server with its cost.
+	 *
+	 * @param server the server
+	 * @param costMs the expected time of the response, in milliseconds
+	 */
+	record Candidate(PlacedServer server, double costMs) {
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -0,0 +1,352 @@
+package org.lovagevale.core.placing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.catalog.Catalog;
+import org.lovagevale.core.catalog.ServiceSpec;
+import org.lovagevale.core.catalog.ServingConfiguration;
+
+/**
+ * Gives slots of backend servers to requests of the entry VMs of one region.
+ *
+ * <p>
+ * Invariants: a question gets at most one grant or rejection; a draining server or one in
+ * an evacuated failure domain gets none; a cold server gets requests only from the owner
+ * of its service. Not thread-safe.
+ */
+public final class SlotDispatcher {
+
+	/** A cold server that returns from evacuation is checked within this time, in ms. */
+	private static final long EVACUATION_CHILL_MS = 1_500;
+
+	/**
+	 * Grants that are not given back are forgotten this long after the timeout, in ms.
+	 */
+	private static final long LEAK_MS = 1_000;
+
+	private final Clock clock;
+
+	private final PlacingLimits limits;
+
+	private final SlotReplies replies;
+
+	private final ServerChoice choice;
+
+	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
+
+	private final CrashSuspects suspects = new CrashSuspects();
+
+	private final Predicate<ServiceName> owner;
+
+	private Set<FailureDomain> evacuated = Set.of();
+
+	/**
+	 * Creates a dispatcher without servers.
+	 * @param clock the clock
+	 * @param random breaks ties
+	 * @param region the region of this process
+	 * @param limits the limits to keep
+	 * @param owner tells for which services no other process of the region gives slots
+	 * @param replies takes the answers
+	 */
+	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
+			Predicate<ServiceName> owner, SlotReplies replies) {
+		this.clock = clock;
+		this.limits = limits;
+		this.owner = owner;
+		this.replies = replies;
+		this.choice = new ServerChoice(region, random);
+	}
+
+	/**
+	 * Takes over the known servers and configuration.
+	 * @param catalog the catalog
+	 */
+	public void update(Catalog catalog) {
+		long now = this.clock.millis();
+		Map<ServerName, BackendInstance> listed = catalog.servers();
+		this.pools.values().forEach((pool) -> pool.retain(listed));
+		for (BackendInstance instance : listed.values()) {
+			pool(instance.service()).put(instance, now);
+		}
+		ServingConfiguration configuration = catalog.configuration();
+		if (configuration != null) {
+			this.pools.forEach((name, pool) -> pool.spec(configuration.services().get(name)));
+		}
+		chillReturned(catalog.evacuated(), now);
+		serveWaiting();
+	}
+
+	private void chillReturned(Set<FailureDomain> next, long now) {
+		Set<FailureDomain> returned = new HashSet<>(this.evacuated);
+		returned.removeAll(next);
+		this.evacuated = next;
+		for (ServicePool pool : this.pools.values()) {
+			for (PlacedServer server : pool.servers()) {
+				if (returned.contains(server.instance().domain())) {
+					server.chill(now + EVACUATION_CHILL_MS);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Asks for a slot.
+	 * @param request the request
+	 */
+	public void ask(SlotRequest request) {
+		long now = this.clock.millis();
+		ServicePool pool = pool(request.service());
+		pool.askedAt(now);
+		if (this.suspects.isQuarantined(request.fingerprint(), now)) {
+			this.replies.refused(request.id(), RefusalCause.QUARANTINED, (int) CrashSuspects.QUARANTINE_MS);
+			return;
+		}
+		if (request.first()) {
+			pool.budget().countFirst(now);
+		}
+		else if (!pool.budget().tryTake(this.owner.test(request.service()), now)) {
+			this.replies.refused(request.id(), RefusalCause.EXTRA_BUDGET,
+					pool.drainMs(this.choice, this.evacuated, now));
+			return;
+		}
+		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, now) : null;
+		if (found != null) {
+			grant(pool, request, found, now);
+			return;
+		}
+		enqueue(pool, request, now);
+	}
+
+	private void enqueue(ServicePool pool, SlotRequest request, long now) {
+		Admission.Verdict verdict = pool.admit(request, this.choice, this.evacuated, now);
+		if (verdict.admitted()) {
+			pool.line().add(new WaitingSlot(request, now));
+			this.replies.queued(request.id());
+			return;
+		}
+		this.replies.refused(request.id(), verdict.cause(), verdict.retryAfterMs());
+	}
+
+	/**
+	 * Withdraws a question.
+	 * @param id the question
+	 */
+	public void cancel(SlotId id) {
+		for (ServicePool pool : this.pools.values()) {
+			if (pool.line().remove(id)) {
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Gives back a slot.
+	 * @param release the slot and what became of the request
+	 */
+	public void release(SlotRelease release) {
+		long now = this.clock.millis();
+		ServicePool pool = poolOf(release.server());
+		PlacedServer server = (pool != null) ? pool.find(release.server()) : null;
+		if (server != null) {
+			server.release(release.id());
+			learn(server, release, now);
+		}
+		if (release.outcome() == SlotOutcome.LOST) {
+			this.suspects.strike(release.fingerprint(), now);
+		}
+		else if (release.outcome() == SlotOutcome.SERVED) {
+			this.suspects.clear(release.fingerprint());
+		}
+		if (pool != null) {
+			serve(pool, now);
+		}
+	}
+
+	private void learn(PlacedServer server, SlotRelease release, long now) {
+		server.report(release.load(), now);
+		switch (release.outcome()) {
+			case SERVED -> {
+				server.ejection().succeeded();
+				server.took(release.tookMs(), release.workMs());
+			}
+			case FAILED, LOST -> server.ejection().failed(now);
+			case NOT_EXECUTED -> server.shed(now);
+			case REPLACED, UNREACHABLE -> server.ejection().unreachable(now);
+			case ABANDONED, UNUSED -> {
+			}
+		}
+	}
+
+	/**
+	 * Takes what a health check told.
+	 * @param id the server
+	 * @param load the load it told
+	 * @param warmupLeftMs how long it stays cold, in milliseconds, negative if it did not
+	 * tell
+	 */
+	public void checked(ServerName id, ServerLoad load, long warmupLeftMs) {
+		long now = this.clock.millis();
+		ServicePool pool = poolOf(id);
+		PlacedServer server = (pool != null) ? pool.find(id) : null;
+		if (pool != null && server != null) {
+			server.report(load, now);
+			server.ejection().reachable();
+			if (warmupLeftMs >= 0) {
+				server.warmupLeft(warmupLeftMs, now);
+			}
+			serve(pool, now);
+		}
+	}
+
+	/**
+	 * Takes the load that a server told with a response to a request placed elsewhere.
+	 * @param id the server
+	 * @param load the load
+	 */
+	public void observed(ServerName id, ServerLoad load) {
+		PlacedServer server = server(id);
+		if (server != null) {
+			server.report(load, this.clock.millis());
+		}
+	}
+
+	/**
+	 * Notes that a health check found no server.
+	 * @param id the server
+	 */
+	public void unreachable(ServerName id) {
+		PlacedServer server = server(id);
+		if (server != null) {
+			server.ejection().unreachable(this.clock.millis());
+		}
+	}
+
+	/**
+	 * Forgets what an entry VM holds that is gone.
+	 * @param vm the entry VM
+	 */
+	public void vmLost(VmName vm) {
+		for (ServicePool pool : this.pools.values()) {
+			pool.servers().forEach((server) -> server.releaseAllOf(vm));
+			pool.line().removeIf((slot) -> slot.request().id().vm().equals(vm));
+		}
+		serveWaiting();
+	}
+
+	/**
+	 * Lets time pass: rejects what waited too long and gives slots that became free.
+	 */
+	public void tick() {
+		long now = this.clock.millis();
+		for (ServicePool pool : this.pools.values()) {
+			pool.servers().forEach((server) -> server.expire(now));
+			for (WaitingSlot slot : pool.line().removeIf((waiting) -> waiting.isHopeless(now))) {
+				this.replies.refused(slot.request().id(), RefusalCause.TOO_LATE,
+						pool.drainMs(this.choice, this.evacuated, now));
+			}
+			serve(pool, now);
+		}
+	}
+
+	/**
+	 * Tells whether requests wait.
+	 * @return {@code true} if any do
+	 */
+	public boolean isWaiting() {
+		return this.pools.values().stream().anyMatch((pool) -> pool.line().size() > 0);
+	}
+
+	/**
+	 * Returns when a slot of a service was last asked for.
+	 * @param service the service
+	 * @return the monotonic time in milliseconds
+	 */
+	public long lastAskedAt(ServiceName service) {
+		return pool(service).askedAt();
+	}
+
+	/**
+	 * Returns how old the load of a server is.
+	 * @param id the server
+	 * @return milliseconds since its last report
+	 */
+	public long loadAgeMs(ServerName id) {
+		PlacedServer server = server(id);
+		return (server != null) ? server.loadAgeMs(this.clock.millis()) : Long.MAX_VALUE;
+	}
+
+	private @Nullable ServicePool poolOf(ServerName id) {
+		return this.pools.values().stream().filter((pool) -> pool.find(id) != null).findFirst().orElse(null);
+	}
+
+	private @Nullable PlacedServer server(ServerName id) {
+		ServicePool pool = poolOf(id);
+		return (pool != null) ? pool.find(id) : null;
+	}
+
+	private void serveWaiting() {
+		long now = this.clock.millis();
+		this.pools.values().forEach((pool) -> serve(pool, now));
+	}
+
+	private void serve(ServicePool pool, long now) {
+		if (pool.line().size() == 0) {
+			return;
+		}
+		List<WaitingSlot> order = pool.line().inOrder(now);
+		for (WaitingSlot slot : order) {
+			ServerChoice.Candidate found = choose(pool, slot.request(), now);
+			if (found != null) {
+				pool.line().remove(slot.request().id());
+				grant(pool, slot.request(), found, now);
+			}
+		}
+	}
+
+	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long now) {
+		double coldRate = this.owner.test(request.service()) ? pool.coldRate() : 0;
+		return this.choice.choose(request, pool.servers(), this.evacuated, coldRate, now);
+	}
+
+	private void grant(ServicePool pool, SlotRequest request, ServerChoice.Candidate found, long now) {
+		PlacedServer server = found.server();
+		boolean cold = server.isCold(now);
+		if (cold) {
+			server.gate().pass(pool.coldRate(), now);
+		}
+		String why = "costMs=" + Math.round(found.costMs()) + " outstanding=" + server.outstanding(now) + "/"
+				+ server.slots() + " loadAgeMs=" + Math.min(server.loadAgeMs(now), Integer.MAX_VALUE) + " cold=" + cold
+				+ " waiting=" + pool.line().size();
+		server.grant(request.id(), now + request.timeLeftMs() + LEAK_MS);
+		this.replies.granted(request.id(), server.instance().id(), why);
+	}
+
+	private ServicePool pool(ServiceName service) {
+		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(new ExtraSendBudget(this.limits)));
+	}
+
+	/**
+	 * Returns the specification of a service.
+	 * @param service the service
+	 * @return the specification, or {@code null} if none is known
+	 */
+	public @Nullable ServiceSpec spec(ServiceName service) {
+		return pool(service).spec();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
@@ -0,0 +1,42 @@
+package org.lovagevale.core.placing;
+
+import java.util.Set;
+
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+
+/**
+ * Asks for a server that can run a request now or soon.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param id identifies this question
+ * @param service the service
+ * @param domain the failure domain of the entry VM that holds the request
+ * @param homes the regions in which it may be served; empty for all
+ * @param priority the rank, 0 being served first
+ * @param large whether its response is large, so that a near server saves bytes
+ * @param first whether the request was not sent to any server before
+ * @param workMs how long such requests usually take, in milliseconds
+ * @param targetLeftMs the time left for a response of full value, in milliseconds; may be
+ * negative
+ * @param timeLeftMs the time left for any response, in milliseconds
+ * @param tried the servers that it was sent to before
+ * @param fingerprint a hash of what the caller sends, the same for repeated requests
+ */
+public record SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homes, int priority,
+		boolean large, boolean first, int workMs, int targetLeftMs, int timeLeftMs, Set<ServerName> tried,
+		long fingerprint) {
+
+	/**
+	 * Copies the collections.
+	 */
+	public SlotRequest {
+		homes = Set.copyOf(homes);
+		tried = Set.copyOf(tried);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -0,0 +1,140 @@
+package org.lovagevale.gateway;
+
+import java.time.Duration;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * The metrics of an entry process.
+ *
+ * <p>
+ * Invariant: tags carry names of services and routes, reasons and outcomes only, never
+ * paths or identities of requests. Thread-safe.
+ */
+public final class GatewayMetrics {
+
+	private static final String SERVICE = "service";
+
+	private static final Duration[] LATENCY_BUCKETS = { Duration.ofMillis(1), Duration.ofMillis(5),
+			Duration.ofMillis(20), Duration.ofMillis(50), Duration.ofMillis(100), Duration.ofMillis(200),
+			Duration.ofMillis(400), Duration.ofMillis(800), Duration.ofMillis(1_600), Duration.ofMillis(3_200),
+			Duration.ofMillis(6_400) };
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final Meter.MeterProvider<Counter> answers = Counter.builder("lovagevale.gateway.answers")
+		.description("Responses to callers by route, status and origin")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> sends = Counter.builder("lovagevale.gateway.sends")
+		.description("Requests sent to backend servers by outcome")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> refusals = Counter.builder("lovagevale.gateway.refusals")
+		.description("Requests without a server by cause")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
+		.description("Connections opened to backend servers")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Timer> durations = Timer.builder("lovagevale.gateway.duration")
+		.description("Time from the head of a request to the end of its response")
+		.serviceLevelObjectives(LATENCY_BUCKETS)
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Timer> slotWaits = Timer.builder("lovagevale.gateway.slot.wait")
+		.description("Time from asking for a server to the decision")
+		.serviceLevelObjectives(LATENCY_BUCKETS)
+		.withRegistry(this.registry);
+
+	private final Counter reads = Counter.builder("lovagevale.gateway.platform.reads")
+		.description("Calls to the platform")
+		.register(this.registry);
+
+	private final Counter failedReads = Counter.builder("lovagevale.gateway.platform.reads.failed")
+		.description("Calls to the platform that brought nothing")
+		.register(this.registry);
+
+	private final Counter checks = Counter.builder("lovagevale.gateway.health.checks")
+		.description("Health checks of backend servers")
+		.register(this.registry);
+
+	/**
+	 * Counts a response.
+	 * @param route the name of the route, empty if there is none
+	 * @param status the status
+	 * @param origin {@code server} or {@code entry}
+	 * @param tookMs the time since the head of the request, in milliseconds
+	 */
+	public void countAnswer(String route, int status, String origin, long tookMs) {
+		this.answers.withTags("route", route, "status", Integer.toString(status), "origin", origin).increment();
+		this.durations.withTags("route", route).record(Duration.ofMillis(tookMs));
+	}
+
+	/**
+	 * Counts a request sent to a server.
+	 * @param service the service
+	 * @param outcome the outcome
+	 */
+	public void countSend(String service, String outcome) {
+		this.sends.withTags(SERVICE, service, "outcome", outcome).increment();
+	}
+
+	/**
+	 * Counts a request that got no server.
+	 * @param service the service
+	 * @param cause the cause
+	 */
+	public void countRefusal(String service, String cause) {
+		this.refusals.withTags(SERVICE, service, "cause", cause).increment();
+	}
+
+	/**
+	 * Counts how long a request waited for the decision on its server.
+	 * @param service the service
+	 * @param waitMs the time in milliseconds
+	 */
+	public void countSlotWait(String service, long waitMs) {
+		this.slotWaits.withTags(SERVICE, service).record(Duration.ofMillis(waitMs));
+	}
+
+	/**
+	 * Counts a connection opened to a server.
+	 * @param service the service
+	 */
+	public void connectionOpened(String service) {
+		this.connections.withTags(SERVICE, service).increment();
+	}
+
+	/**
+	 * Counts a call to the platform.
+	 * @param succeeded whether it brought the state
+	 */
+	public void countRead(boolean succeeded) {
+		this.reads.increment();
+		if (!succeeded) {
+			this.failedReads.increment();
+		}
+	}
+
+	/**
+	 * Counts a health check.
+	 */
+	public void countCheck() {
+		this.checks.increment();
+	}
+
+	/**
+	 * Writes all metrics.
+	 * @return the text in Prometheus format
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogKeeper.java
@@ -0,0 +1,247 @@
+package org.lovagevale.gateway.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.LogLine;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.catalog.Catalog;
+import org.lovagevale.core.catalog.CatalogChange;
+import org.lovagevale.core.catalog.CatalogDecoder;
+import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.ServingConfiguration;
+import org.lovagevale.core.message.CatalogNews;
+import org.lovagevale.core.message.CatalogRequest;
+import org.lovagevale.core.roster.ReadSchedule;
+import org.lovagevale.core.roster.Roster;
+import org.lovagevale.core.roster.RosterMember;
+import org.lovagevale.gateway.CatalogSource;
+import org.lovagevale.gateway.CatalogState;
+import org.lovagevale.gateway.GatewayMetrics;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the catalog up to date: reads it or takes what others read, and passes it on.
+ *
+ * <p>
+ * Confined to the event loop.
+ */
+public final class CatalogKeeper {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(CatalogKeeper.class);
+
+	private final EventLoop loop;
+
+	private final Clock clock;
+
+	private final Roster roster;
+
+	private final RegionLink link;
+
+	private final CatalogSource source;
+
+	private final Catalog catalog;
+
+	private final GatewayMetrics metrics;
+
+	private final ReadSchedule schedule = new ReadSchedule();
+
+	private Runnable listener = () -> {
+	};
+
+	private Map<ServerName, BackendInstance> servers = Map.of();
+
+	/**
+	 * Creates a keeper with an empty catalog.
+	 * @param loop the event loop
+	 * @param clock the clock
+	 * @param roster tells who reads
+	 * @param link sends messages
+	 * @param source reads the platform
+	 * @param decoder decodes items
+	 * @param metrics counts reads
+	 */
+	public CatalogKeeper(EventLoop loop, Clock clock, Roster roster, RegionLink link, CatalogSource source,
+			CatalogDecoder decoder, GatewayMetrics metrics) {
+		this.loop = loop;
+		this.clock = clock;
+		this.roster = roster;
+		this.link = link;
+		this.source = source;
+		this.catalog = new Catalog(decoder);
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Sets what is called after each change.
+	 * @param changed the listener
+	 */
+	public void onChange(Runnable changed) {
+		this.listener = changed;
+	}
+
+	/**
+	 * Returns the catalog.
+	 * @return the catalog
+	 */
+	public Catalog catalog() {
+		return this.catalog;
+	}
+
+	/**
+	 * Returns the newest configuration.
+	 * @return the configuration, or {@code null} before the first one
+	 */
+	public @Nullable ServingConfiguration configuration() {
+		return this.catalog.configuration();
+	}
+
+	/**
+	 * Returns a listed server.
+	 * @param id its identity
+	 * @return the server, or {@code null} if it is not listed
+	 */
+	public @Nullable BackendInstance server(ServerName id) {
+		return this.servers.get(id);
+	}
+
+	/**
+	 * Returns the listed servers.
+	 * @return the servers by identity
+	 */
+	public Map<ServerName, BackendInstance> servers() {
+		return this.servers;
+	}
+
+	/**
+	 * Returns the age of the catalog.
+	 * @return milliseconds since it was known to be the newest
+	 */
+	public long ageMs() {
+		return this.catalog.ageMs(this.clock.millis());
+	}
+
+	/**
+	 * Reads if it is time to.
+	 */
+	public void tick() {
+		long now = this.clock.millis();
+		if (this.schedule.isDue(this.catalog.ageMs(now), this.roster.readerRank(), now)) {
+			read(now);
+		}
+	}
+
+	private void read(long now) {
+		this.schedule.began(now);
+		this.source.read()
+			.subscribe((state) -> this.loop.execute(() -> wasRead(state, now)),
+					(error) -> this.loop.execute(() -> readFailed(error, now)));
+	}
+
+	private void wasRead(CatalogState state, long startedAt) {
+		if (this.schedule.failures() > 0 || this.catalog.revision() == 0) {
+			LOGGER.info("{}",
+					LogLine.event("platform.regained")
+						.with("asOf", state.asOf())
+						.with("items", state.items().size())
+						.with("failures", this.schedule.failures()));
+		}
+		this.metrics.countRead(true);
+		this.schedule.succeeded();
+		long base = this.catalog.revision();
+		CatalogChange change = this.catalog.replace(state.items(), state.asOf(), startedAt);
+		changed(change, "platform");
+		long age = this.clock.millis() - startedAt;
+		boolean complete = base == 0;
+		List<PublishedItem> items = complete ? List.copyOf(this.catalog.items()) : change.changed();
+		CatalogNews news = new CatalogNews(complete, base, state.asOf(), age, items, change.removed());
+		for (RosterMember member : this.roster.alive()) {
+			if (!member.vm().equals(this.roster.self().vm())) {
+				this.link.send(member.vm(), news);
+			}
+		}
+	}
+
+	private void readFailed(Throwable error, long startedAt) {
+		this.metrics.countRead(false);
+		this.schedule.failed();
+		LOGGER.info("{}",
+				LogLine.event("platform.read-failed")
+					.with("failures", this.schedule.failures())
+					.with("tookMs", this.clock.millis() - startedAt)
+					.with("catalogAgeMs", ageMs())
+					.with("reason", String.valueOf(error.getMessage())));
+	}
+
+	/**
+	 * Takes what another process read.
+	 * @param from its VM
+	 * @param news what it read
+	 */
+	public void news(VmName from, CatalogNews news) {
+		long observedAt = this.clock.millis() - news.ageMs();
+		CatalogChange change = news.complete() ? this.catalog.replace(news.items(), news.asOf(), observedAt)
+				: this.catalog.advance(news.base(), new CatalogChange(news.items(), news.removed()), news.asOf(),
+						observedAt);
+		if (change == null) {
+			this.link.send(from, new CatalogRequest(this.catalog.revision()));
+			return;
+		}
+		this.schedule.heardNews();
+		changed(change, from.value());
+	}
+
+	/**
+	 * Answers a process that missed news.
+	 * @param from its VM
+	 * @param request what it has
+	 */
+	public void requested(VmName from, CatalogRequest request) {
+		if (this.catalog.revision() > request.have()) {
+			this.link.send(from, new CatalogNews(true, 0, this.catalog.revision(), ageMs(),
+					List.copyOf(this.catalog.items()), List.of()));
+		}
+	}
+
+	private void changed(CatalogChange change, String from) {
+		if (change.isEmpty()) {
+			return;
+		}
+		this.servers = Map.copyOf(this.catalog.servers());
+		ServingConfiguration configuration = this.catalog.configuration();
+		LOGGER.info("{}",
+				LogLine.event("catalog.changed")
+					.with("from", from)
+					.with("asOf", this.catalog.revision())
+					.with("ageMs", ageMs())
+					.with("version", (configuration != null) ? configuration.version() : 0)
+					.with("servers", this.servers.size())
+					.with("evacuated", this.catalog.evacuated())
+					.with("changed", keys(change))
+					.with("removed", change.removed()));
+		this.listener.run();
+	}
+
+	private static List<String> keys(CatalogChange change) {
+		return change.changed().stream().map(PublishedItem::key).limit(MOST_KEYS).toList();
+	}
+
+	/** Keys named in one line of the log. */
+	private static final int MOST_KEYS = 8;
+
+	/**
+	 * Returns the identities of the listed servers.
+	 * @return the identities
+	 */
+	public Set<ServerName> serverNames() {
+		return this.servers.keySet();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -0,0 +1,333 @@
+package org.lovagevale.gateway.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.LogLine;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Incarnation;
+import org.lovagevale.core.Self;
+import org.lovagevale.core.event.Event;
+import org.lovagevale.core.event.PeerConnected;
+import org.lovagevale.core.event.PeerLost;
+import org.lovagevale.core.event.PeerMessageReceived;
+import org.lovagevale.core.event.PeerRefused;
+import org.lovagevale.core.message.CatalogNews;
+import org.lovagevale.core.message.CatalogRequest;
+import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionMessage;
+import org.lovagevale.core.message.RosterBeat;
+import org.lovagevale.core.message.RosterEntry;
+import org.lovagevale.core.message.RosterList;
+import org.lovagevale.core.message.SlotAsk;
+import org.lovagevale.core.message.SlotCancelled;
+import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotQueued;
+import org.lovagevale.core.message.SlotRefused;
+import org.lovagevale.core.message.SlotReturned;
+import org.lovagevale.core.placing.SlotId;
+import org.lovagevale.core.roster.Roster;
+import org.lovagevale.core.roster.RosterMember;
+import org.lovagevale.core.roster.RosterPhase;
+import org.lovagevale.gateway.GatewayException;
+import org.lovagevale.gateway.HostPort;
+import org.lovagevale.peer.PeerException;
+import org.lovagevale.peer.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds the other entry processes of the region and exchanges messages with them.
+ *
+ * <p>
+ * A process connects to its seeds, which tell it whom they know, and then keeps a link to
+ * each process of its region. Confined to the event loop.
+ */
+public final class RegionPeers implements RegionLink {
+
+	/** The time between two messages about this process, in milliseconds. */
+	public static final long BEAT_MS = 400;
+
+	/** Seeds are asked again after this time, in case their lists changed, in ms. */
+	private static final long SEED_MS = 4_000;
+
+	/** While nobody is known, seeds are asked this often, in milliseconds. */
+	private static final long LONELY_SEED_MS = 400;
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(RegionPeers.class);
+
+	private final EventLoop loop;
+
+	private final Clock clock;
+
+	private final Roster roster;
+
+	private final PeerTransport transport;
+
+	/** Read by the threads of the transport too. */
+	private final Map<VmName, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+
+	private List<HostPort> seeds = List.of();
+
+	private @Nullable SlotClient slots;
+
+	private @Nullable CatalogKeeper catalog;
+
+	private long seedsAt = Long.MIN_VALUE;
+
+	private long beatAt = Long.MIN_VALUE;
+
+	private Set<VmName> alive = Set.of();
+
+	/**
+	 * Creates the exchange without links.
+	 * @param loop the event loop
+	 * @param clock the clock
+	 * @param roster the known processes
+	 * @param seeds where processes may be found
+	 */
+	public RegionPeers(EventLoop loop, Clock clock, Roster roster, List<HostPort> seeds) {
+		this.loop = loop;
+		this.clock = clock;
+		this.roster = roster;
+		Self self = new Self(roster.self().vm(), roster.self().incarnation());
+		this.transport = new PeerTransport(self, () -> "", this.addresses::get, this::event);
+		seeds(seeds);
+	}
+
+	/**
+	 * Returns the name under which a VM is known to its peers.
+	 * @param host its IP number
+	 * @return the name
+	 */
+	public static VmName nameOf(String host) {
+		return new VmName("vm-" + host.replace('.', '-').replace(':', '-'));
+	}
+
+	/**
+	 * Connects the parts that take messages.
+	 * @param slotClient takes messages about slots
+	 * @param keeper takes messages about the catalog
+	 */
+	public void connect(SlotClient slotClient, CatalogKeeper keeper) {
+		this.slots = slotClient;
+		this.catalog = keeper;
+	}
+
+	/**
+	 * Accepts links.
+	 * @param address where to listen
+	 * @throws GatewayException if the address cannot be opened
+	 */
+	public void open(HostPort address) throws GatewayException {
+		try {
+			this.transport.listen(address.host(), address.port());
+		}
+		catch (PeerException ex) {
+			throw new GatewayException("peers cannot connect", ex);
+		}
+	}
+
+	/**
+	 * Changes the seeds.
+	 * @param next the seeds
+	 */
+	public void seeds(List<HostPort> next) {
+		this.seeds = List.copyOf(next);
+		next.forEach((seed) -> remember(seed.host(), seed.port()));
+		this.seedsAt = Long.MIN_VALUE;
+	}
+
+	private void remember(String host, int port) {
+		this.addresses.put(nameOf(host), new InetSocketAddress(host, port));
+	}
+
+	@Override
+	public void send(VmName to, RegionMessage message) {
+		this.transport.send(to, message);
+	}
+
+	/**
+	 * Lets time pass: tells that this process is alive and looks for others.
+	 */
+	public void tick() {
+		long now = this.clock.millis();
+		if (this.beatAt == Long.MIN_VALUE || now - this.beatAt >= BEAT_MS) {
+			this.beatAt = now;
+			beat();
+		}
+		long pause = (this.roster.alive().size() > 1) ? SEED_MS : LONELY_SEED_MS;
+		if (this.seedsAt == Long.MIN_VALUE || now - this.seedsAt >= pause) {
+			this.seedsAt = now;
+			greetSeeds();
+		}
+		noteAlive();
+	}
+
+	/**
+	 * Tells the others at once what this process does now.
+	 */
+	public void beat() {
+		RosterBeat beat = new RosterBeat(toEntry(this.roster.beat()));
+		Set<VmName> kept = new HashSet<>();
+		for (RosterMember member : this.roster.known()) {
+			if (member.region().equals(this.roster.self().region())) {
+				// One link for a pair is enough; the other side opens it unless it is
+				// silent.
+				boolean opens = this.roster.self().vm().compareTo(member.vm()) < 0;
+				if (opens || !this.roster.isAlive(member.vm())) {
+					kept.add(member.vm());
+				}
+				if (this.roster.isAlive(member.vm()) || member.beat() == 0) {
+					this.transport.send(member.vm(), beat);
+				}
+			}
+		}
+		this.transport.keepLinks(kept);
+	}
+
+	private void greetSeeds() {
+		RosterBeat beat = new RosterBeat(toEntry(this.roster.beat()));
+		for (HostPort seed : this.seeds) {
+			VmName vm = nameOf(seed.host());
+			if (!vm.equals(this.roster.self().vm()) && !this.roster.isAlive(vm)) {
+				this.transport.send(vm, beat);
+			}
+		}
+	}
+
+	private void noteAlive() {
+		Set<VmName> now = new HashSet<>();
+		this.roster.alive().forEach((member) -> now.add(member.vm()));
+		if (!now.equals(this.alive)) {
+			LOGGER.info("{}",
+					LogLine.event("roster.changed")
+						.with("alive", now.size())
+						.with("joined", without(now, this.alive))
+						.with("left", without(this.alive, now)));
+			this.alive = now;
+		}
+	}
+
+	private static Set<VmName> without(Set<VmName> all, Set<VmName> some) {
+		Set<VmName> rest = new HashSet<>(all);
+		rest.removeAll(some);
+		return rest;
+	}
+
+	private void event(Event event) {
+		this.loop.execute(() -> handle(event));
+	}
+
+	private void handle(Event event) {
+		switch (event) {
+			case PeerConnected connected ->
+				this.transport.send(connected.peer(), new RosterBeat(toEntry(this.roster.beat())));
+			case PeerLost lost -> lost(lost.peer());
+			case PeerRefused refused -> lost(refused.peer());
+			case PeerMessageReceived received -> receive(received.from(), received.message());
+			default -> throw new IllegalStateException("unexpected event " + event);
+		}
+	}
+
+	private void lost(VmName vm) {
+		this.roster.lost(vm);
+		noteAlive();
+		SlotClient client = this.slots;
+		if (client != null) {
+			client.tick();
+		}
+	}
+
+	private void receive(VmName from, PeerMessage message) {
+		SlotClient client = this.slots;
+		CatalogKeeper keeper = this.catalog;
+		if (client == null || keeper == null || !(message instanceof RegionMessage region)) {
+			return;
+		}
+		try {
+			switch (region) {
+				case RosterBeat beat -> heard(from, beat);
+				case RosterList list -> list.entries().forEach(this::told);
+				case CatalogNews news -> keeper.news(from, news);
+				case CatalogRequest request -> keeper.requested(from, request);
+				case SlotAsk ask -> client.asked(from, ask);
+				case SlotGranted granted -> client.granted(from, granted);
+				case SlotQueued queued -> client.queued(from, queued);
+				case SlotRefused refused -> client.refused(from, refused);
+				case SlotCancelled cancelled -> client.dispatcher().cancel(new SlotId(from, cancelled.number()));
+				case SlotReturned returned -> client.returned(from, returned);
+			}
+		}
+		catch (IllegalArgumentException ex) {
+			LOGGER.warn("{}",
+					LogLine.event("peer.message-invalid")
+						.with("vm", from)
+						.with("type", region.getClass().getSimpleName())
+						.with("reason", String.valueOf(ex.getMessage())));
+		}
+	}
+
+	private void told(RosterEntry entry) {
+		RosterMember member = toMember(entry);
+		remember(member.host(), member.peerPort());
+		this.roster.told(member);
+	}
+
+	private void heard(VmName from, RosterBeat beat) {
+		RosterMember member = toMember(beat.self());
+		remember(member.host(), member.peerPort());
+		if (!member.vm().equals(from)) {
+			throw new IllegalArgumentException("beat of " + member.vm() + " sent by " + from);
+		}
+		boolean known = this.roster.find(from) != null;
+		RosterMember before = this.roster.heard(member);
+		SlotClient client = this.slots;
+		if (before != null && client != null) {
+			client.dispatcher().vmLost(from);
+		}
+		if (!known || before != null || !member.region().equals(this.roster.self().region())) {
+			tellOthers(member);
+		}
+	}
+
+	private void tellOthers(RosterMember newcomer) {
+		List<RosterEntry> same = this.roster.known()
+			.stream()
+			.filter((member) -> member.region().equals(newcomer.region()) && !member.vm().equals(newcomer.vm()))
+			.map(RegionPeers::toEntry)
+			.toList();
+		if (!same.isEmpty()) {
+			this.transport.send(newcomer.vm(), new RosterList(same));
+		}
+	}
+
+	/**
+	 * Closes all links.
+	 */
+	public void close() {
+		this.transport.close();
+	}
+
+	private static RosterEntry toEntry(RosterMember member) {
+		return new RosterEntry(member.vm().value(), member.host(), member.peerPort(), member.callerPort(),
+				member.domain().value(), member.region().value(), member.incarnation().toString(), member.beat(),
+				member.phase().name());
+	}
+
+	private static RosterMember toMember(RosterEntry entry) {
+		return new RosterMember(new VmName(entry.vm()), entry.host(), entry.peerPort(), entry.callerPort(),
+				new FailureDomain(entry.domain()), new Region(entry.region()), Incarnation.parse(entry.incarnation()),
+				entry.beat(), RosterPhase.valueOf(entry.phase()));
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
@@ -0,0 +1,76 @@
+package org.lovagevale.gateway.fleet;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.message.SlotAsk;
+import org.lovagevale.core.message.SlotReturned;
+import org.lovagevale.core.placing.ServerLoad;
+import org.lovagevale.core.placing.SlotId;
+import org.lovagevale.core.placing.SlotOutcome;
+import org.lovagevale.core.placing.SlotRelease;
+import org.lovagevale.core.placing.SlotRequest;
+
+/**
+ * Turns questions for slots into messages and back.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class SlotMessages {
+
+	private SlotMessages() {
+	}
+
+	static SlotAsk toMessage(SlotRequest request) {
+		List<String> homes = request.homes().stream().map(Region::value).toList();
+		List<String> tried = request.tried().stream().map(ServerName::value).toList();
+		return new SlotAsk(request.id().number(), request.service().value(), request.domain().value(), homes,
+				request.priority(), request.large(), request.first(), request.workMs(), request.targetLeftMs(),
+				request.timeLeftMs(), tried, request.fingerprint());
+	}
+
+	/**
+	 * Reads a question.
+	 * @param from the VM that sent it
+	 * @param ask the message
+	 * @return the question
+	 * @throws IllegalArgumentException if a name is invalid
+	 */
+	static SlotRequest toRequest(VmName from, SlotAsk ask) {
+		Set<Region> homes = ask.homes().stream().map(Region::new).collect(Collectors.toSet());
+		Set<ServerName> tried = ask.tried().stream().map(ServerName::new).collect(Collectors.toSet());
+		return new SlotRequest(new SlotId(from, ask.number()), new ServiceName(ask.service()),
+				new FailureDomain(ask.domain()), homes, ask.priority(), ask.large(), ask.first(), ask.workMs(),
+				ask.targetLeftMs(), ask.timeLeftMs(), tried, ask.fingerprint());
+	}
+
+	static SlotReturned toMessage(SlotRelease release) {
+		ServerLoad load = release.load();
+		return new SlotReturned(release.id().number(), release.server().value(), release.outcome().name(),
+				release.tookMs(), release.workMs(), load.running(), load.waiting(), load.slots(),
+				load.slownessPercent(), release.fingerprint());
+	}
+
+	/**
+	 * Reads what became of a slot.
+	 * @param from the VM that sent it
+	 * @param returned the message
+	 * @return the release
+	 * @throws IllegalArgumentException if a name is invalid
+	 */
+	static SlotRelease toRelease(VmName from, SlotReturned returned) {
+		ServerLoad load = new ServerLoad(returned.running(), returned.waiting(), returned.slots(),
+				returned.slownessPercent());
+		return new SlotRelease(new SlotId(from, returned.number()), new ServerName(returned.server()),
+				SlotOutcome.valueOf(returned.outcome()), returned.tookMs(), returned.workMs(), load,
+				returned.fingerprint());
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -0,0 +1,46 @@
+package org.lovagevale.gateway.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes responses of backend servers.
+ *
+ * <p>
+ * Not thread-safe.
+ */
+final class BackendResponseDecoder extends HttpResponseDecoder {
+
+	private static final int MAX_HEAD_BYTES = 65_536;
+
+	private static final int MAX_CHUNK_BYTES = 32_768;
+
+	private boolean head;
+
+	BackendResponseDecoder() {
+		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEAD_BYTES)
+			.setMaxHeaderSize(MAX_HEAD_BYTES)
+			.setMaxChunkSize(MAX_CHUNK_BYTES)
+			.setAllowDuplicateContentLengths(false));
+	}
+
+	/**
+	 * Tells which method the next response answers.
+	 * @param isHead whether it is HEAD, whose responses have no body
+	 */
+	void expect(boolean isHead) {
+		this.head = isHead;
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.head || super.isContentAlwaysEmpty(message);
+	}
+
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP towards callers and backend servers.
+ */
+@NullMarked
+package org.lovagevale.gateway.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/log/GatewayLogConfigurator.java
@@ -0,0 +1,37 @@
+package org.lovagevale.gateway.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Configures the log without a file, which saves the time to parse one at the start.
+ *
+ * <p>
+ * Used only where the system property {@link #PROPERTY} is set. Thread-safe.
+ */
+public final class GatewayLogConfigurator extends ContextAwareBase implements Configurator {
+
+	/** The system property that turns this configuration on. */
+	public static final String PROPERTY = "lovagevale.log.bounded";
+
+	@Override
+	public ExecutionStatus configure(LoggerContext context) {
+		if (!Boolean.getBoolean(PROPERTY)) {
+			return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+		}
+		BoundedLogAppender appender = new BoundedLogAppender();
+		appender.setContext(context);
+		appender.setName("out");
+		appender.start();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		root.setLevel(Level.INFO);
+		root.addAppender(appender);
+		context.getLogger("io.netty").setLevel(Level.WARN);
+		context.getLogger("reactor").setLevel(Level.ERROR);
+		return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+	}
+
+}
--- a/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -47,7 +47,7 @@
 import org.lovagevale.node.http.ExchangeContext;
 import org.lovagevale.node.http.HttpServerException;
 import org.lovagevale.node.http.Prober;
-import org.lovagevale.node.log.LogLine;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.node.metrics.NodeMetrics;
 import org.lovagevale.node.wiring.Engine;
 import org.lovagevale.node.wiring.SettingsLoader;
--- a/lovagevale-node/src/main/java/org/lovagevale/node/admin/AdminServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/admin/AdminServer.java
@@ -9,7 +9,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.node.http.HttpServerException;
-import org.lovagevale.node.log.LogLine;
+import org.lovagevale.base.LogLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
--- a/lovagevale-node/src/main/java/org/lovagevale/node/log/package-info.java
+++ /dev/null
@@ -1,7 +0,0 @@
-/**
- * Log lines of key=value pairs.
- */
-@NullMarked
-package org.lovagevale.node.log;
-
-import org.jspecify.annotations.NullMarked;
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Engine.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Engine.java
@@ -23,7 +23,7 @@
 import org.lovagevale.core.decision.Refuse;
 import org.lovagevale.core.decision.Replay;
 import org.lovagevale.core.event.Event;
-import org.lovagevale.node.log.LogLine;
+import org.lovagevale.base.LogLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Mailbox.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Mailbox.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 
 import org.lovagevale.core.decision.Decision;
-import org.lovagevale.node.log.LogLine;
+import org.lovagevale.base.LogLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/SettingsLoader.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/SettingsLoader.java
@@ -16,7 +16,7 @@
 import org.lovagevale.core.event.SettingsReceived;
 import org.lovagevale.core.event.SettingsUnavailable;
 import org.lovagevale.core.message.SettingsBody;
-import org.lovagevale.node.log.LogLine;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.platform.NewSettings;
 import org.lovagevale.platform.PlatformClient;
 import org.lovagevale.platform.SettingsAnswer;
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
@@ -10,8 +10,10 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.lovagevale.core.catalog.PublishedItem;
 import org.lovagevale.core.message.MemberEntry;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RosterEntry;
 import org.lovagevale.core.message.ServerEntry;
 import org.lovagevale.core.message.SuspectEntry;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -56,6 +58,8 @@
 		useArrays(MemberEntry.class);
 		useArrays(ServerEntry.class);
 		useArrays(SuspectEntry.class);
+		useArrays(RosterEntry.class);
+		useArrays(PublishedItem.class);
 	}
 
 	/**
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -1,6 +1,8 @@
 package org.lovagevale.peer;
 
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.core.message.CatalogNews;
+import org.lovagevale.core.message.CatalogRequest;
 import org.lovagevale.core.message.Digest;
 import org.lovagevale.core.message.Hello;
 import org.lovagevale.core.message.KeyArchive;
@@ -9,8 +11,16 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RosterBeat;
+import org.lovagevale.core.message.RosterList;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
+import org.lovagevale.core.message.SlotAsk;
+import org.lovagevale.core.message.SlotCancelled;
+import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotQueued;
+import org.lovagevale.core.message.SlotRefused;
+import org.lovagevale.core.message.SlotReturned;
 
 /**
  * The type codes of peer messages on the wire.
@@ -36,7 +46,27 @@
 
 	OUTCOME_ANSWER(8, OutcomeAnswer.class),
 
-	KEY_ARCHIVE(9, KeyArchive.class);
+	KEY_ARCHIVE(9, KeyArchive.class),
+
+	ROSTER_BEAT(10, RosterBeat.class),
+
+	ROSTER_LIST(11, RosterList.class),
+
+	CATALOG_NEWS(12, CatalogNews.class),
+
+	CATALOG_REQUEST(13, CatalogRequest.class),
+
+	SLOT_ASK(14, SlotAsk.class),
+
+	SLOT_GRANTED(15, SlotGranted.class),
+
+	SLOT_QUEUED(16, SlotQueued.class),
+
+	SLOT_REFUSED(17, SlotRefused.class),
+
+	SLOT_CANCELLED(18, SlotCancelled.class),
+
+	SLOT_RETURNED(19, SlotReturned.class);
 
 	private final int code;
 
@@ -58,6 +88,16 @@
 			case OutcomeQuery query -> OUTCOME_QUERY;
 			case OutcomeAnswer answer -> OUTCOME_ANSWER;
 			case KeyArchive archive -> KEY_ARCHIVE;
+			case RosterBeat beat -> ROSTER_BEAT;
+			case RosterList list -> ROSTER_LIST;
+			case CatalogNews news -> CATALOG_NEWS;
+			case CatalogRequest request -> CATALOG_REQUEST;
+			case SlotAsk ask -> SLOT_ASK;
+			case SlotGranted granted -> SLOT_GRANTED;
+			case SlotQueued queued -> SLOT_QUEUED;
+			case SlotRefused refused -> SLOT_REFUSED;
+			case SlotCancelled cancelled -> SLOT_CANCELLED;
+			case SlotReturned returned -> SLOT_RETURNED;
 		};
 	}
 
