Test the gateway's decisions and its behaviour on sockets

Change: tests of catalog, placing and roster, of the gateway on loopback against a server whose bytes the test writes, and of the adapter. The choice of servers now prefers one with fewer requests: a test found that two servers with 0 and 1 of 3 slots in use cost the same.

Ruled out: nothing; the other tests passed at once and were not seen failing first.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -31,6 +31,9 @@
 	/** Work takes this much longer when the last slot of a server is used. */
 	private static final double LAST_SLOT_FACTOR = 1.5;
 
+	/** A full server would take this much longer, a half full one half of it. */
+	private static final double SHARED_FACTOR = 0.3;
+
 	/** A cold server takes this much longer. */
 	private static final double COLD_FACTOR = 2;
 
@@ -106,6 +109,7 @@
 
 	private double cost(SlotRequest request, PlacedServer server, long now) {
 		double work = request.workMs() * server.slowness(now);
+		work *= 1 + SHARED_FACTOR * server.outstanding(now) / server.slots();
 		if (server.outstanding(now) + 1 >= server.slots()) {
 			work *= LAST_SLOT_FACTOR;
 		}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
@@ -0,0 +1,110 @@
+package org.lovagevale.core.catalog;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CatalogTests {
+
+	private static final RequestLimits LIMITS = new RequestLimits(1_000, 1_000, 1_000, 1_000);
+
+	private final Catalog catalog = new Catalog(CatalogTests::decode);
+
+	// Values are "version N", "server START REPORT STATE", "out" or anything else.
+	private static CatalogItem decode(PublishedItem item) {
+		String[] words = item.value().split(" ");
+		return switch (words[0]) {
+			case "version" -> new CatalogItem.Configured(
+					new ServingConfiguration(Long.parseLong(words[1]), RouteTable.of(List.of()), Map.of(), LIMITS));
+			case "server" -> new CatalogItem.Listed(new BackendInstance(new ServerName(item.key()),
+					new ServiceName("s"), "127.0.0.1", 1, new FailureDomain("d"), new Region("r"), 3,
+					words[3].equals("draining"), 0, Long.parseLong(words[1])), Long.parseLong(words[2]));
+			case "out" -> new CatalogItem.Evacuated(new FailureDomain(item.key()));
+			default -> new CatalogItem.Unusable("test");
+		};
+	}
+
+	private static PublishedItem item(String key, long revision, String value) {
+		return new PublishedItem(key, revision, value);
+	}
+
+	private long version() {
+		ServingConfiguration configuration = this.catalog.configuration();
+		return (configuration != null) ? configuration.version() : 0;
+	}
+
+	@Test
+	void olderStateIsIgnored() {
+		this.catalog.replace(List.of(item("c", 5, "version 2")), 5, 100);
+		assertThat(this.catalog.replace(List.of(item("c", 3, "version 1")), 3, 200)).isEqualTo(CatalogChange.NONE);
+		assertThat(version()).isEqualTo(2);
+	}
+
+	@Test
+	void configurationNeverReverts() {
+		this.catalog.replace(List.of(item("c", 5, "version 7")), 5, 100);
+		this.catalog.replace(List.of(item("c", 6, "version 6")), 6, 200);
+		assertThat(version()).isEqualTo(7);
+	}
+
+	@Test
+	void reportOfFormerLifetimeIsIgnored() {
+		this.catalog.replace(List.of(item("s", 1, "server 1000 1 ready")), 1, 0);
+		this.catalog.replace(List.of(item("s", 2, "server 1000 5 draining")), 2, 10);
+		this.catalog.replace(List.of(item("s", 3, "server 1000 4 ready")), 3, 20);
+		assertThat(this.catalog.servers().get(new ServerName("s")).draining()).isTrue();
+		this.catalog.replace(List.of(item("s", 4, "server 2000 1 ready")), 4, 30);
+		assertThat(this.catalog.servers().get(new ServerName("s")).draining()).isFalse();
+		this.catalog.replace(List.of(item("s", 5, "server 1000 6 draining")), 5, 40);
+		assertThat(this.catalog.servers().get(new ServerName("s")).draining()).isFalse();
+	}
+
+	@Test
+	void heartbeatIsNoChange() {
+		this.catalog.replace(List.of(item("s", 1, "server 1000 1 ready")), 1, 0);
+		assertThat(this.catalog.replace(List.of(item("s", 2, "server 1000 2 ready")), 2, 10).isEmpty()).isTrue();
+	}
+
+	@Test
+	void serversMissingAfterOutageAreKeptUntilTheyCouldReturn() {
+		this.catalog.replace(List.of(item("s", 1, "server 1 1 ready"), item("z", 1, "out")), 1, 0);
+		long back = Catalog.OUTAGE_MS + 1;
+		this.catalog.replace(List.of(), 2, back);
+		assertThat(this.catalog.servers()).hasSize(1);
+		assertThat(this.catalog.evacuated()).isEmpty();
+		this.catalog.replace(List.of(), 3, back + Catalog.RETURN_MS);
+		assertThat(this.catalog.servers()).isEmpty();
+	}
+
+	@Test
+	void serversMissingWithoutOutageAreGoneAtOnce() {
+		this.catalog.replace(List.of(item("s", 1, "server 1 1 ready")), 1, 0);
+		this.catalog.replace(List.of(), 2, 700);
+		assertThat(this.catalog.servers()).isEmpty();
+	}
+
+	@Test
+	void differenceNeedsItsBase() {
+		this.catalog.replace(List.of(item("c", 5, "version 1")), 5, 0);
+		CatalogChange change = new CatalogChange(List.of(item("c", 8, "version 2")), List.of());
+		assertThat(this.catalog.advance(7, change, 8, 10)).isNull();
+		assertThat(version()).isEqualTo(1);
+		assertThat(this.catalog.advance(5, change, 8, 10)).isNotNull();
+		assertThat(version()).isEqualTo(2);
+	}
+
+	@Test
+	void ageCountsFromObservation() {
+		assertThat(this.catalog.ageMs(50)).isEqualTo(Long.MAX_VALUE);
+		this.catalog.replace(List.of(), 1, 100);
+		assertThat(this.catalog.ageMs(350)).isEqualTo(250);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/Fixture.java
@@ -0,0 +1,138 @@
+package org.lovagevale.core.placing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.SeededRandom;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.catalog.Catalog;
+import org.lovagevale.core.catalog.CatalogItem;
+import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.RequestLimits;
+import org.lovagevale.core.catalog.RouteTable;
+import org.lovagevale.core.catalog.ServiceSpec;
+import org.lovagevale.core.catalog.ServingConfiguration;
+
+/**
+ * A dispatcher with servers that are changed by the test.
+ */
+final class Fixture implements SlotReplies {
+
+	static final ServiceName SERVICE = new ServiceName("balances");
+
+	static final Region WEST = new Region("west");
+
+	static final FailureDomain DOMAIN = new FailureDomain("west-1");
+
+	static final VmName VM = new VmName("vm-1");
+
+	static final PlacingLimits LIMITS = new PlacingLimits(0.2, 10_000, 62, 3, 1.5, 5);
+
+	static final double COLD_RATE = 4;
+
+	final ManualClock clock = new ManualClock(10_000, 1_000_000);
+
+	final Map<ServerName, BackendInstance> instances = new LinkedHashMap<>();
+
+	final List<FailureDomain> evacuated = new ArrayList<>();
+
+	final Map<Long, ServerName> granted = new LinkedHashMap<>();
+
+	final Map<Long, RefusalCause> refused = new HashMap<>();
+
+	final Map<Long, Integer> retryAfter = new HashMap<>();
+
+	final List<Long> queued = new ArrayList<>();
+
+	boolean owner = true;
+
+	final SlotDispatcher dispatcher = new SlotDispatcher(this.clock, new SeededRandom(7), WEST, LIMITS,
+			(service) -> this.owner, this);
+
+	private long revision;
+
+	private long numbers;
+
+	Fixture server(String id, FailureDomain domain, Region region, int slots, boolean draining, long warmupLeftMs,
+			long startedAt) {
+		ServerName name = new ServerName(id);
+		this.instances.put(name, new BackendInstance(name, SERVICE, "127.0.0.1", 80, domain, region, slots, draining,
+				warmupLeftMs, startedAt));
+		return this;
+	}
+
+	Fixture server(String id) {
+		return server(id, DOMAIN, WEST, 3, false, 0, 1);
+	}
+
+	Fixture publish() {
+		this.revision++;
+		Catalog catalog = new Catalog((item) -> switch (item.key()) {
+			case "config" -> new CatalogItem.Configured(new ServingConfiguration(1, RouteTable.of(List.of()),
+					Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 260, 3_000, COLD_RATE)),
+					new RequestLimits(1, 1, 1, 1)));
+			default -> item.key().startsWith("out ")
+					? new CatalogItem.Evacuated(new FailureDomain(item.key().substring("out ".length())))
+					: new CatalogItem.Listed(this.instances.get(new ServerName(item.key())), 1);
+		});
+		List<PublishedItem> items = new ArrayList<>();
+		items.add(new PublishedItem("config", this.revision, ""));
+		this.instances.keySet().forEach((id) -> items.add(new PublishedItem(id.value(), this.revision, "")));
+		this.evacuated.forEach((domain) -> items.add(new PublishedItem("out " + domain, this.revision, "")));
+		catalog.replace(items, this.revision, this.clock.millis());
+		this.dispatcher.update(catalog);
+		return this;
+	}
+
+	SlotRequest request(int priority, boolean first, int workMs, int targetLeftMs, int timeLeftMs) {
+		return new SlotRequest(new SlotId(VM, ++this.numbers), SERVICE, DOMAIN, Set.of(), priority, false, first,
+				workMs, targetLeftMs, timeLeftMs, Set.of(), this.numbers);
+	}
+
+	long ask(SlotRequest request) {
+		this.dispatcher.ask(request);
+		return request.id().number();
+	}
+
+	long ask() {
+		return ask(request(1, true, 100, 400, 2_000));
+	}
+
+	void release(long number, SlotOutcome outcome) {
+		release(number, outcome, number);
+	}
+
+	void release(long number, SlotOutcome outcome, long fingerprint) {
+		this.dispatcher.release(new SlotRelease(new SlotId(VM, number), this.granted.get(number), outcome, 100, 100,
+				ServerLoad.UNKNOWN, fingerprint));
+	}
+
+	@Override
+	public void granted(SlotId id, ServerName server, String why) {
+		if (this.granted.put(id.number(), server) != null) {
+			throw new IllegalStateException("second grant of " + id);
+		}
+	}
+
+	@Override
+	public void queued(SlotId id) {
+		this.queued.add(id.number());
+	}
+
+	@Override
+	public void refused(SlotId id, RefusalCause cause, int retryAfterMs) {
+		this.refused.put(id.number(), cause);
+		this.retryAfter.put(id.number(), retryAfterMs);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -0,0 +1,214 @@
+package org.lovagevale.core.placing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServerName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SlotDispatcherTests {
+
+	private final Fixture fixture = new Fixture();
+
+	@Test
+	void freeServerIsGivenAtOnce() {
+		this.fixture.server("a").publish();
+		assertThat(this.fixture.granted).containsEntry(this.fixture.ask(), new ServerName("a"));
+	}
+
+	@Test
+	void requestsSpreadOverServers() {
+		this.fixture.server("a").server("b").server("c").publish();
+		for (int i = 0; i < 3; i++) {
+			this.fixture.ask();
+		}
+		assertThat(Set.copyOf(this.fixture.granted.values())).hasSize(3);
+	}
+
+	@Test
+	void fullServersMakeRequestsWaitForFreedSlot() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		long first = this.fixture.ask();
+		long second = this.fixture.ask();
+		assertThat(this.fixture.queued).containsExactly(second);
+		this.fixture.release(first, SlotOutcome.SERVED);
+		assertThat(this.fixture.granted).containsKey(second);
+	}
+
+	@Test
+	void higherPriorityIsServedFirst() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		long running = this.fixture.ask();
+		long low = this.fixture.ask(this.fixture.request(2, true, 100, 400, 2_000));
+		long high = this.fixture.ask(this.fixture.request(0, true, 100, 400, 2_000));
+		this.fixture.release(running, SlotOutcome.SERVED);
+		assertThat(this.fixture.granted).containsKey(high).doesNotContainKey(low);
+	}
+
+	@Test
+	void requestThatCanStillMeetItsTargetGoesBeforeLateOne() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		long running = this.fixture.ask();
+		long late = this.fixture.ask(this.fixture.request(1, true, 100, 150, 4_000));
+		this.fixture.clock.advance(100);
+		long fresh = this.fixture.ask(this.fixture.request(1, true, 100, 900, 4_000));
+		this.fixture.release(running, SlotOutcome.SERVED);
+		assertThat(this.fixture.granted).containsKey(fresh).doesNotContainKey(late);
+	}
+
+	@Test
+	void overloadIsRefusedAtOnceWithTheTimeUntilTheWorkAheadIsDone() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		List<Long> asked = new ArrayList<>();
+		for (int i = 0; i < 20; i++) {
+			asked.add(this.fixture.ask());
+		}
+		long last = asked.getLast();
+		assertThat(this.fixture.refused).containsEntry(last, RefusalCause.OVERLOAD);
+		assertThat(this.fixture.retryAfter.get(last)).isBetween(150, 1_000);
+		assertThat(this.fixture.queued).hasSizeBetween(1, 4);
+	}
+
+	@Test
+	void requestThatCannotBeServedInTimeIsRefusedBeforeItsTimeout() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		this.fixture.ask();
+		long waiting = this.fixture.ask(this.fixture.request(1, true, 100, 400, 300));
+		this.fixture.clock.advance(260);
+		this.fixture.dispatcher.tick();
+		assertThat(this.fixture.refused).containsEntry(waiting, RefusalCause.TOO_LATE);
+	}
+
+	@Test
+	void drainingAndEvacuatedServersGetNothing() {
+		FailureDomain other = new FailureDomain("west-2");
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 3, true, 0, 1)
+			.server("b", other, Fixture.WEST, 3, false, 0, 1);
+		this.fixture.evacuated.add(other);
+		this.fixture.publish();
+		assertThat(this.fixture.refused).containsEntry(this.fixture.ask(), RefusalCause.NO_SERVER);
+	}
+
+	@Test
+	void homeRegionsAreKept() {
+		this.fixture.server("a", new FailureDomain("east-1"), new Region("east"), 3, false, 0, 1).publish();
+		SlotRequest plain = this.fixture.request(1, true, 100, 400, 2_000);
+		SlotRequest atHome = new SlotRequest(plain.id(), plain.service(), plain.domain(), Set.of(Fixture.WEST), 1,
+				false, true, 100, 400, 2_000, Set.of(), 1);
+		assertThat(this.fixture.refused).containsEntry(this.fixture.ask(atHome), RefusalCause.NO_SERVER);
+	}
+
+	@Test
+	void coldServerStaysWithinItsRateInEverySecond() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 3, false, 60_000, 1).publish();
+		List<Long> grants = new ArrayList<>();
+		int seen = 0;
+		for (int ms = 0; ms < 5_000; ms += 10) {
+			long id = this.fixture.ask(this.fixture.request(1, true, 5, 400, 500));
+			this.fixture.dispatcher.tick();
+			while (seen < this.fixture.granted.size()) {
+				seen++;
+				grants.add(this.fixture.clock.millis());
+			}
+			List.copyOf(this.fixture.granted.keySet())
+				.forEach((given) -> this.fixture.release(given, SlotOutcome.SERVED));
+			assertThat(id).isPositive();
+			this.fixture.clock.advance(10);
+		}
+		for (long at : grants) {
+			long inSecond = grants.stream().filter((other) -> other >= at && other < at + 1_000).count();
+			assertThat(inSecond).isLessThanOrEqualTo((long) Fixture.COLD_RATE + 1);
+		}
+		assertThat(grants.size()).isGreaterThan(10);
+	}
+
+	@Test
+	void coldServerGetsNothingFromAProcessThatIsNotTheOnlyOwner() {
+		this.fixture.owner = false;
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 3, false, 60_000, 1).publish();
+		this.fixture.ask();
+		assertThat(this.fixture.granted).isEmpty();
+	}
+
+	@Test
+	void serverThatReturnsFromEvacuationCountsAsColdUntilItIsChecked() {
+		this.fixture.server("a");
+		this.fixture.evacuated.add(Fixture.DOMAIN);
+		this.fixture.publish();
+		this.fixture.evacuated.clear();
+		this.fixture.publish();
+		this.fixture.ask();
+		this.fixture.ask();
+		assertThat(this.fixture.granted).hasSize(1);
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(1, 0, 3, 100), 0);
+		assertThat(this.fixture.granted).hasSize(2);
+	}
+
+	@Test
+	void extraSendsStayWithinTheBudgetOfTheRegion() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 500, false, 0, 1).publish();
+		int given = 0;
+		for (int i = 0; i < 100; i++) {
+			this.fixture.ask();
+			long extra = this.fixture.ask(this.fixture.request(1, false, 100, 400, 2_000));
+			given += this.fixture.granted.containsKey(extra) ? 1 : 0;
+			this.fixture.clock.advance(20);
+		}
+		double allowed = Fixture.LIMITS.retryExtra() / Fixture.LIMITS.regions() + 100 * Fixture.LIMITS.retryRatio();
+		assertThat(given).isBetween(5, (int) allowed);
+		assertThat(this.fixture.refused).containsValue(RefusalCause.EXTRA_BUDGET);
+	}
+
+	@Test
+	void requestWhoseServersWereLostIsQuarantined() {
+		this.fixture.server("a").server("b").publish();
+		for (int i = 0; i < CrashSuspects.STRIKES; i++) {
+			SlotRequest plain = this.fixture.request(1, true, 100, 400, 2_000);
+			long id = this.fixture.ask(withFingerprint(plain, 99));
+			this.fixture.release(id, SlotOutcome.LOST, 99);
+		}
+		long third = this.fixture.ask(withFingerprint(this.fixture.request(1, true, 100, 400, 2_000), 99));
+		assertThat(this.fixture.refused).containsEntry(third, RefusalCause.QUARANTINED);
+	}
+
+	private static SlotRequest withFingerprint(SlotRequest plain, long fingerprint) {
+		return new SlotRequest(plain.id(), plain.service(), plain.domain(), plain.homes(), plain.priority(), false,
+				plain.first(), plain.workMs(), plain.targetLeftMs(), plain.timeLeftMs(), plain.tried(), fingerprint);
+	}
+
+	@Test
+	void failingServerIsLeftAloneWhileAnotherIsThere() {
+		this.fixture.server("a").server("b").publish();
+		for (int i = 0; i < 12; i++) {
+			long id = this.fixture.ask();
+			boolean bad = this.fixture.granted.get(id).equals(new ServerName("a"));
+			this.fixture.release(id, bad ? SlotOutcome.FAILED : SlotOutcome.SERVED);
+		}
+		long next = this.fixture.ask();
+		assertThat(this.fixture.granted).containsEntry(next, new ServerName("b"));
+	}
+
+	@Test
+	void slotsOfALostVmAreFree() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		this.fixture.ask();
+		this.fixture.dispatcher.vmLost(Fixture.VM);
+		long next = this.fixture.ask();
+		assertThat(this.fixture.granted).containsKey(next);
+	}
+
+	@Test
+	void newLifetimeOfAServerStartsWithoutTheFormerLoad() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		this.fixture.ask();
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 2).publish();
+		long next = this.fixture.ask();
+		assertThat(this.fixture.granted).containsKey(next);
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -0,0 +1,44 @@
+package org.lovagevale.core.roster;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReadScheduleTests {
+
+	private final ReadSchedule schedule = new ReadSchedule();
+
+	@Test
+	void everyProcessReadsFirst() {
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 5, 0)).isTrue();
+		this.schedule.began(0);
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 5, 10)).isFalse();
+	}
+
+	@Test
+	void readerGoesOnAndOthersWaitByRank() {
+		this.schedule.began(0);
+		this.schedule.succeeded();
+		assertThat(this.schedule.isDue(ReadSchedule.INTERVAL_MS, 3, 700)).isTrue();
+		this.schedule.heardNews();
+		assertThat(this.schedule.isDue(ReadSchedule.INTERVAL_MS, 0, 700)).isFalse();
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_MS, 0, 1_100)).isTrue();
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_MS, 1, 1_100)).isFalse();
+	}
+
+	@Test
+	void lastRankReadsBeforeALeavingServerBinds() {
+		// Operators are promised 2.5 s; the read itself takes up to 0.3 s.
+		assertThat(this.schedule.isDue(2_200, 50, 10_000)).isTrue();
+	}
+
+	@Test
+	void processThatCannotReadGoesBehindOthers() {
+		this.schedule.began(0);
+		this.schedule.failed();
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_MS, 0, 1_000)).isFalse();
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_MS + 3 * ReadSchedule.RANK_MS, 0, 1_000)).isTrue();
+		assertThat(this.schedule.isDue(5_000, 0, 100)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/RosterTests.java
@@ -0,0 +1,123 @@
+package org.lovagevale.core.roster;
+
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.Incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RosterTests {
+
+	private static final ServiceName SERVICE = new ServiceName("balances");
+
+	private final ManualClock clock = new ManualClock(10_000, 1_000_000);
+
+	private Roster roster;
+
+	@BeforeEach
+	void create() {
+		this.roster = new Roster(this.clock, member("vm-0", "west", 1, 1, RosterPhase.STARTING));
+		this.roster.enter(RosterPhase.SERVING);
+	}
+
+	private static RosterMember member(String vm, String region, long start, long beat, RosterPhase phase) {
+		return new RosterMember(new VmName(vm), "10.0.0.1", 1, 2, new FailureDomain(region + "-1"), new Region(region),
+				new Incarnation(start, 0), beat, phase);
+	}
+
+	private void hear(String vm, long beat) {
+		this.roster.heard(member(vm, "west", 1, beat, RosterPhase.SERVING));
+	}
+
+	@Test
+	void membersOfOtherRegionsShareNoDuties() {
+		this.roster.heard(member("vm-9", "east", 1, 1, RosterPhase.SERVING));
+		assertThat(this.roster.alive()).hasSize(1);
+		assertThat(this.roster.dispatcher(SERVICE).vm()).hasToString("vm-0");
+	}
+
+	@Test
+	void processesAgreeOnTheDispatcher() {
+		hear("vm-1", 1);
+		hear("vm-2", 1);
+		Roster other = new Roster(this.clock, member("vm-1", "west", 1, 1, RosterPhase.SERVING));
+		other.heard(member("vm-0", "west", 1, 5, RosterPhase.SERVING));
+		other.heard(member("vm-2", "west", 1, 5, RosterPhase.SERVING));
+		for (String service : List.of("a", "b", "c", "d", "e")) {
+			assertThat(this.roster.dispatcher(new ServiceName(service)).vm())
+				.isEqualTo(other.dispatcher(new ServiceName(service)).vm());
+		}
+	}
+
+	@Test
+	void memberThatIsOnlyToldOfIsNotAlive() {
+		this.roster.told(member("vm-1", "west", 1, 7, RosterPhase.SERVING));
+		assertThat(this.roster.alive()).hasSize(1);
+		assertThat(this.roster.known()).hasSize(1);
+		hear("vm-1", 1);
+		assertThat(this.roster.alive()).hasSize(2);
+	}
+
+	@Test
+	void silentMemberIsNotAlive() {
+		hear("vm-1", 1);
+		this.clock.advance(Roster.ALIVE_MS);
+		assertThat(this.roster.alive()).hasSize(1);
+	}
+
+	@Test
+	void lostMemberIsNotAliveUntilHeardAgain() {
+		hear("vm-1", 1);
+		this.roster.lost(new VmName("vm-1"));
+		assertThat(this.roster.alive()).hasSize(1);
+		hear("vm-1", 2);
+		assertThat(this.roster.alive()).hasSize(2);
+	}
+
+	@Test
+	void leavingMemberHasNoDuties() {
+		this.roster.heard(member("vm-1", "west", 1, 1, RosterPhase.LEAVING));
+		assertThat(this.roster.serving()).hasSize(1);
+	}
+
+	@Test
+	void restartedMemberReplacesItsFormerRun() {
+		hear("vm-1", 9);
+		RosterMember former = this.roster.heard(member("vm-1", "west", 2, 1, RosterPhase.STARTING));
+		assertThat(former).isNotNull();
+		assertThat(this.roster.heard(member("vm-1", "west", 1, 10, RosterPhase.SERVING))).isNull();
+		assertThat(this.roster.find(new VmName("vm-1")).phase()).isEqualTo(RosterPhase.STARTING);
+	}
+
+	@Test
+	void dutiesThatMustNotBeDoneTwiceWaitUntilTheFormerOwnerHasStopped() {
+		hear("vm-1", 1);
+		assertThat(this.roster.isSettledMajority()).isFalse();
+		this.clock.advance(Roster.SETTLED_MS - 400);
+		hear("vm-1", 2);
+		assertThat(this.roster.isSettledMajority()).isFalse();
+		this.clock.advance(400);
+		hear("vm-1", 3);
+		assertThat(this.roster.isSettledMajority()).isTrue();
+	}
+
+	@Test
+	void processThatLostMostMembersHasNoMajority() {
+		for (int i = 1; i <= 3; i++) {
+			hear("vm-" + i, 1);
+		}
+		this.clock.advance(Roster.ALIVE_MS + Roster.SETTLED_MS);
+		assertThat(this.roster.isSettledMajority()).isFalse();
+		this.clock.advance(Roster.KNOWN_MS);
+		this.roster.isSettledMajority();
+		assertThat(this.roster.isSettledMajority()).isTrue();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/GatewayProcessTests.java
@@ -0,0 +1,268 @@
+package org.lovagevale.gateway;
+
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.lovagevale.core.roster.Roster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+@Timeout(30)
+class GatewayProcessTests {
+
+	private TestServer server;
+
+	private TestServer other;
+
+	private TestGateway gateway;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.other = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.gateway = new TestGateway(List.of()).configure(2_000).server("a", this.server.port()).start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.gateway.close();
+		this.server.close();
+		this.other.close();
+	}
+
+	private void addOther() throws Exception {
+		this.gateway.server("b", this.other.port());
+		// Before that the process has no budget for sending requests again.
+		Thread.sleep(Roster.SETTLED_MS + 500);
+	}
+
+	@Test
+	void responseOfTheServerIsPassedOnUnchanged() throws Exception {
+		String response = this.gateway.exchange(TestGateway.get("/read/1?x=2", "id-1"));
+		assertThat(response).startsWith("HTTP/1.1 200 OK").contains("Test-Signature: s").endsWith("hello");
+		TestServer.Request received = this.server.requests().getFirst();
+		assertThat(received.line()).isEqualTo("GET /read/1?x=2 HTTP/1.1");
+		assertThat(received.headers()).containsEntry("test-id", "id-1").containsEntry("test-server", "a");
+		assertThat(Long.parseLong(received.headers().get("test-time"))).isBetween(1L, 2_000L);
+	}
+
+	@Test
+	void bodyIsPassedOnUnchanged() throws Exception {
+		this.gateway.exchange(TestGateway.post("/write/1", "id-1", "0123456789"));
+		assertThat(this.server.requests().getFirst().body()).isEqualTo("0123456789");
+	}
+
+	@Test
+	void chunkedBodyIsPassedOnWhole() throws Exception {
+		this.gateway.exchange("POST /write/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: i\r\nTest-Time: 3000\r\n"
+				+ "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+		assertThat(this.server.requests().getFirst().body()).isEqualTo("abcde");
+	}
+
+	@Test
+	void requestWithoutHostIsRejected() throws Exception {
+		String response = this.gateway.exchange("GET /read/1 HTTP/1.1\r\nTest-Id: i\r\nTest-Time: 3000\r\n\r\n");
+		assertThat(response).startsWith("HTTP/1.1 400");
+		assertThat(this.server.requests()).isEmpty();
+	}
+
+	@Test
+	void requestWithTwoLengthsIsRejected() throws Exception {
+		String response = this.gateway.exchange("POST /write/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: i\r\n"
+				+ "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/2 HTTP/1.1\r\n\r\n");
+		assertThat(response).startsWith("HTTP/1.1 400");
+		assertThat(this.server.requests()).isEmpty();
+	}
+
+	@Test
+	void headThatStopsHalfWayIsRejectedAfterItsTimeout() throws Exception {
+		long began = System.nanoTime();
+		String response = this.gateway.exchange("GET /read/1 HTTP/1.1\r\nHost: a.exa");
+		assertThat(response).startsWith("HTTP/1.1 408");
+		assertThat((System.nanoTime() - began) / 1_000_000).isLessThan(1_500);
+	}
+
+	@Test
+	void tooLargeHeadIsRejected() throws Exception {
+		String response = this.gateway
+			.exchange("GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX: " + "x".repeat(9_000) + "\r\n\r\n");
+		assertThat(response).startsWith("HTTP/1.1 431");
+	}
+
+	@Test
+	void tooLargeBodyIsRejected() throws Exception {
+		String response = this.gateway.exchange("POST /write/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: i\r\n"
+				+ "Test-Time: 3000\r\nContent-Length: 100001\r\n\r\n");
+		assertThat(response).startsWith("HTTP/1.1 413");
+		assertThat(this.server.requests()).isEmpty();
+	}
+
+	@Test
+	void unknownRouteIsNotFoundAndItsBodyIsNoRequest() throws Exception {
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.post("/none/", "i-1", TestGateway.get("/read/9", "i-2")));
+			assertThat(TestGateway.response(socket)).startsWith("HTTP/1.1 404");
+			TestServer.write(socket, TestGateway.get("/read/1", "i-3"));
+			assertThat(TestGateway.response(socket)).startsWith("HTTP/1.1 200");
+		}
+		assertThat(this.server.requests()).hasSize(1);
+	}
+
+	@Test
+	void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+		this.server.script((request, socket) -> {
+			sleep(request.line().contains("slow") ? 200 : 0);
+			TestServer.write(socket, TestServer.ok(request, request.headers().get("test-id")));
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.get("/read/slow", "first") + TestGateway.get("/read/1", "second"));
+			assertThat(TestGateway.response(socket)).endsWith("first");
+			assertThat(TestGateway.response(socket)).endsWith("second");
+		}
+	}
+
+	@Test
+	void idempotentRequestGoesToAnotherServerWhenItsResponseBreaksOff() throws Exception {
+		addOther();
+		AtomicInteger broken = new AtomicInteger();
+		TestServer.Script breaksOnce = (request, socket) -> {
+			if (broken.getAndIncrement() == 0) {
+				TestServer.write(socket, TestServer.ok(request, "hello").replace("Length: 5", "Length: 50"));
+				socket.close();
+				return;
+			}
+			TestServer.write(socket, TestServer.ok(request, "hello"));
+		};
+		this.server.script(breaksOnce);
+		this.other.script(breaksOnce);
+		assertThat(this.gateway.exchange(TestGateway.get("/read/1", "i"))).startsWith("HTTP/1.1 200").endsWith("hello");
+		assertThat(this.server.requests().size() + this.other.requests().size()).isEqualTo(2);
+	}
+
+	@Test
+	void requestThatMustNotRepeatIsSentOnceWhenItsResponseIsLost() throws Exception {
+		addOther();
+		this.server.script((request, socket) -> socket.close());
+		this.other.script((request, socket) -> socket.close());
+		assertThat(this.gateway.exchange(TestGateway.post("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertThat(this.server.requests().size() + this.other.requests().size()).isEqualTo(1);
+	}
+
+	@Test
+	void requestThatAServerDidNotRunGoesToAnother() throws Exception {
+		addOther();
+		TestServer.Script sheds = (request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Full\r\nTest-Id: "
+				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+		this.server.script(sheds);
+		assertThat(this.gateway.exchange(TestGateway.post("/write/1", "i", "x"))).startsWith("HTTP/1.1 200");
+		this.other.script(sheds);
+		String response = this.gateway.exchange(TestGateway.post("/write/1", "j", "x"));
+		assertThat(response).startsWith("HTTP/1.1 503").contains("Retry-After");
+	}
+
+	@Test
+	void responseOfAnotherRequestIsSkipped() throws Exception {
+		this.server.script((request, socket) -> TestServer.write(socket,
+				TestServer.ok("stale", "wrong") + TestServer.ok(request, "right")));
+		assertThat(this.gateway.exchange(TestGateway.post("/write/1", "i", "x"))).endsWith("right");
+	}
+
+	@Test
+	void bytesAfterAResponseBelongToNoRequest() throws Exception {
+		this.server.script((request, socket) -> TestServer.write(socket,
+				TestServer.ok(request, "hello") + TestServer.ok(request, "again")));
+		try (Socket socket = this.gateway.connect()) {
+			for (int i = 0; i < 3; i++) {
+				TestServer.write(socket, TestGateway.get("/read/1", "id-" + i));
+				assertThat(TestGateway.response(socket)).contains("Test-Id: id-" + i).endsWith("hello");
+			}
+		}
+	}
+
+	@Test
+	void successWithoutSignatureIsNoSuccess() throws Exception {
+		this.server.script((request, socket) -> TestServer.write(socket,
+				TestServer.ok(request, "hello").replace("Test-Signature: s\r\n", "")));
+		assertThat(this.gateway.exchange(TestGateway.post("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+	}
+
+	@Test
+	void failureOfTheServerIsPassedOnUnchanged() throws Exception {
+		this.server.script((request, socket) -> TestServer.write(socket,
+				TestServer.ok(request, "sorry").replace("200 OK", "500 Error")));
+		assertThat(this.gateway.exchange(TestGateway.post("/write/1", "i", "x"))).startsWith("HTTP/1.1 500")
+			.endsWith("sorry");
+	}
+
+	@Test
+	void responseWithoutLengthThatIsResetDoesNotLookComplete() throws Exception {
+		this.server.script((request, socket) -> {
+			TestServer.write(socket, "HTTP/1.1 200 OK\r\nTest-Id: i\r\nTest-Signature: s\r\n\r\npart");
+			sleep(100);
+			socket.setSoLinger(true, 0);
+			socket.close();
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.post("/write/1", "i", "x"));
+			String all = new String(socket.getInputStream().readAllBytes(), "ISO-8859-1");
+			assertThat(all).doesNotContain("\r\n0\r\n");
+		}
+	}
+
+	@Test
+	void serverStopsWorkWhenTheCallerLeaves() throws Exception {
+		AtomicInteger closed = new AtomicInteger();
+		this.server.script((request, socket) -> {
+			if (socket.getInputStream().read() < 0) {
+				closed.incrementAndGet();
+			}
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.get("/read/1", "i"));
+			sleep(200);
+		}
+		sleep(300);
+		assertThat(closed).hasValue(1);
+	}
+
+	@Test
+	void timeoutOfTheRouteIsKept() throws Exception {
+		this.gateway.configure(300);
+		Thread.sleep(1_000);
+		this.server.script((request, socket) -> sleep(5_000));
+		long began = System.nanoTime();
+		assertThat(this.gateway.exchange(TestGateway.get("/read/1", "i"))).startsWith("HTTP/1.1 504");
+		assertThat((System.nanoTime() - began) / 1_000_000).isBetween(290L, 800L);
+	}
+
+	@Test
+	void plannedStopCompletesWhatRunsAndCutsNothing() throws Exception {
+		this.server.script((request, socket) -> {
+			sleep(600);
+			TestServer.write(socket, TestServer.ok(request, "done"));
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.post("/write/1", "i", "x"));
+			sleep(100);
+			Thread stopping = Thread.ofVirtual().start(this.gateway.process()::stop);
+			assertThat(TestGateway.response(socket)).contains("onnection: close").endsWith("done");
+			stopping.join();
+		}
+		assertThat(this.gateway.process().isReady()).isFalse();
+	}
+
+	private static void sleep(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -0,0 +1,168 @@
+package org.lovagevale.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+import org.lovagevale.base.SeededRandom;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.base.SystemClock;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.catalog.CatalogItem;
+import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.RequestKind;
+import org.lovagevale.core.catalog.RequestLimits;
+import org.lovagevale.core.catalog.Route;
+import org.lovagevale.core.catalog.RouteTable;
+import org.lovagevale.core.catalog.ServiceSpec;
+import org.lovagevale.core.catalog.ServingConfiguration;
+import org.lovagevale.core.catalog.TrafficShare;
+import org.lovagevale.core.placing.PlacingLimits;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * An entry process on loopback whose platform is in memory.
+ */
+final class TestGateway implements AutoCloseable {
+
+	static final ServiceName SERVICE = new ServiceName("balances");
+
+	private static final FailureDomain DOMAIN = new FailureDomain("west-1");
+
+	private static final Region REGION = new Region("west");
+
+	private final LoopResources loops = LoopResources.create("test", 1, true);
+
+	private final Map<String, CatalogItem> published = new HashMap<>();
+
+	private final GatewayProcess process;
+
+	private final HostPort callers = new HostPort("127.0.0.1", freePort());
+
+	private final HostPort peers;
+
+	private long revision;
+
+	TestGateway(List<HostPort> seeds) throws IOException, GatewayException {
+		this.peers = new HostPort("127.0.0.1", freePort());
+		GatewaySettings settings = new GatewaySettings("test", DOMAIN, REGION, this.callers, this.peers, seeds,
+				new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), 3_000, 1_000);
+		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
+				() -> Mono.fromSupplier(this::state), (item) -> this.published.get(item.key()), new TestProtocol());
+	}
+
+	static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private synchronized CatalogState state() {
+		List<PublishedItem> items = new ArrayList<>();
+		this.published.keySet().forEach((key) -> items.add(new PublishedItem(key, this.revision, "")));
+		return new CatalogState(items, this.revision);
+	}
+
+	synchronized TestGateway configure(long timeoutMs) {
+		this.revision++;
+		Route repeatable = route("read", "/read/", RequestKind.IDEMPOTENT, timeoutMs);
+		Route once = route("write", "/write/", RequestKind.NON_IDEMPOTENT, timeoutMs);
+		this.published.put("config",
+				new CatalogItem.Configured(
+						new ServingConfiguration(this.revision, RouteTable.of(List.of(repeatable, once)),
+								Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 100, 0, 4)),
+								new RequestLimits(8_192, 100_000, 400, 3_000))));
+		return this;
+	}
+
+	private static Route route(String name, String prefix, RequestKind kind, long timeoutMs) {
+		return new Route(name, "a.example", prefix, kind, timeoutMs, 400, 1, 2, List.of(new TrafficShare(SERVICE, 1)),
+				Set.of());
+	}
+
+	synchronized TestGateway server(String id, int port) {
+		this.revision++;
+		this.published.put(id, new CatalogItem.Listed(
+				new BackendInstance(new ServerName(id), SERVICE, "127.0.0.1", port, DOMAIN, REGION, 3, false, 0, 1),
+				1));
+		return this;
+	}
+
+	TestGateway start() throws GatewayException, InterruptedException {
+		this.process.start();
+		for (int i = 0; i < 200 && !this.process.isReady(); i++) {
+			Thread.sleep(20);
+		}
+		return this;
+	}
+
+	GatewayProcess process() {
+		return this.process;
+	}
+
+	Socket connect() throws IOException {
+		Socket socket = new Socket(this.callers.host(), this.callers.port());
+		socket.setSoTimeout(5_000);
+		return socket;
+	}
+
+	static String get(String path, String id) {
+		return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nTest-Id: " + id + "\r\nTest-Time: 3000\r\n\r\n";
+	}
+
+	static String post(String path, String id, String body) {
+		return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nTest-Id: " + id
+				+ "\r\nTest-Time: 3000\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	/**
+	 * Sends bytes on a new connection and reads one response.
+	 * @param bytes the bytes
+	 * @return the head and the body, or what came before the end of the connection
+	 * @throws IOException if nothing comes
+	 */
+	String exchange(String bytes) throws IOException {
+		try (Socket socket = connect()) {
+			TestServer.write(socket, bytes);
+			return response(socket);
+		}
+	}
+
+	static String response(Socket socket) throws IOException {
+		StringBuilder text = new StringBuilder();
+		while (!text.toString().endsWith("\r\n\r\n")) {
+			int next = socket.getInputStream().read();
+			if (next < 0) {
+				return text.toString();
+			}
+			text.append((char) next);
+		}
+		int length = text.toString()
+			.lines()
+			.filter((line) -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+			.mapToInt((line) -> Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()))
+			.findFirst()
+			.orElse(0);
+		byte[] body = socket.getInputStream().readNBytes(length);
+		return text + new String(body, StandardCharsets.ISO_8859_1);
+	}
+
+	@Override
+	public void close() {
+		this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+	}
+
+}
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -0,0 +1,64 @@
+package org.lovagevale.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.core.placing.ServerLoad;
+
+/**
+ * Headers with names of the tests' own.
+ */
+final class TestProtocol implements ServerProtocol {
+
+	@Override
+	public String requestId(HttpHeaders headers) {
+		return headers.get("Test-Id");
+	}
+
+	@Override
+	public long callerTimeMs(HttpHeaders headers) {
+		String text = headers.get("Test-Time");
+		return (text != null) ? Long.parseLong(text) : NO_TIME;
+	}
+
+	@Override
+	public void address(HttpHeaders headers, long timeLeftMs, ServerName server) {
+		headers.set("Test-Time", Long.toString(timeLeftMs));
+		headers.set("Test-Server", server.value());
+	}
+
+	@Override
+	public boolean isSigned(HttpHeaders headers) {
+		return headers.contains("Test-Signature");
+	}
+
+	@Override
+	public boolean isNotExecuted(int status, HttpHeaders headers) {
+		return headers.contains("Test-Not-Run");
+	}
+
+	@Override
+	public boolean isReplaced(int status) {
+		return status == 421;
+	}
+
+	@Override
+	public ServerLoad load(HttpHeaders headers) {
+		return ServerLoad.UNKNOWN;
+	}
+
+	@Override
+	public String instance(HttpHeaders headers) {
+		return headers.get("Test-Server");
+	}
+
+	@Override
+	public long warmupLeftMs(HttpHeaders headers) {
+		return NO_TIME;
+	}
+
+	@Override
+	public void retryAfter(HttpHeaders headers, long afterMs) {
+		headers.set("Retry-After", Double.toString(afterMs / 1_000.0));
+	}
+
+}
