--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
@@ -14,7 +14,7 @@
  * @param homes the regions in which the request may be served
  * @param priority its rank
  * @param large whether its response is large
- * @param first whether it was not sent before
+ * @param purpose the name of its {@code SendPurpose}
  * @param workMs how long such requests usually take, in milliseconds
  * @param targetLeftMs the time left for a response of full value, in milliseconds
  * @param timeLeftMs the time left for any response, in milliseconds
@@ -22,6 +22,6 @@
  * @param fingerprint a hash of what the caller sent
  */
 public record SlotAsk(long number, String service, String domain, List<String> homes, int priority, boolean large,
-		boolean first, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
+		String purpose, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
 		long fingerprint) implements RegionMessage {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
@@ -10,11 +10,11 @@
  */
 final class Admission {
 
-	/** Work takes longer than usual while servers are full. */
-	private static final double FULL_FACTOR = 1.3;
+	/** Work takes longer than usual while servers are busy. */
+	static final double BUSY_FACTOR = 1.9;
 
 	/** Share of the usual work that a request may wait in any case. */
-	private static final double LEAST_WAIT_SHARE = 0.75;
+	private static final double LEAST_WAIT_SHARE = 0.3;
 
 	private static final int LEAST_RETRY_MS = 150;
 
@@ -35,7 +35,7 @@
 			return new Verdict(false, RefusalCause.NO_SERVER, NO_SERVER_RETRY_MS);
 		}
 		double wait = expectedWaitMs(workAheadMs, request.workMs(), slots);
-		double spare = request.targetLeftMs() - request.workMs() * FULL_FACTOR;
+		double spare = request.targetLeftMs() - request.workMs() * BUSY_FACTOR;
 		double bound = Math.max(spare, request.workMs() * LEAST_WAIT_SHARE);
 		if (wait <= bound && wait < request.timeLeftMs()) {
 			return new Verdict(true, RefusalCause.OVERLOAD, 0);
@@ -44,7 +44,7 @@
 	}
 
 	static double expectedWaitMs(long workAheadMs, int workMs, int slots) {
-		return (workAheadMs + workMs) * FULL_FACTOR / slots;
+		return (workAheadMs + workMs) * BUSY_FACTOR / slots;
 	}
 
 	/**
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/Ejection.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/Ejection.java
@@ -70,6 +70,14 @@
 		return true;
 	}
 
+	/**
+	 * Notes that the server rejected a request although it had room. It is not ejected,
+	 * since the request lost nothing but time.
+	 */
+	void shedWithRoom() {
+		this.failing += (1 - this.failing) / MEMORY;
+	}
+
 	void unreachable(long now) {
 		this.streak++;
 		eject(Math.min(LONGEST_MS, UNREACHABLE_MS << Math.min(this.streak, 4)), now);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -7,16 +7,16 @@
  *
  * <p>
  * Invariant: in any window the extra sends stay below the ratio of the first sends plus a
- * constant. The constant is half of a region's part, so that two dispatchers, one of
- * which replaces the other within a window, stay within it together. Not thread-safe.
+ * constant. The constant is a share of a region's part, which leaves room for a
+ * dispatcher that replaces another one within a window. Not thread-safe.
  */
 final class ExtraSendBudget {
 
 	/** Share of a region's part of the constant that one dispatcher uses. */
-	private static final double CONSTANT_SHARE = 0.5;
+	private static final double CONSTANT_SHARE = 0.6;
 
 	/** Share of the ratio that is used; callers' own retries are uneven. */
-	private static final double RATIO_SHARE = 0.7;
+	private static final double RATIO_SHARE = 0.85;
 
 	/** Sends take this long to arrive at most, in milliseconds. */
 	private static final long ARRIVAL_MS = 500;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PlacedServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PlacedServer.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.catalog.BackendInstance;
 
@@ -14,11 +15,11 @@
  */
 final class PlacedServer {
 
-	/** Other users of the machine change how long work takes about this often, in ms. */
-	private static final double SLOWNESS_MEMORY_MS = 150;
-
-	/** What is expected when nothing fresh is known, as a factor of the usual time. */
-	private static final double SLOWNESS_UNKNOWN = 1.6;
+	/**
+	 * Other users of the machine change how long work takes several times a second; the
+	 * shortest such period that is expected, in milliseconds.
+	 */
+	private static final double SLOWNESS_PERIOD_MS = 150;
 
 	/** A report of requests of others counts for this long, in milliseconds. */
 	private static final long REPORT_MS = 1_000;
@@ -34,7 +35,7 @@
 
 	private static final double PERCENT = 100;
 
-	private final Map<SlotId, Long> granted = new HashMap<>();
+	private final Map<SlotId, Grant> granted = new HashMap<>();
 
 	private final ColdGate gate = new ColdGate();
 
@@ -90,16 +91,21 @@
 		this.coldUntil = now + leftMs;
 	}
 
-	void grant(SlotId id, long until) {
-		this.granted.put(id, until);
+	void grant(SlotId id, long until, boolean lastSlot) {
+		this.granted.put(id, new Grant(until, lastSlot));
 	}
 
-	boolean release(SlotId id) {
-		return this.granted.remove(id) != null;
+	/**
+	 * Gives back a slot.
+	 * @param id the question it was given to
+	 * @return the slot, or {@code null} if it is not known here
+	 */
+	@Nullable Grant release(SlotId id) {
+		return this.granted.remove(id);
 	}
 
 	void expire(long now) {
-		this.granted.values().removeIf((until) -> until < now);
+		this.granted.values().removeIf((grant) -> grant.until() < now);
 	}
 
 	void releaseAllOf(VmName vm) {
@@ -128,6 +134,10 @@
 		return now < this.fullUntil || outstanding(now) >= slots();
 	}
 
+	boolean isLastSlot(long now) {
+		return outstanding(now) + 1 >= slots();
+	}
+
 	long loadAgeMs(long now) {
 		return this.load.isKnown() ? now - this.loadAt : Long.MAX_VALUE;
 	}
@@ -166,18 +176,34 @@
 	}
 
 	/**
-	 * Estimates how long work takes at this server.
+	 * Estimates how much longer than usual work takes that begins now.
 	 * @param now the monotonic time in milliseconds
+	 * @param average what to expect when nothing fresh is known
 	 * @return a factor of the usual time
 	 */
-	double slowness(long now) {
-		double expected = SLOWNESS_UNKNOWN;
-		if (this.load.isKnown()) {
-			double told = this.load.slownessPercent() / PERCENT;
-			double trust = Math.exp(-(now - this.loadAt) / SLOWNESS_MEMORY_MS);
-			expected += (told - expected) * trust;
+	double slowness(long now, double average) {
+		if (!this.load.isKnown()) {
+			return average;
 		}
-		return expected * Math.max(1, this.pace);
+		double trust = Math.max(0, 1 - (now - this.loadAt) / SLOWNESS_PERIOD_MS);
+		return average + (this.load.slownessPercent() / PERCENT - average) * trust;
+	}
+
+	/**
+	 * Tells whether the server itself reported a free slot just now.
+	 * @return {@code false} if it reported none or nothing
+	 */
+	boolean reportedRoom() {
+		return this.load.isKnown() && this.load.running() < this.load.slots();
+	}
+
+	/**
+	 * A slot that was given.
+	 *
+	 * @param until the monotonic time after which it counts as given back, in ms
+	 * @param lastSlot whether it was the last free one
+	 */
+	record Grant(long until, boolean lastSlot) {
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -28,9 +28,6 @@
 	/** Cost of a large response from another region, as waiting time in ms. */
 	private static final double LARGE_REGION_MS = 900;
 
-	/** Work takes this much longer when the last slot of a server is used. */
-	private static final double LAST_SLOT_FACTOR = 1.5;
-
 	/** A full server would take this much longer, a half full one half of it. */
 	private static final double SHARED_FACTOR = 0.3;
 
@@ -61,26 +58,54 @@
 	 * @param request the request
 	 * @param servers the servers of its service
 	 * @param evacuated failure domains that get no requests
+	 * @param lastSlot tells whether to use the last slot of a server
+	 * @param slowness tells how slow servers are on average
+	 * @param patient whether the request can wait for a server that is not slow
 	 * @param coldRate the requests a second that a cold server bears, 0 if this process
 	 * must not use cold servers
 	 * @param now the monotonic time in milliseconds
 	 * @return the choice, or {@code null} if no server is free
 	 */
 	@Nullable Candidate choose(SlotRequest request, Collection<PlacedServer> servers, Set<FailureDomain> evacuated,
-			double coldRate, long now) {
+			LastSlot lastSlot, Slowness slowness, boolean patient, double coldRate, long now) {
 		Candidate best = null;
+		Candidate bestLast = null;
+		boolean localOnly = request.large() && hasLocal(request, servers, evacuated, now);
 		for (PlacedServer server : servers) {
-			if (!isUsable(request, server, evacuated, now) || !hasRoom(server, coldRate, now)) {
+			if (!isUsable(request, server, evacuated, now) || !hasRoom(server, coldRate, now)
+					|| localOnly && !isLocal(server)) {
+				continue;
+			}
+			double slow = server.slowness(now, slowness.average());
+			if (patient && slowness.isWorthWaiting(request.workMs(), slow)) {
 				continue;
 			}
-			double cost = cost(request, server, now);
-			if (best == null || cost < best.costMs()) {
-				best = new Candidate(server, cost);
+			boolean last = server.isLastSlot(now);
+			double cost = cost(request, server, slow * (last ? lastSlot.factor() : 1), now);
+			if (last && !lastSlot.isWorthUsing(server.slots())) {
+				bestLast = cheaper(bestLast, server, cost);
 			}
+			else {
+				best = cheaper(best, server, cost);
+			}
+		}
+		if (best == null && bestLast != null && lastSlot.explore()) {
+			return bestLast;
 		}
 		return best;
 	}
 
+	private static Candidate cheaper(@Nullable Candidate best, PlacedServer server, double cost) {
+		return (best != null && best.costMs() <= cost) ? best : new Candidate(server, cost);
+	}
+
+	// Large responses of another region cost more than the wait for a server of this one.
+	private boolean hasLocal(SlotRequest request, Collection<PlacedServer> servers, Set<FailureDomain> evacuated,
+			long now) {
+		return servers.stream()
+			.anyMatch((server) -> isLocal(server) && !server.isCold(now) && isUsable(request, server, evacuated, now));
+	}
+
 	boolean isUsable(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated, long now) {
 		return isPermitted(request, server, evacuated) && !server.ejection().isEjected(now)
 				&& !request.tried().contains(server.instance().id());
@@ -107,12 +132,9 @@
 		return local || server.granted() < REMOTE_MOST;
 	}
 
-	private double cost(SlotRequest request, PlacedServer server, long now) {
-		double work = request.workMs() * server.slowness(now);
+	private double cost(SlotRequest request, PlacedServer server, double factor, long now) {
+		double work = request.workMs() * factor * Math.max(1, server.pace());
 		work *= 1 + SHARED_FACTOR * server.outstanding(now) / server.slots();
-		if (server.outstanding(now) + 1 >= server.slots()) {
-			work *= LAST_SLOT_FACTOR;
-		}
 		if (server.isCold(now)) {
 			work *= COLD_FACTOR;
 		}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -26,6 +26,10 @@
 
 	private final WaitingLine line = new WaitingLine();
 
+	private final LastSlot lastSlot = new LastSlot();
+
+	private final Slowness slowness = new Slowness();
+
 	private final ExtraSendBudget budget;
 
 	private @Nullable ServiceSpec spec;
@@ -53,6 +57,14 @@
 		return this.line;
 	}
 
+	Slowness slowness() {
+		return this.slowness;
+	}
+
+	LastSlot lastSlot() {
+		return this.lastSlot;
+	}
+
 	ExtraSendBudget budget() {
 		return this.budget;
 	}
@@ -111,11 +123,15 @@
 			if (!choice.isUsable(request, server, evacuated, now)) {
 				continue;
 			}
-			slots += (choice.isLocal(server) && !server.isCold(now)) ? server.slots() : 1;
+			slots += (choice.isLocal(server) && !server.isCold(now)) ? usableSlots(server) : 1;
 		}
 		return Admission.decide(request, this.line.workAheadMs(request.priority()), slots);
 	}
 
+	private int usableSlots(PlacedServer server) {
+		return this.lastSlot.isWorthUsing(server.slots()) ? server.slots() : server.slots() - 1;
+	}
+
 	/**
 	 * Estimates when the requests that wait are served.
 	 * @param choice tells the servers of this region
@@ -128,7 +144,7 @@
 		for (PlacedServer server : this.servers.values()) {
 			boolean usable = !server.instance().draining() && !evacuated.contains(server.instance().domain())
 					&& !server.ejection().isEjected(now);
-			slots += (usable && choice.isLocal(server)) ? server.slots() : 0;
+			slots += (usable && choice.isLocal(server)) ? usableSlots(server) : 0;
 		}
 		long ahead = this.line.workAheadMs(Integer.MAX_VALUE);
 		return Math.max(LEAST_DRAIN_MS, (int) Admission.expectedWaitMs(ahead, LEAST_DRAIN_MS, slots));
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -116,7 +116,7 @@
 			this.replies.refused(request.id(), RefusalCause.QUARANTINED, (int) CrashSuspects.QUARANTINE_MS);
 			return;
 		}
-		if (request.first()) {
+		if (request.purpose() == SendPurpose.FIRST) {
 			pool.budget().countFirst(now);
 		}
 		else if (!pool.budget().tryTake(this.owner.test(request.service()), now)) {
@@ -124,7 +124,7 @@
 					pool.drainMs(this.choice, this.evacuated, now));
 			return;
 		}
-		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, now) : null;
+		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, true, now) : null;
 		if (found != null) {
 			grant(pool, request, found, now);
 			return;
@@ -162,9 +162,9 @@
 		long now = this.clock.millis();
 		ServicePool pool = poolOf(release.server());
 		PlacedServer server = (pool != null) ? pool.find(release.server()) : null;
-		if (server != null) {
-			server.release(release.id());
-			learn(server, release, now);
+		if (pool != null && server != null) {
+			PlacedServer.Grant grant = server.release(release.id());
+			learn(pool, server, grant, release, now);
 		}
 		if (release.outcome() == SlotOutcome.LOST) {
 			this.suspects.strike(release.fingerprint(), now);
@@ -177,15 +177,27 @@
 		}
 	}
 
-	private void learn(PlacedServer server, SlotRelease release, long now) {
+	private void learn(ServicePool pool, PlacedServer server, PlacedServer.@Nullable Grant grant, SlotRelease release,
+			long now) {
 		server.report(release.load(), now);
+		pool.slowness().reported(release.load());
 		switch (release.outcome()) {
 			case SERVED -> {
 				server.ejection().succeeded();
 				server.took(release.tookMs(), release.workMs());
+				if (grant != null && this.choice.isLocal(server)) {
+					pool.lastSlot().took(grant.lastSlot(), release.tookMs() / Math.max(1.0, release.workMs()));
+				}
 			}
 			case FAILED, LOST -> server.ejection().failed(now);
-			case NOT_EXECUTED -> server.shed(now);
+			case NOT_EXECUTED -> {
+				if (server.reportedRoom()) {
+					server.ejection().shedWithRoom();
+				}
+				else {
+					server.shed(now);
+				}
+			}
 			case REPLACED, UNREACHABLE -> server.ejection().unreachable(now);
 			case ABANDONED, UNUSED -> {
 			}
@@ -205,6 +217,7 @@
 		PlacedServer server = (pool != null) ? pool.find(id) : null;
 		if (pool != null && server != null) {
 			server.report(load, now);
+			pool.slowness().reported(load);
 			server.ejection().reachable();
 			if (warmupLeftMs >= 0) {
 				server.warmupLeft(warmupLeftMs, now);
@@ -310,7 +323,8 @@
 		}
 		List<WaitingSlot> order = pool.line().inOrder(now);
 		for (WaitingSlot slot : order) {
-			ServerChoice.Candidate found = choose(pool, slot.request(), now);
+			boolean patient = now - slot.since() < Slowness.MOST_WAIT_MS;
+			ServerChoice.Candidate found = choose(pool, slot.request(), patient, now);
 			if (found != null) {
 				pool.line().remove(slot.request().id());
 				grant(pool, slot.request(), found, now);
@@ -318,9 +332,10 @@
 		}
 	}
 
-	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long now) {
+	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, boolean patient, long now) {
 		double coldRate = this.owner.test(request.service()) ? pool.coldRate() : 0;
-		return this.choice.choose(request, pool.servers(), this.evacuated, coldRate, now);
+		return this.choice.choose(request, pool.servers(), this.evacuated, pool.lastSlot(), pool.slowness(), patient,
+				coldRate, now);
 	}
 
 	private void grant(ServicePool pool, SlotRequest request, ServerChoice.Candidate found, long now) {
@@ -332,7 +347,7 @@
 		String why = "costMs=" + Math.round(found.costMs()) + " outstanding=" + server.outstanding(now) + "/"
 				+ server.slots() + " loadAgeMs=" + Math.min(server.loadAgeMs(now), Integer.MAX_VALUE) + " cold=" + cold
 				+ " waiting=" + pool.line().size();
-		server.grant(request.id(), now + request.timeLeftMs() + LEAK_MS);
+		server.grant(request.id(), now + request.timeLeftMs() + LEAK_MS, server.isLastSlot(now));
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
@@ -19,7 +19,7 @@
  * @param homes the regions in which it may be served; empty for all
  * @param priority the rank, 0 being served first
  * @param large whether its response is large, so that a near server saves bytes
- * @param first whether the request was not sent to any server before
+ * @param purpose why it is to be sent
  * @param workMs how long such requests usually take, in milliseconds
  * @param targetLeftMs the time left for a response of full value, in milliseconds; may be
  * negative
@@ -28,7 +28,7 @@
  * @param fingerprint a hash of what the caller sends, the same for repeated requests
  */
 public record SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homes, int priority,
-		boolean large, boolean first, int workMs, int targetLeftMs, int timeLeftMs, Set<ServerName> tried,
+		boolean large, SendPurpose purpose, int workMs, int targetLeftMs, int timeLeftMs, Set<ServerName> tried,
 		long fingerprint) {
 
 	/**
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingLine.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingLine.java
@@ -65,7 +65,7 @@
 	private static Comparator<WaitingSlot> order(long now) {
 		return Comparator.comparingInt((WaitingSlot slot) -> slot.request().priority())
 			.thenComparing((slot) -> !slot.canMeetTarget(now))
-			.thenComparingLong(WaitingSlot::targetAt);
+			.thenComparingLong((slot) -> slot.targetAt());
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingSlot.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingSlot.java
@@ -20,7 +20,7 @@
 	}
 
 	boolean canMeetTarget(long now) {
-		return now + this.request.workMs() <= targetAt();
+		return now + this.request.workMs() * Admission.BUSY_FACTOR <= targetAt();
 	}
 
 	boolean isHopeless(long now) {
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedRegion.java
@@ -0,0 +1,296 @@
+package org.lovagevale.core.placing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.lovagevale.base.ManualClock;
+import org.lovagevale.base.SeededRandom;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.catalog.Catalog;
+import org.lovagevale.core.catalog.CatalogItem;
+import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.RequestLimits;
+import org.lovagevale.core.catalog.RouteTable;
+import org.lovagevale.core.catalog.ServiceSpec;
+import org.lovagevale.core.catalog.ServingConfiguration;
+
+/**
+ * Servers with noisy neighbours and the requests of a region, in simulated time.
+ *
+ * <p>
+ * Work takes a factor longer if it begins while a neighbour is busy, which changes every
+ * 150 ms, or if it takes the last slot of its server. Requests are placed by one
+ * dispatcher or by one in each entry VM that knows only its own requests. Rejected
+ * requests do not come back, so the result is the share of first attempts that were
+ * answered in time.
+ */
+final class SimulatedRegion {
+
+	private static final int STEP_MS = 5;
+
+	private static final int NOISE_MS = 150;
+
+	private static final int CHECK_MS = 60;
+
+	private static final double NOISE_SHARE = 0.25;
+
+	private static final double NOISE_FACTOR = 5;
+
+	private static final double FULL_FACTOR = 1.7;
+
+	private static final int SLOTS = 3;
+
+	private static final int QUEUE = 6;
+
+	private static final int TARGET_MS = 400;
+
+	private static final int TIMEOUT_MS = 2_000;
+
+	private static final double WORK_MS = 160;
+
+	private final ManualClock clock = new ManualClock(10_000, 1_000_000);
+
+	private final Random random;
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	private final List<SlotDispatcher> dispatchers = new ArrayList<>();
+
+	private final Map<SlotId, Job> jobs = new HashMap<>();
+
+	private final PriorityQueue<Long> arrivals = new PriorityQueue<>();
+
+	private final boolean checked;
+
+	private int offered;
+
+	private int inTime;
+
+	private int late;
+
+	private int refused;
+
+	SimulatedRegion(long seed, int servers, int dispatchers, boolean checked) {
+		this.random = new Random(seed);
+		this.checked = checked;
+		Map<ServerName, BackendInstance> listed = new HashMap<>();
+		for (int i = 0; i < servers; i++) {
+			ServerName id = new ServerName("s-" + i);
+			this.nodes.add(new Node(id));
+			listed.put(id, new BackendInstance(id, Fixture.SERVICE, "127.0.0.1", 80, Fixture.DOMAIN, Fixture.WEST,
+					SLOTS, false, 0, 1));
+		}
+		Catalog catalog = catalog(listed);
+		for (int i = 0; i < dispatchers; i++) {
+			SlotDispatcher dispatcher = new SlotDispatcher(this.clock, new SeededRandom(seed + i), Fixture.WEST,
+					Fixture.LIMITS, (service) -> true, new Replies());
+			dispatcher.update(catalog);
+			this.dispatchers.add(dispatcher);
+		}
+	}
+
+	private static Catalog catalog(Map<ServerName, BackendInstance> listed) {
+		Catalog catalog = new Catalog((item) -> item.key().equals("config")
+				? new CatalogItem.Configured(new ServingConfiguration(1, RouteTable.of(List.of()),
+						Map.of(Fixture.SERVICE, new ServiceSpec(Fixture.SERVICE, "/health", 260, 0, 4)),
+						new RequestLimits(1, 1, 1, 1)))
+				: new CatalogItem.Listed(listed.get(new ServerName(item.key())), 1));
+		List<PublishedItem> items = new ArrayList<>();
+		items.add(new PublishedItem("config", 1, ""));
+		listed.keySet().forEach((id) -> items.add(new PublishedItem(id.value(), 1, "")));
+		catalog.replace(items, 1, 0);
+		return catalog;
+	}
+
+	/**
+	 * Plays requests that arrive at random.
+	 * @param perSecond the mean rate
+	 * @param millis how long
+	 * @return the share of requests answered within their target
+	 */
+	double play(double perSecond, int millis) {
+		double at = 0;
+		while (at < millis) {
+			at += -Math.log(1 - this.random.nextDouble()) * 1_000 / perSecond;
+			this.arrivals.add(this.clock.millis() + (long) at);
+		}
+		for (int ms = 0; ms < millis + TIMEOUT_MS; ms += STEP_MS) {
+			step(ms);
+			this.clock.advance(STEP_MS);
+		}
+		return (double) this.inTime / this.offered;
+	}
+
+	double refusedShare() {
+		return (double) this.refused / this.offered;
+	}
+
+	double lateShare() {
+		return (double) this.late / this.offered;
+	}
+
+	private void step(int ms) {
+		long now = this.clock.millis();
+		while (!this.arrivals.isEmpty() && this.arrivals.peek() <= now) {
+			this.arrivals.remove();
+			arrive(now);
+		}
+		for (Node node : this.nodes) {
+			if ((ms + node.phase) % NOISE_MS == 0) {
+				node.slowness = (this.random.nextDouble() < NOISE_SHARE) ? NOISE_FACTOR : 1;
+			}
+			if (this.checked && (ms + node.checkPhase) % CHECK_MS == 0) {
+				this.dispatchers.forEach((dispatcher) -> dispatcher.checked(node.id, node.load(), 0));
+			}
+			node.work();
+		}
+		if (ms % 20 == 0) {
+			this.dispatchers.forEach(SlotDispatcher::tick);
+		}
+	}
+
+	private void arrive(long now) {
+		this.offered++;
+		int vm = this.random.nextInt(this.dispatchers.size());
+		SlotId id = new SlotId(new VmName("vm-" + vm), this.offered);
+		double work = WORK_MS * Math.exp(this.random.nextGaussian() * 0.3);
+		this.jobs.put(id, new Job(id, now, work, this.dispatchers.get(vm)));
+		this.dispatchers.get(vm)
+			.ask(new SlotRequest(id, Fixture.SERVICE, Fixture.DOMAIN, Set.of(), 1, false, SendPurpose.FIRST,
+					(int) WORK_MS, TARGET_MS, TIMEOUT_MS, Set.of(), this.offered));
+	}
+
+	private void complete(Job job, Node node) {
+		long took = this.clock.millis() - job.arrivedAt;
+		this.jobs.remove(job.id);
+		if (took <= TARGET_MS) {
+			this.inTime++;
+		}
+		else {
+			this.late++;
+		}
+		job.dispatcher.release(new SlotRelease(job.id, node.id, SlotOutcome.SERVED,
+				(int) (this.clock.millis() - job.sentAt), (int) WORK_MS, node.load(), job.id.number()));
+	}
+
+	/**
+	 * A request.
+	 */
+	private static final class Job {
+
+		private final SlotId id;
+
+		private final long arrivedAt;
+
+		private final SlotDispatcher dispatcher;
+
+		private double workLeft;
+
+		private long sentAt;
+
+		private Job(SlotId id, long arrivedAt, double workLeft, SlotDispatcher dispatcher) {
+			this.id = id;
+			this.arrivedAt = arrivedAt;
+			this.workLeft = workLeft;
+			this.dispatcher = dispatcher;
+		}
+
+	}
+
+	/**
+	 * A server.
+	 */
+	private final class Node {
+
+		private final ServerName id;
+
+		private final List<Job> running = new ArrayList<>();
+
+		private final ArrayDeque<Job> queue = new ArrayDeque<>();
+
+		private final int phase = SimulatedRegion.this.random.nextInt(NOISE_MS / STEP_MS) * STEP_MS;
+
+		private final int checkPhase = SimulatedRegion.this.random.nextInt(CHECK_MS / STEP_MS) * STEP_MS;
+
+		private double slowness = 1;
+
+		private Node(ServerName id) {
+			this.id = id;
+		}
+
+		private ServerLoad load() {
+			return new ServerLoad(this.running.size(), this.queue.size(), SLOTS, (int) (this.slowness * 100));
+		}
+
+		private void work() {
+			for (Job job : List.copyOf(this.running)) {
+				job.workLeft -= STEP_MS;
+				if (job.workLeft <= 0) {
+					this.running.remove(job);
+					if (!this.queue.isEmpty()) {
+						run(this.queue.remove());
+					}
+					complete(job, this);
+				}
+			}
+		}
+
+		private void run(Job job) {
+			this.running.add(job);
+			job.workLeft *= this.slowness * ((this.running.size() >= SLOTS) ? FULL_FACTOR : 1);
+		}
+
+		private void accept(Job job) {
+			job.sentAt = SimulatedRegion.this.clock.millis();
+			if (this.running.size() < SLOTS) {
+				run(job);
+			}
+			else if (this.queue.size() < QUEUE) {
+				this.queue.add(job);
+			}
+			else {
+				SimulatedRegion.this.refused++;
+				SimulatedRegion.this.jobs.remove(job.id);
+				job.dispatcher.release(new SlotRelease(job.id, this.id, SlotOutcome.NOT_EXECUTED, 1, (int) WORK_MS,
+						load(), job.id.number()));
+			}
+		}
+
+	}
+
+	/**
+	 * Carries out what a dispatcher decides.
+	 */
+	private final class Replies implements SlotReplies {
+
+		@Override
+		public void granted(SlotId id, ServerName server, String why) {
+			for (Node node : SimulatedRegion.this.nodes) {
+				if (node.id.equals(server)) {
+					node.accept(SimulatedRegion.this.jobs.get(id));
+				}
+			}
+		}
+
+		@Override
+		public void queued(SlotId id) {
+			// The dispatcher keeps it.
+		}
+
+		@Override
+		public void refused(SlotId id, RefusalCause cause, int retryAfterMs) {
+			SimulatedRegion.this.refused++;
+			SimulatedRegion.this.jobs.remove(id);
+		}
+
+	}
+
+}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -99,7 +99,7 @@
 		this.fixture.server("a", new FailureDomain("east-1"), new Region("east"), 3, false, 0, 1).publish();
 		SlotRequest plain = this.fixture.request(1, true, 100, 400, 2_000);
 		SlotRequest atHome = new SlotRequest(plain.id(), plain.service(), plain.domain(), Set.of(Fixture.WEST), 1,
-				false, true, 100, 400, 2_000, Set.of(), 1);
+				false, SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1);
 		assertThat(this.fixture.refused).containsEntry(this.fixture.ask(atHome), RefusalCause.NO_SERVER);
 	}
 
@@ -178,7 +178,7 @@
 
 	private static SlotRequest withFingerprint(SlotRequest plain, long fingerprint) {
 		return new SlotRequest(plain.id(), plain.service(), plain.domain(), plain.homes(), plain.priority(), false,
-				plain.first(), plain.workMs(), plain.targetLeftMs(), plain.timeLeftMs(), plain.tried(), fingerprint);
+				plain.purpose(), plain.workMs(), plain.targetLeftMs(), plain.timeLeftMs(), plain.tried(), fingerprint);
 	}
 
 	@Test
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -44,14 +44,17 @@
 	/** Questions and waiting requests are looked at more often, in milliseconds. */
 	private static final long SLOT_TICK_MS = 20;
 
+	/** Health checks are looked at this often, in milliseconds. */
+	private static final long CHECK_TICK_MS = 25;
+
 	/** A process that finds no peers serves alone after this time, in milliseconds. */
-	private static final long LONELY_MS = 500;
+	private static final long LONELY_MS = 300;
 
 	/** Callers learn of a planned stop within this share of its time. */
 	private static final double LEAVE_SHARE = 0.55;
 
 	/** The process ends this long before it would be killed, in milliseconds. */
-	private static final long SPARE_MS = 250;
+	private static final long SPARE_MS = 700;
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(GatewayProcess.class);
 
@@ -136,6 +139,8 @@
 		this.front.open(this.settings.callers());
 		this.loop.scheduleWithFixedDelay(guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(guarded(this::slotTick), SLOT_TICK_MS, SLOT_TICK_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(guarded(this.checks::tick), CHECK_TICK_MS, CHECK_TICK_MS,
+				TimeUnit.MILLISECONDS);
 		LOGGER.info("{}",
 				LogLine.event("process.started")
 					.with("vm", this.settings.name())
@@ -162,7 +167,6 @@
 	private void tick() {
 		this.peers.tick();
 		this.catalog.tick();
-		this.checks.tick();
 		if (!this.ready && this.roster.self().phase() == RosterPhase.STARTING && canServe()) {
 			this.ready = true;
 			this.roster.enter(RosterPhase.SERVING);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
@@ -11,6 +11,7 @@
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotReturned;
+import org.lovagevale.core.placing.SendPurpose;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
@@ -32,7 +33,7 @@
 		List<String> homes = request.homes().stream().map(Region::value).toList();
 		List<String> tried = request.tried().stream().map(ServerName::value).toList();
 		return new SlotAsk(request.id().number(), request.service().value(), request.domain().value(), homes,
-				request.priority(), request.large(), request.first(), request.workMs(), request.targetLeftMs(),
+				request.priority(), request.large(), request.purpose().name(), request.workMs(), request.targetLeftMs(),
 				request.timeLeftMs(), tried, request.fingerprint());
 	}
 
@@ -47,8 +48,8 @@
 		Set<Region> homes = ask.homes().stream().map(Region::new).collect(Collectors.toSet());
 		Set<ServerName> tried = ask.tried().stream().map(ServerName::new).collect(Collectors.toSet());
 		return new SlotRequest(new SlotId(from, ask.number()), new ServiceName(ask.service()),
-				new FailureDomain(ask.domain()), homes, ask.priority(), ask.large(), ask.first(), ask.workMs(),
-				ask.targetLeftMs(), ask.timeLeftMs(), tried, ask.fingerprint());
+				new FailureDomain(ask.domain()), homes, ask.priority(), ask.large(), SendPurpose.valueOf(ask.purpose()),
+				ask.workMs(), ask.targetLeftMs(), ask.timeLeftMs(), tried, ask.fingerprint());
 	}
 
 	static SlotReturned toMessage(SlotRelease release) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -28,6 +28,7 @@
 import org.lovagevale.core.placing.AttemptPolicy;
 import org.lovagevale.core.placing.NextStep;
 import org.lovagevale.core.placing.RefusalCause;
+import org.lovagevale.core.placing.SendPurpose;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
@@ -98,6 +99,9 @@
 
 	private @Nullable String lastTrouble;
 
+	/** Whether the request was at a server when its time ran out. */
+	private boolean unanswered;
+
 	private boolean answering;
 
 	private boolean done;
@@ -176,7 +180,8 @@
 		this.services.slots()
 			.ask(new SlotRequest(id, this.request.service(), this.services.settings().domain(),
 					this.request.route().homes(), this.request.route().priority(),
-					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.sends() == 0, work,
+					this.request.route().kind() == RequestKind.DOWNLOAD,
+					(this.policy.sends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY, work,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), this.tried,
 					this.content.fingerprint()), this);
 	}
@@ -442,7 +447,9 @@
 		if (this.done || this.answering) {
 			return;
 		}
-		boolean sent = this.send != null || this.policy.mayHaveRun();
+		ServerSend pending = this.send;
+		this.unanswered = pending != null && pending.connection() != null;
+		boolean sent = this.unanswered || this.policy.mayHaveRun();
 		stopServer(isRepeatable());
 		if (sent) {
 			answerOwn(TIMED_OUT, "timeout of " + this.request.route().timeoutMs() + " ms", 0);
@@ -526,7 +533,7 @@
 						.with("status", status)
 						.with("origin", origin)
 						.with("sends", this.policy.sends())
-						.with("mayHaveRun", this.policy.mayHaveRun())
+						.with("mayHaveRun", this.policy.mayHaveRun() || this.unanswered)
 						.with("tookMs", took)
 						.with("version", this.request.version())
 						.with("catalogAgeMs", this.services.catalog().ageMs())
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -1,7 +1,6 @@
 package org.lovagevale.gateway.http;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -15,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.ServiceSpec;
 import org.lovagevale.core.roster.Roster;
@@ -31,9 +31,10 @@
 
 	/**
 	 * The age of the load at which a server is checked, in milliseconds. Other users of
-	 * the machine change it about as often.
+	 * the machine change it several times a second, and work that begins at a slow moment
+	 * stays slow.
 	 */
-	static final long REFRESH_MS = 150;
+	static final long REFRESH_MS = 60;
 
 	/** The same while no requests come, in milliseconds. */
 	static final long IDLE_REFRESH_MS = 1_000;
@@ -74,19 +75,21 @@
 		for (Check check : Set.copyOf(this.running.values())) {
 			check.expire(now);
 		}
-		Set<ServerName> listed = new HashSet<>();
+		Map<ServiceName, Boolean> here = new HashMap<>();
 		for (BackendInstance server : this.services.catalog().servers().values()) {
-			listed.add(server.id());
-			if (isDue(server, now)) {
+			if (here.computeIfAbsent(server.service(), this::isDispatchedHere) && isDue(server, now)) {
 				check(server, now);
 			}
 		}
-		this.checkedAt.keySet().retainAll(listed);
+		this.checkedAt.keySet().retainAll(this.services.catalog().serverNames());
+	}
+
+	private boolean isDispatchedHere(ServiceName service) {
+		return this.roster.dispatcher(service).vm().equals(this.roster.self().vm());
 	}
 
 	private boolean isDue(BackendInstance server, long now) {
-		if (!server.region().equals(this.roster.self().region()) || this.running.containsKey(server.id())
-				|| !this.roster.dispatcher(server.service()).vm().equals(this.roster.self().vm())) {
+		if (!server.region().equals(this.roster.self().region()) || this.running.containsKey(server.id())) {
 			return false;
 		}
 		long quiet = now - this.services.slots().dispatcher().lastAskedAt(server.service());
