Use servers that all look bad, and explain failures in the log

Cause: one run of GatewayProcessTests answered 503 NO_SERVER: the only server was ejected, because a health check took more than 500 ms while the process itself loaded classes.

Change: a server is ejected after two failed checks in a row, and ejected servers are used where no other may be. Lines of sends tell the wait for the slot and the connection.

Ruled out: the test server (it had accepted the connection).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -71,9 +71,11 @@
 		Candidate best = null;
 		Candidate bestLast = null;
 		boolean localOnly = request.large() && hasLocal(request, servers, evacuated, now);
+		boolean desperate = isNoneUsable(request, servers, evacuated, now);
 		for (PlacedServer server : servers) {
-			if (!isUsable(request, server, evacuated, now) || !hasRoom(server, coldRate, now)
-					|| localOnly && !isLocal(server)) {
+			boolean usable = desperate ? isUntried(request, server, evacuated)
+					: isUsable(request, server, evacuated, now);
+			if (!usable || !hasRoom(server, coldRate, now) || localOnly && !isLocal(server)) {
 				continue;
 			}
 			double slow = server.slowness(now, slowness.average());
@@ -107,8 +109,17 @@
 	}
 
 	boolean isUsable(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated, long now) {
-		return isPermitted(request, server, evacuated) && !server.ejection().isEjected(now)
-				&& !request.tried().contains(server.instance().id());
+		return isUntried(request, server, evacuated) && !server.ejection().isEjected(now);
+	}
+
+	boolean isUntried(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated) {
+		return isPermitted(request, server, evacuated) && !request.tried().contains(server.instance().id());
+	}
+
+	// Where all servers look bad, the reason is probably not the servers.
+	boolean isNoneUsable(SlotRequest request, Collection<PlacedServer> servers, Set<FailureDomain> evacuated,
+			long now) {
+		return servers.stream().noneMatch((server) -> isUsable(request, server, evacuated, now));
 	}
 
 	boolean isPermitted(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -119,8 +119,11 @@
 
 	Admission.Verdict admit(SlotRequest request, ServerChoice choice, Set<FailureDomain> evacuated, long now) {
 		int slots = 0;
+		boolean desperate = choice.isNoneUsable(request, this.servers.values(), evacuated, now);
 		for (PlacedServer server : this.servers.values()) {
-			if (!choice.isUsable(request, server, evacuated, now)) {
+			boolean usable = desperate ? choice.isUntried(request, server, evacuated)
+					: choice.isUsable(request, server, evacuated, now);
+			if (!usable) {
 				continue;
 			}
 			slots += (choice.isLocal(server) && !server.isCold(now)) ? usableSlots(server) : 1;
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -193,6 +193,41 @@
 		assertThat(this.fixture.granted).containsEntry(next, new ServerName("b"));
 	}
 
+	@Test
+	void serverThatCannotBeReachedIsUsedOnlyIfThereIsNoOther() {
+		this.fixture.server("a").server("b").publish();
+		this.fixture.dispatcher.unreachable(new ServerName("a"));
+		for (int i = 0; i < 2; i++) {
+			assertThat(this.fixture.granted).containsEntry(this.fixture.ask(), new ServerName("b"));
+		}
+		this.fixture.dispatcher.unreachable(new ServerName("b"));
+		assertThat(this.fixture.granted).containsKey(this.fixture.ask());
+	}
+
+	@Test
+	void slowMomentOfAServerIsWaitedFor() {
+		this.fixture.server("a").publish();
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 500), 0);
+		long waiting = this.fixture.ask();
+		assertThat(this.fixture.queued).containsExactly(waiting);
+		this.fixture.clock.advance(60);
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 100), 0);
+		assertThat(this.fixture.granted).containsKey(waiting);
+	}
+
+	@Test
+	void serverThatStaysSlowIsUsedAfterAWhile() {
+		this.fixture.server("a").publish();
+		long waiting = this.fixture.ask(this.fixture.request(1, true, 100, 4_000, 8_000));
+		this.fixture.release(waiting, SlotOutcome.SERVED);
+		for (int i = 0; i < 20; i++) {
+			this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 500), 0);
+			waiting = this.fixture.ask(this.fixture.request(1, true, 100, 4_000, 8_000));
+			this.fixture.clock.advance(60);
+		}
+		assertThat(this.fixture.granted).hasSizeGreaterThan(1);
+	}
+
 	@Test
 	void slotsOfALostVmAreFree() {
 		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -213,7 +213,8 @@
 		this.services.metrics().countRefusal(this.request.service().value(), cause.name());
 		if (!this.done) {
 			String trouble = this.lastTrouble;
-			finishRefused((trouble != null) ? cause.name() + " after " + trouble : cause.name(), retryAfterMs);
+			String reason = cause + ", retry after " + retryAfterMs + " ms";
+			finishRefused((trouble != null) ? reason + ", after " + trouble : reason, retryAfterMs);
 		}
 	}
 
@@ -244,6 +245,8 @@
 						.with("send", this.policy.sends())
 						.with("server", current.server().id())
 						.with("dispatcher", current.grant().dispatcher())
+						.with("slotMs", current.startedAt() - this.askedAt)
+						.with("connectMs", now() - current.startedAt())
 						.with("leftMs", left)
 						.with("catalogAgeMs", this.services.catalog().ageMs())
 						.with("why", current.grant().why()));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -45,6 +45,9 @@
 	/** A check without a response counts as failed after this time, in milliseconds. */
 	private static final long TIMEOUT_MS = 500;
 
+	/** A single check may fail because this process was late itself. */
+	private static final int FAILURES = 2;
+
 	private static final long MAX_IDLE_MS = 8_000;
 
 	private static final int OK = 200;
@@ -57,6 +60,8 @@
 
 	private final Map<ServerName, Long> checkedAt = new HashMap<>();
 
+	private final Map<ServerName, Integer> failures = new HashMap<>();
+
 	/**
 	 * Creates checks.
 	 * @param services what requests need
@@ -82,6 +87,7 @@
 			}
 		}
 		this.checkedAt.keySet().retainAll(this.services.catalog().serverNames());
+		this.failures.keySet().retainAll(this.services.catalog().serverNames());
 	}
 
 	private boolean isDispatchedHere(ServiceName service) {
@@ -147,8 +153,12 @@
 		}
 
 		private void fail() {
-			if (!this.over) {
-				finish();
+			if (this.over) {
+				return;
+			}
+			finish();
+			int failures = HealthChecks.this.failures.merge(this.server.id(), 1, Integer::sum);
+			if (failures >= FAILURES) {
 				HealthChecks.this.services.slots().dispatcher().unreachable(this.server.id());
 			}
 		}
@@ -193,6 +203,7 @@
 				return;
 			}
 			finish();
+			HealthChecks.this.failures.remove(this.server.id());
 			ServerProtocol protocol = HealthChecks.this.services.protocol();
 			String instance = protocol.instance(head.headers());
 			if (instance != null && !instance.equals(this.server.id().value())) {
