--- a/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -11,6 +11,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.base.RandomSource;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.AuditEntry;
@@ -47,7 +48,6 @@
 import org.lovagevale.node.http.ExchangeContext;
 import org.lovagevale.node.http.HttpServerException;
 import org.lovagevale.node.http.Prober;
-import org.lovagevale.base.LogLine;
 import org.lovagevale.node.metrics.NodeMetrics;
 import org.lovagevale.node.wiring.Engine;
 import org.lovagevale.node.wiring.SettingsLoader;
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Engine.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Engine.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.core.DecisionLogic;
 import org.lovagevale.core.RequestId;
 import org.lovagevale.core.Status;
@@ -23,7 +24,6 @@
 import org.lovagevale.core.decision.Refuse;
 import org.lovagevale.core.decision.Replay;
 import org.lovagevale.core.event.Event;
-import org.lovagevale.base.LogLine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Mailbox.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/Mailbox.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
-import org.lovagevale.core.decision.Decision;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.core.decision.Decision;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/lovagevale-node/src/main/java/org/lovagevale/node/wiring/SettingsLoader.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/wiring/SettingsLoader.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 
 import org.lovagevale.base.Clock;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.core.AuditEntry;
 import org.lovagevale.core.decision.ReadSettings;
 import org.lovagevale.core.event.Event;
@@ -16,7 +17,6 @@
 import org.lovagevale.core.event.SettingsReceived;
 import org.lovagevale.core.event.SettingsUnavailable;
 import org.lovagevale.core.message.SettingsBody;
-import org.lovagevale.base.LogLine;
 import org.lovagevale.platform.NewSettings;
 import org.lovagevale.platform.PlatformClient;
 import org.lovagevale.platform.SettingsAnswer;
