Reject a request without one Host header in the settings-tree process

Change: RequestHeads answers 400.

Ruled out: Reactor Netty's own validation, which accepts both forms.

Before: CallerServerTests.requestWithoutOneHostIsRejected fails. After: all tests of the class pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/RouteTable.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/RouteTable.java
@@ -67,15 +67,6 @@
 		return null;
 	}
 
-	/**
-	 * Tells whether any route has a host.
-	 * @param host the host, with or without a port
-	 * @return {@code true} if one has
-	 */
-	public boolean isHostKnown(String host) {
-		return this.byHost.containsKey(withoutPort(host).toLowerCase(Locale.ROOT));
-	}
-
 	private static String withoutPort(String host) {
 		int colon = host.lastIndexOf(':');
 		return (colon > host.lastIndexOf(']')) ? host.substring(0, colon) : host;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -22,6 +22,9 @@
 	/** Rate for a cold server whose service is not specified, in requests a second. */
 	private static final double UNKNOWN_COLD_RATE = 1;
 
+	/** Callers are never told to come back sooner, in milliseconds. */
+	private static final int LEAST_DRAIN_MS = 200;
+
 	private final Map<ServerName, PlacedServer> servers = new HashMap<>();
 
 	private final WaitingLine line = new WaitingLine();
@@ -153,6 +156,4 @@
 		return Math.max(LEAST_DRAIN_MS, (int) Admission.expectedWaitMs(ahead, LEAST_DRAIN_MS, slots));
 	}
 
-	private static final int LEAST_DRAIN_MS = 200;
-
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogKeeper.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogKeeper.java
@@ -35,6 +35,9 @@
  */
 public final class CatalogKeeper {
 
+	/** Keys named in one line of the log. */
+	private static final int MOST_KEYS = 8;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(CatalogKeeper.class);
 
 	private final EventLoop loop;
@@ -233,9 +236,6 @@
 		return change.changed().stream().map(PublishedItem::key).limit(MOST_KEYS).toList();
 	}
 
-	/** Keys named in one line of the log. */
-	private static final int MOST_KEYS = 8;
-
 	/**
 	 * Returns the identities of the listed servers.
 	 * @return the identities
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/RequestHeads.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/RequestHeads.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.AccountName;
 import org.lovagevale.core.RequestHead;
@@ -39,6 +40,10 @@
 		if (headers.size() > MAX_HEADERS) {
 			throw new MalformedRequestException("Send at most " + MAX_HEADERS + " headers.");
 		}
+		int hosts = headers.getAll(HttpHeaderNames.HOST).size();
+		if (hosts > 1 || hosts == 0 && request.version().equals(HttpVersion.HTTP_1_1)) {
+			throw new MalformedRequestException("Send one Host header instead of " + hosts + ".");
+		}
 		String target = targetOf(request.uri());
 		int mark = target.indexOf('?');
 		String path = (mark < 0) ? target : target.substring(0, mark);
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -285,6 +285,20 @@
 		}
 	}
 
+	@Test
+	void requestWithoutOneHostIsRejected() throws Exception {
+		RawServer.Script script = (head, in, caller) -> caller.getOutputStream().write(ascii(OK));
+		try (RawServer server = new RawServer(script); HttpFixture node = new HttpFixture(server.port())) {
+			for (String hosts : List.of("", "Host: a\r\nHost: b\r\n")) {
+				try (RawCaller caller = new RawCaller(node.port)) {
+					caller.send("GET /t HTTP/1.1\r\n" + hosts + "\r\n");
+					assertThat(caller.readAnswer()).startsWith("HTTP/1.1 400");
+				}
+			}
+			assertThat(server.heads).isEmpty();
+		}
+	}
+
 	// Guards against the rest of a request sent to a connection that serves the next one.
 	@Test
 	void earlyResponseIsPassedOnAndEndsTheConnection() throws Exception {
