Ask servers for their load when a request is about to be placed

The disturbance is drawn anew every 150 ms, so the age decides.

Change: a request whose service changes quickly waits up to 25 ms for the loads of at most three servers that are older than 15 ms; they are asked at once. Periodic checks become rarer (60 to 200 ms).

Also: a slot given back while others were being given could give a waiting request a second slot (SlotDispatcherTests failed first with "second grant").

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -1,6 +1,8 @@
 package org.lovagevale.core.placing;
 
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -40,6 +42,9 @@
 	/** Requests to a server of another region that may be outstanding at once. */
 	private static final int REMOTE_MOST = 2;
 
+	/** Servers whose load is asked for before one request is placed. */
+	private static final int MOST_REFRESHED = 3;
+
 	private static final double TIE_BREAK = 0.1;
 
 	private static final int TIE_STEPS = 1_000;
@@ -56,18 +61,17 @@
 	/**
 	 * Chooses the best server that has a free slot.
 	 * @param request the request
-	 * @param servers the servers of its service
+	 * @param pool the servers of its service
 	 * @param evacuated failure domains that get no requests
-	 * @param lastSlot tells whether to use the last slot of a server
-	 * @param slowness tells how slow servers are on average
-	 * @param patient whether the request can wait for a server that is not slow
-	 * @param coldRate the requests a second that a cold server bears, 0 if this process
-	 * must not use cold servers
+	 * @param criteria which servers to accept
 	 * @param now the monotonic time in milliseconds
 	 * @return the choice, or {@code null} if no server is free
 	 */
-	@Nullable Candidate choose(SlotRequest request, Collection<PlacedServer> servers, Set<FailureDomain> evacuated,
-			LastSlot lastSlot, Slowness slowness, boolean patient, double coldRate, long now) {
+	@Nullable Candidate choose(SlotRequest request, ServicePool pool, Set<FailureDomain> evacuated, ChoiceCriteria criteria,
+			long now) {
+		Collection<PlacedServer> servers = pool.servers();
+		LastSlot lastSlot = pool.lastSlot();
+		Slowness slowness = pool.slowness();
 		Candidate best = null;
 		Candidate bestLast = null;
 		boolean localOnly = request.large() && hasLocal(request, servers, evacuated, now);
@@ -75,11 +79,14 @@
 		for (PlacedServer server : servers) {
 			boolean usable = desperate ? isUntried(request, server, evacuated)
 					: isUsable(request, server, evacuated, now);
-			if (!usable || !hasRoom(server, coldRate, now) || localOnly && !isLocal(server)) {
+			if (!usable || !hasRoom(server, criteria.coldRate(), now) || localOnly && !isLocal(server)) {
+				continue;
+			}
+			if (isLocal(server) && server.loadAgeMs(now) > criteria.mostLoadAgeMs()) {
 				continue;
 			}
 			double slow = server.slowness(now, slowness.average());
-			if (patient && slowness.isWorthWaiting(request.workMs(), slow)) {
+			if (criteria.patient() && slowness.isWorthWaiting(request.workMs(), slow)) {
 				continue;
 			}
 			boolean last = server.isLastSlot(now);
@@ -97,6 +104,30 @@
 		return best;
 	}
 
+	/**
+	 * Finds the servers whose load decides where a request goes and is not known well
+	 * enough.
+	 * @param request the request
+	 * @param pool the servers of its service
+	 * @param evacuated failure domains that get no requests
+	 * @param criteria which servers to accept
+	 * @param now the monotonic time in milliseconds
+	 * @return at most {@link #MOST_REFRESHED} servers, those with the most free slots
+	 * first
+	 */
+	List<PlacedServer> outdated(SlotRequest request, ServicePool pool, Set<FailureDomain> evacuated,
+			ChoiceCriteria criteria, long now) {
+		return pool.servers()
+			.stream()
+			.filter((server) -> isLocal(server) && isUsable(request, server, evacuated, now))
+			.filter((server) -> hasRoom(server, criteria.coldRate(), now))
+			.filter((server) -> server.loadAgeMs(now) > criteria.mostLoadAgeMs())
+			.sorted(Comparator.comparingInt((PlacedServer server) -> server.outstanding(now))
+				.thenComparing(Comparator.comparingLong((PlacedServer server) -> server.loadAgeMs(now)).reversed()))
+			.limit(MOST_REFRESHED)
+			.toList();
+	}
+
 	private static Candidate cheaper(@Nullable Candidate best, PlacedServer server, double cost) {
 		return (best != null && best.costMs() <= cost) ? best : new Candidate(server, cost);
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -124,7 +124,7 @@
 					pool.drainMs(this.choice, this.evacuated, now));
 			return;
 		}
-		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, true, now) : null;
+		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, now, now) : null;
 		if (found != null) {
 			grant(pool, request, found, now);
 			return;
@@ -323,19 +323,28 @@
 		}
 		List<WaitingSlot> order = pool.line().inOrder(now);
 		for (WaitingSlot slot : order) {
-			boolean patient = now - slot.since() < Slowness.MOST_WAIT_MS;
-			ServerChoice.Candidate found = choose(pool, slot.request(), patient, now);
-			if (found != null) {
-				pool.line().remove(slot.request().id());
+			ServerChoice.Candidate found = choose(pool, slot.request(), slot.since(), now);
+			// A slot that is given back meanwhile may have served the others already.
+			if (found != null && pool.line().remove(slot.request().id())) {
 				grant(pool, slot.request(), found, now);
 			}
 		}
 	}
 
-	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, boolean patient, long now) {
+	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long since, long now) {
+		ChoiceCriteria criteria = criteria(pool, request, since, now);
+		ServerChoice.Candidate found = this.choice.choose(request, pool, this.evacuated, criteria, now);
+		if (found == null && criteria.mostLoadAgeMs() != Long.MAX_VALUE) {
+			this.choice.outdated(request, pool, this.evacuated, criteria, now)
+				.forEach((server) -> this.replies.loadWanted(server.instance().id()));
+		}
+		return found;
+	}
+
+	private ChoiceCriteria criteria(ServicePool pool, SlotRequest request, long since, long now) {
 		double coldRate = this.owner.test(request.service()) ? pool.coldRate() : 0;
-		return this.choice.choose(request, pool.servers(), this.evacuated, pool.lastSlot(), pool.slowness(), patient,
-				coldRate, now);
+		long waited = now - since;
+		return new ChoiceCriteria(coldRate, waited < Slowness.MOST_WAIT_MS, pool.slowness().mostLoadAgeMs(waited));
 	}
 
 	private void grant(ServicePool pool, SlotRequest request, ServerChoice.Candidate found, long now) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
@@ -32,4 +32,10 @@
 	 */
 	void refused(SlotId id, RefusalCause cause, int retryAfterMs);
 
+	/**
+	 * The load of a server is needed to place a request that waits.
+	 * @param server the server
+	 */
+	void loadWanted(ServerName server);
+
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/Slowness.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/Slowness.java
@@ -24,10 +24,25 @@
 	/** A request that waited this long takes any server, in milliseconds. */
 	static final long MOST_WAIT_MS = 1_000;
 
+	/** The load of a server that changes this quickly is asked for again, in ms. */
+	static final long FRESH_MS = 15;
+
+	/**
+	 * A request waits for fresh loads at most this long, in milliseconds. Several times
+	 * what a health check takes within a region.
+	 */
+	static final long FRESH_WAIT_MS = 25;
+
+	/** Servers that are slowed by less than this on average are taken as steady. */
+	private static final double STEADY = 1.1;
+
 	private double average = FIRST;
 
+	private boolean reported;
+
 	void reported(ServerLoad load) {
 		if (load.isKnown()) {
+			this.reported = true;
 			this.average += (load.slownessPercent() / PERCENT - this.average) / MEMORY;
 		}
 	}
@@ -46,4 +61,14 @@
 		return workMs * (factor - average()) > DISTURBANCE_MS;
 	}
 
+	/**
+	 * Returns how old the load of a server may be when a request is placed on it.
+	 * @param waitedMs how long the request has waited, in milliseconds
+	 * @return milliseconds, {@link Long#MAX_VALUE} if the age does not matter
+	 */
+	long mostLoadAgeMs(long waitedMs) {
+		boolean steady = !this.reported || average() < STEADY;
+		return (steady || waitedMs >= FRESH_WAIT_MS) ? Long.MAX_VALUE : FRESH_MS;
+	}
+
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/Fixture.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/Fixture.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.ManualClock;
@@ -54,8 +56,14 @@
 
 	final List<Long> queued = new ArrayList<>();
 
+	final Set<ServerName> wanted = new LinkedHashSet<>();
+
 	boolean owner = true;
 
+	/** Called with each slot that is given. */
+	Consumer<SlotId> onGranted = (id) -> {
+	};
+
 	final SlotDispatcher dispatcher = new SlotDispatcher(this.clock, new SeededRandom(7), WEST, LIMITS,
 			(service) -> this.owner, this);
 
@@ -123,6 +131,7 @@
 		if (this.granted.put(id.number(), server) != null) {
 			throw new IllegalStateException("second grant of " + id);
 		}
+		this.onGranted.accept(id);
 	}
 
 	@Override
@@ -136,4 +145,9 @@
 		this.retryAfter.put(id.number(), retryAfterMs);
 	}
 
+	@Override
+	public void loadWanted(ServerName server) {
+		this.wanted.add(server);
+	}
+
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/PlacingUnderLoadTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/PlacingUnderLoadTests.java
@@ -17,35 +17,53 @@
 
 	private static final int SEEDS = 3;
 
-	private static double inTime(String name, double perSecond, int dispatchers, boolean checked) {
+	private static final int CHECK_MS = 60;
+
+	private static final int RARE_CHECK_MS = 200;
+
+	private static double inTime(String name, double perSecond, int dispatchers, int checkMs, boolean onDemand) {
 		double sum = 0;
 		double refused = 0;
 		double late = 0;
+		double checks = 0;
 		for (int seed = 1; seed <= SEEDS; seed++) {
-			SimulatedRegion region = new SimulatedRegion(seed, SERVERS, dispatchers, checked);
+			SimulatedRegion region = new SimulatedRegion(seed, SERVERS, dispatchers, checkMs);
+			if (onDemand) {
+				region.withChecksOnDemand();
+			}
 			sum += region.play(perSecond, MILLIS);
 			refused += region.refusedShare();
 			late += region.lateShare();
+			checks += region.checksPerRequest();
 		}
-		System.out.printf("placing=%s perSecond=%.0f inTime=%.3f late=%.3f refused=%.3f%n", name, perSecond,
-				sum / SEEDS, late / SEEDS, refused / SEEDS);
+		System.out.printf("placing=%s perSecond=%.0f inTime=%.3f late=%.3f refused=%.3f checks=%.1f%n", name, perSecond,
+				sum / SEEDS, late / SEEDS, refused / SEEDS, checks / SEEDS);
 		return sum / SEEDS;
 	}
 
 	@Test
 	void oneQueueServesMoreInTimeThanEachVmAlone() {
 		for (double rate : new double[] { 20, 40, 55, 70 }) {
-			double alone = inTime("each-vm", rate, VMS, false);
-			double one = inTime("one-queue", rate, 1, false);
-			double checked = inTime("one-queue-checked", rate, 1, true);
+			double alone = inTime("each-vm", rate, VMS, 0, false);
+			double one = inTime("one-queue", rate, 1, 0, false);
+			double checked = inTime("one-queue-checked", rate, 1, CHECK_MS, false);
 			assertThat(one).as("rate %s", rate).isGreaterThan(alone);
 			assertThat(checked).as("rate %s", rate).isGreaterThan(alone);
 		}
 	}
 
+	@Test
+	void loadsAskedForWhenARequestArrivesAreWorthMoreThanTheSameNumberOfPeriodicChecks() {
+		for (double rate : new double[] { 20, 40, 55 }) {
+			double periodic = inTime("periodic-60", rate, 1, CHECK_MS, false);
+			double onDemand = inTime("on-demand-200", rate, 1, RARE_CHECK_MS, true);
+			assertThat(onDemand).as("rate %s", rate).isGreaterThan(periodic);
+		}
+	}
+
 	@Test
 	void overloadIsRefusedInsteadOfMakingAllLate() {
-		SimulatedRegion region = new SimulatedRegion(1, SERVERS, 1, true);
+		SimulatedRegion region = new SimulatedRegion(1, SERVERS, 1, CHECK_MS);
 		region.play(140, MILLIS);
 		assertThat(region.refusedShare()).isGreaterThan(0.3);
 		assertThat(region.lateShare()).isLessThan(0.3);
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedRegion.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedRegion.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -38,8 +39,6 @@
 
 	private static final int NOISE_MS = 150;
 
-	private static final int CHECK_MS = 60;
-
 	private static final double NOISE_SHARE = 0.25;
 
 	private static final double NOISE_FACTOR = 5;
@@ -68,7 +67,13 @@
 
 	private final PriorityQueue<Long> arrivals = new PriorityQueue<>();
 
-	private final boolean checked;
+	private final int checkMs;
+
+	private final Set<ServerName> wanted = new LinkedHashSet<>();
+
+	private boolean onDemand;
+
+	private int checks;
 
 	private int offered;
 
@@ -78,9 +83,9 @@
 
 	private int refused;
 
-	SimulatedRegion(long seed, int servers, int dispatchers, boolean checked) {
+	SimulatedRegion(long seed, int servers, int dispatchers, int checkMs) {
 		this.random = new Random(seed);
-		this.checked = checked;
+		this.checkMs = checkMs;
 		Map<ServerName, BackendInstance> listed = new HashMap<>();
 		for (int i = 0; i < servers; i++) {
 			ServerName id = new ServerName("s-" + i);
@@ -129,6 +134,19 @@
 		return (double) this.inTime / this.offered;
 	}
 
+	/**
+	 * Lets servers be checked when the dispatcher wants their load.
+	 * @return this region
+	 */
+	SimulatedRegion withChecksOnDemand() {
+		this.onDemand = true;
+		return this;
+	}
+
+	double checksPerRequest() {
+		return (double) this.checks / this.offered;
+	}
+
 	double refusedShare() {
 		return (double) this.refused / this.offered;
 	}
@@ -147,7 +165,9 @@
 			if ((ms + node.phase) % NOISE_MS == 0) {
 				node.slowness = (this.random.nextDouble() < NOISE_SHARE) ? NOISE_FACTOR : 1;
 			}
-			if (this.checked && (ms + node.checkPhase) % CHECK_MS == 0) {
+			boolean due = this.checkMs > 0 && (ms + node.checkPhase) % this.checkMs == 0;
+			if (due || this.onDemand && this.wanted.remove(node.id)) {
+				this.checks++;
 				this.dispatchers.forEach((dispatcher) -> dispatcher.checked(node.id, node.load(), 0));
 			}
 			node.work();
@@ -218,7 +238,8 @@
 
 		private final int phase = SimulatedRegion.this.random.nextInt(NOISE_MS / STEP_MS) * STEP_MS;
 
-		private final int checkPhase = SimulatedRegion.this.random.nextInt(CHECK_MS / STEP_MS) * STEP_MS;
+		private final int checkPhase = SimulatedRegion.this.random.nextInt(1 + SimulatedRegion.this.checkMs / STEP_MS)
+				* STEP_MS;
 
 		private double slowness = 1;
 
@@ -285,6 +306,11 @@
 			// The dispatcher keeps it.
 		}
 
+		@Override
+		public void loadWanted(ServerName server) {
+			SimulatedRegion.this.wanted.add(server);
+		}
+
 		@Override
 		public void refused(SlotId id, RefusalCause cause, int retryAfterMs) {
 			SimulatedRegion.this.refused++;
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -246,4 +246,41 @@
 		assertThat(this.fixture.granted).containsKey(next);
 	}
 
+	@Test
+	void slotThatIsGivenBackWhileOthersAreGivenIsNotGivenTwice() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 1, false, 0, 1).publish();
+		long running = this.fixture.ask();
+		long first = this.fixture.ask(this.fixture.request(1, true, 100, 4_000, 8_000));
+		long second = this.fixture.ask(this.fixture.request(1, true, 100, 4_000, 8_000));
+		this.fixture.onGranted = (id) -> this.fixture.release(id.number(), SlotOutcome.UNUSED);
+		this.fixture.release(running, SlotOutcome.SERVED);
+		assertThat(this.fixture.granted).containsKeys(first, second);
+	}
+
+	@Test
+	void requestWaitsForTheLoadOfServersThatChangeQuickly() {
+		this.fixture.server("a").server("b").publish();
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 100), 0);
+		this.fixture.dispatcher.checked(new ServerName("b"), new ServerLoad(0, 0, 3, 100), 0);
+		this.fixture.clock.advance(60);
+		long waiting = this.fixture.ask();
+		assertThat(this.fixture.queued).containsExactly(waiting);
+		assertThat(this.fixture.wanted).containsExactlyInAnyOrder(new ServerName("a"), new ServerName("b"));
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 500), 0);
+		assertThat(this.fixture.granted).isEmpty();
+		this.fixture.dispatcher.checked(new ServerName("b"), new ServerLoad(0, 0, 3, 100), 0);
+		assertThat(this.fixture.granted).containsEntry(waiting, new ServerName("b"));
+	}
+
+	@Test
+	void requestDoesNotWaitLongForALoadThatDoesNotCome() {
+		this.fixture.server("a").publish();
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 100), 0);
+		this.fixture.clock.advance(60);
+		long waiting = this.fixture.ask();
+		this.fixture.clock.advance(Slowness.FRESH_WAIT_MS);
+		this.fixture.dispatcher.tick();
+		assertThat(this.fixture.granted).containsKey(waiting);
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -45,7 +45,7 @@
 	private static final long SLOT_TICK_MS = 20;
 
 	/** Health checks are looked at this often, in milliseconds. */
-	private static final long CHECK_TICK_MS = 25;
+	private static final long CHECK_TICK_MS = 50;
 
 	/** A process that finds no peers serves alone after this time, in milliseconds. */
 	private static final long LONELY_MS = 300;
@@ -115,6 +115,7 @@
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalog, this.slots,
 				this.connections, protocol, new WorkEstimates(), this.metrics);
 		this.checks = new HealthChecks(services, this.roster);
+		this.slots.onLoadWanted(this.checks::refresh);
 		this.front = new FrontServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
 				new RequestIntake(services, random));
 		this.peers.connect(this.slots, this.catalog);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.jspecify.annotations.Nullable;
@@ -61,6 +62,9 @@
 
 	private final Map<VmName, Long> doubtedUntil = new HashMap<>();
 
+	private Consumer<ServerName> loadChecks = (server) -> {
+	};
+
 	private long numbers;
 
 	/**
@@ -295,6 +299,19 @@
 		}
 	}
 
+	@Override
+	public void loadWanted(ServerName server) {
+		this.loadChecks.accept(server);
+	}
+
+	/**
+	 * Sets who asks servers for their load.
+	 * @param checks takes the name of a server
+	 */
+	public void onLoadWanted(Consumer<ServerName> checks) {
+		this.loadChecks = checks;
+	}
+
 	private boolean isHere(@Nullable VmName vm) {
 		return this.roster.self().vm().equals(vm);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -24,17 +24,17 @@
  * Checks the servers that this process gives slots of, to learn their load.
  *
  * <p>
- * A server that told its load with a response lately is not checked. Confined to the
- * event loop.
+ * A server is checked when a request is about to be placed on it and its load is not
+ * known well enough, and else now and then. Invariant: one check at a time for each
+ * server, at least {@link #SPACING_MS} after the last. Confined to the event loop.
  */
 public final class HealthChecks {
 
-	/**
-	 * The age of the load at which a server is checked, in milliseconds. Other users of
-	 * the machine change it several times a second, and work that begins at a slow moment
-	 * stays slow.
-	 */
-	static final long REFRESH_MS = 60;
+	/** The age of the load at which a server is checked in any case, in milliseconds. */
+	static final long REFRESH_MS = 200;
+
+	/** The least time between two checks of a server, in milliseconds. */
+	static final long SPACING_MS = 20;
 
 	/** The same while no requests come, in milliseconds. */
 	static final long IDLE_REFRESH_MS = 1_000;
@@ -90,6 +90,23 @@
 		this.failures.keySet().retainAll(this.services.catalog().serverNames());
 	}
 
+	/**
+	 * Checks a server at once, unless it was checked just now.
+	 * @param id the server
+	 */
+	public void refresh(ServerName id) {
+		long now = this.services.clock().millis();
+		BackendInstance server = this.services.catalog().server(id);
+		if (server != null && isDispatchedHere(server.service()) && !this.running.containsKey(id)
+				&& now - lastCheck(id) >= SPACING_MS) {
+			check(server, now);
+		}
+	}
+
+	private long lastCheck(ServerName id) {
+		return this.checkedAt.getOrDefault(id, Long.MIN_VALUE / 2);
+	}
+
 	private boolean isDispatchedHere(ServiceName service) {
 		return this.roster.dispatcher(service).vm().equals(this.roster.self().vm());
 	}
@@ -100,8 +117,8 @@
 		}
 		long quiet = now - this.services.slots().dispatcher().lastAskedAt(server.service());
 		long refresh = (quiet < IDLE_AFTER_MS) ? REFRESH_MS : IDLE_REFRESH_MS;
-		long last = this.checkedAt.getOrDefault(server.id(), Long.MIN_VALUE / 2);
-		return now - last >= refresh && this.services.slots().dispatcher().loadAgeMs(server.id()) >= refresh;
+		return now - lastCheck(server.id()) >= refresh
+				&& this.services.slots().dispatcher().loadAgeMs(server.id()) >= refresh;
 	}
 
 	private void check(BackendInstance server, long now) {
