Relay requests to an entry VM of their home region

Change: such a request goes to an entry VM of a home region, which places it with the loads it knows (HomeRegion, RemoteContacts, RegionRelay). It is relayed once; a rejection is passed on with its time to come back, or tried at the other home; after a failure nothing is sent again, as the other entry VM has made the sends that are allowed. The caller's address goes along, so that requests that crash servers are recognized.

Ruled out: questions to the dispatcher of the other region (60 ms more, and the answer is 60 ms old when the request arrives).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -82,9 +82,6 @@
 			if (!usable || !hasRoom(server, criteria.coldRate(), now) || localOnly && !isLocal(server)) {
 				continue;
 			}
-			if (isLocal(server) && server.loadAgeMs(now) > criteria.mostLoadAgeMs()) {
-				continue;
-			}
 			double slow = server.slowness(now, slowness.average());
 			if (criteria.patient() && slowness.isWorthWaiting(request.workMs(), slow)) {
 				continue;
@@ -104,6 +101,18 @@
 		return best;
 	}
 
+	/**
+	 * Tells whether the load of a server is known well enough to place on it. The load of
+	 * servers in other regions is never asked for, since it would be outdated on arrival.
+	 * @param server the server
+	 * @param criteria which servers to accept
+	 * @param now the monotonic time in milliseconds
+	 * @return {@code true} if it is
+	 */
+	boolean isLoadKnown(PlacedServer server, ChoiceCriteria criteria, long now) {
+		return !isLocal(server) || server.loadAgeMs(now) <= criteria.mostLoadAgeMs();
+	}
+
 	/**
 	 * Finds the servers whose load decides where a request goes and is not known well
 	 * enough.
@@ -121,7 +130,7 @@
 			.stream()
 			.filter((server) -> isLocal(server) && isUsable(request, server, evacuated, now))
 			.filter((server) -> hasRoom(server, criteria.coldRate(), now))
-			.filter((server) -> server.loadAgeMs(now) > criteria.mostLoadAgeMs())
+			.filter((server) -> !isLoadKnown(server, criteria, now))
 			.sorted(Comparator.comparingInt((PlacedServer server) -> server.outstanding(now))
 				.thenComparing(Comparator.comparingLong((PlacedServer server) -> server.loadAgeMs(now)).reversed()))
 			.limit(MOST_REFRESHED)
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -334,11 +334,12 @@
 	private ServerChoice.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long since, long now) {
 		ChoiceCriteria criteria = criteria(pool, request, since, now);
 		ServerChoice.Candidate found = this.choice.choose(request, pool, this.evacuated, criteria, now);
-		if (found == null && criteria.mostLoadAgeMs() != Long.MAX_VALUE) {
-			this.choice.outdated(request, pool, this.evacuated, criteria, now)
-				.forEach((server) -> this.replies.loadWanted(server.instance().id()));
+		if (found != null && this.choice.isLoadKnown(found.server(), criteria, now)) {
+			return found;
 		}
-		return found;
+		this.choice.outdated(request, pool, this.evacuated, criteria, now)
+			.forEach((server) -> this.replies.loadWanted(server.instance().id()));
+		return null;
 	}
 
 	private ChoiceCriteria criteria(ServicePool pool, SlotRequest request, long since, long now) {
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -283,4 +283,16 @@
 		assertThat(this.fixture.granted).containsKey(waiting);
 	}
 
+	@Test
+	void serverOfAnotherRegionDoesNotReplaceOneWhoseLoadIsAskedFor() {
+		this.fixture.server("a").server("far", new FailureDomain("east-1"), new Region("east"), 3, false, 0, 1);
+		this.fixture.publish();
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 100), 0);
+		this.fixture.clock.advance(60);
+		long waiting = this.fixture.ask();
+		assertThat(this.fixture.granted).isEmpty();
+		this.fixture.dispatcher.checked(new ServerName("a"), new ServerLoad(0, 0, 3, 100), 0);
+		assertThat(this.fixture.granted).containsEntry(waiting, new ServerName("a"));
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -30,6 +30,10 @@
 		.description("Responses to callers by route, status and origin")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> relays = Counter.builder("lovagevale.gateway.relays")
+		.description("Requests passed on to entry VMs of other regions by outcome")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> sends = Counter.builder("lovagevale.gateway.sends")
 		.description("Requests sent to backend servers by outcome")
 		.withRegistry(this.registry);
@@ -76,6 +80,15 @@
 		this.durations.withTags("route", route).record(Duration.ofMillis(tookMs));
 	}
 
+	/**
+	 * Counts a request passed on to an entry VM of another region.
+	 * @param service the service
+	 * @param outcome the outcome
+	 */
+	public void countRelay(String service, String outcome) {
+		this.relays.withTags(SERVICE, service, "outcome", outcome).increment();
+	}
+
 	/**
 	 * Counts a request sent to a server.
 	 * @param service the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -1,5 +1,7 @@
 package org.lovagevale.gateway;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -10,10 +12,13 @@
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.ServerName;
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.Incarnation;
 import org.lovagevale.core.catalog.CatalogDecoder;
+import org.lovagevale.core.placing.HomeRegion;
 import org.lovagevale.core.placing.SlotDispatcher;
+import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
 import org.lovagevale.core.roster.RosterPhase;
@@ -24,6 +29,7 @@
 import org.lovagevale.gateway.http.ExchangeServices;
 import org.lovagevale.gateway.http.FrontServer;
 import org.lovagevale.gateway.http.HealthChecks;
+import org.lovagevale.gateway.http.RegionRelay;
 import org.lovagevale.gateway.http.RequestIntake;
 import org.lovagevale.gateway.http.WorkEstimates;
 import org.slf4j.Logger;
@@ -72,6 +78,8 @@
 
 	private final BackendConnections connections;
 
+	private final RegionRelay relay;
+
 	private final HealthChecks checks;
 
 	private final FrontServer front;
@@ -106,14 +114,16 @@
 				new RosterMember(RegionPeers.nameOf(settings.peers().host()), settings.peers().host(),
 						settings.peers().port(), settings.callers().port(), settings.domain(), settings.region(),
 						incarnation, 1, RosterPhase.STARTING));
-		this.peers = new RegionPeers(this.loop, clock, this.roster, settings.seeds());
+		RemoteContacts contacts = new RemoteContacts(clock, this.roster.self().vm(), settings.region());
+		this.peers = new RegionPeers(this.loop, clock, this.roster, contacts, random, settings.seeds());
 		this.catalog = new CatalogKeeper(this.loop, clock, this.roster, this.peers, source, decoder, this.metrics);
 		this.slots = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
 				settings.region(), settings.limits(), this::isSoleDispatcher, replies));
 		this.connections = new BackendConnections(this.loop, () -> loops.onChannel(SocketChannel.class, group),
 				protocol, clock, this.metrics);
+		this.relay = new RegionRelay(settings.region(), contacts, this.catalog, new HomeRegion(random));
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalog, this.slots,
-				this.connections, protocol, new WorkEstimates(), this.metrics);
+				this.relay, this.connections, protocol, new WorkEstimates(), this.metrics);
 		this.checks = new HealthChecks(services, this.roster);
 		this.slots.onLoadWanted(this.checks::refresh);
 		this.front = new FrontServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
@@ -128,7 +138,9 @@
 
 	private void catalogChanged() {
 		this.slots.dispatcher().update(this.catalog.catalog());
-		this.connections.sweep(this.catalog.serverNames());
+		Set<ServerName> kept = new HashSet<>(this.catalog.serverNames());
+		kept.addAll(this.relay.names());
+		this.connections.sweep(kept);
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
@@ -91,4 +91,27 @@
 	 */
 	void retryAfter(HttpHeaders headers, long afterMs);
 
+	/**
+	 * Returns when the sender of a rejection wants to be asked again.
+	 * @param headers the headers of the rejection
+	 * @return milliseconds, {@link #NO_TIME} if it does not tell
+	 */
+	long retryAfterMs(HttpHeaders headers);
+
+	/**
+	 * Sets the headers of a request that is passed on to another entry VM.
+	 * @param headers the headers to be sent
+	 * @param timeLeftMs the time left for the response, in milliseconds
+	 * @param caller the address of the caller
+	 */
+	void relay(HttpHeaders headers, long timeLeftMs, String caller);
+
+	/**
+	 * Returns the caller of a request that another entry VM passed on.
+	 * @param headers the headers of the request
+	 * @return the address of the caller, or {@code null} if the request comes from a
+	 * caller
+	 */
+	@Nullable String relayedCaller(HttpHeaders headers);
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.base.RandomSource;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.Incarnation;
@@ -35,6 +37,7 @@
 import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SlotReturned;
 import org.lovagevale.core.placing.SlotId;
+import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
 import org.lovagevale.core.roster.RosterPhase;
@@ -63,6 +66,14 @@
 	/** While nobody is known, seeds are asked this often, in milliseconds. */
 	private static final long LONELY_SEED_MS = 400;
 
+	/** The same while no entry VM of another region is known, in milliseconds. */
+	private static final long NO_CONTACT_SEED_MS = 1_000;
+
+	/**
+	 * Processes named to one that only wants to hear of a few, to keep messages small.
+	 */
+	private static final int FEW = RemoteContacts.MOST_PER_REGION;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(RegionPeers.class);
 
 	private final EventLoop loop;
@@ -71,6 +82,10 @@
 
 	private final Roster roster;
 
+	private final RemoteContacts contacts;
+
+	private final RandomSource random;
+
 	private final PeerTransport transport;
 
 	/** Read by the threads of the transport too. */
@@ -93,12 +108,17 @@
 	 * @param loop the event loop
 	 * @param clock the clock
 	 * @param roster the known processes
+	 * @param contacts takes entry VMs of other regions
+	 * @param random chooses whom to name
 	 * @param seeds where processes may be found
 	 */
-	public RegionPeers(EventLoop loop, Clock clock, Roster roster, List<HostPort> seeds) {
+	public RegionPeers(EventLoop loop, Clock clock, Roster roster, RemoteContacts contacts, RandomSource random,
+			List<HostPort> seeds) {
 		this.loop = loop;
 		this.clock = clock;
 		this.roster = roster;
+		this.contacts = contacts;
+		this.random = random;
 		Self self = new Self(roster.self().vm(), roster.self().incarnation());
 		this.transport = new PeerTransport(self, () -> "", this.addresses::get, this::event);
 		seeds(seeds);
@@ -165,14 +185,33 @@
 			this.beatAt = now;
 			beat();
 		}
-		long pause = (this.roster.alive().size() > 1) ? SEED_MS : LONELY_SEED_MS;
-		if (this.seedsAt == Long.MIN_VALUE || now - this.seedsAt >= pause) {
+		if (this.seedsAt == Long.MIN_VALUE || now - this.seedsAt >= seedPauseMs()) {
 			this.seedsAt = now;
 			greetSeeds();
+			shareContacts();
 		}
 		noteAlive();
 	}
 
+	private long seedPauseMs() {
+		if (this.roster.alive().size() <= 1) {
+			return LONELY_SEED_MS;
+		}
+		return this.contacts.usable().isEmpty() ? NO_CONTACT_SEED_MS : SEED_MS;
+	}
+
+	// Seeds may be gone, so what one process knows of other regions is passed on.
+	private void shareContacts() {
+		List<RosterEntry> known = this.contacts.usable().stream().map(RegionPeers::toEntry).toList();
+		List<RosterMember> others = this.roster.alive()
+			.stream()
+			.filter((member) -> !member.vm().equals(this.roster.self().vm()))
+			.toList();
+		if (!known.isEmpty() && !others.isEmpty()) {
+			this.transport.send(others.get(this.random.nextInt(others.size())).vm(), new RosterList(known));
+		}
+	}
+
 	/**
 	 * Tells the others at once what this process does now.
 	 */
@@ -279,6 +318,10 @@
 
 	private void told(RosterEntry entry) {
 		RosterMember member = toMember(entry);
+		if (!member.region().equals(this.roster.self().region())) {
+			this.contacts.told(member);
+			return;
+		}
 		remember(member.host(), member.peerPort());
 		this.roster.told(member);
 	}
@@ -295,20 +338,35 @@
 		if (before != null && client != null) {
 			client.dispatcher().vmLost(from);
 		}
-		if (!known || before != null || !member.region().equals(this.roster.self().region())) {
-			tellOthers(member);
+		boolean remote = !member.region().equals(this.roster.self().region());
+		if (remote) {
+			this.contacts.told(member);
+		}
+		boolean isNew = !known || before != null;
+		if (isNew || remote) {
+			tellOthers(member, isNew, remote);
 		}
 	}
 
-	private void tellOthers(RosterMember newcomer) {
-		List<RosterEntry> same = this.roster.known()
+	private void tellOthers(RosterMember newcomer, boolean isNew, boolean remote) {
+		List<RosterMember> same = this.roster.known()
 			.stream()
 			.filter((member) -> member.region().equals(newcomer.region()) && !member.vm().equals(newcomer.vm()))
-			.map(RegionPeers::toEntry)
 			.toList();
-		if (!same.isEmpty()) {
-			this.transport.send(newcomer.vm(), new RosterList(same));
+		List<RosterMember> told = new ArrayList<>(isNew ? same : few(same));
+		told.addAll(remote ? few(this.roster.serving()) : this.contacts.usable());
+		if (!told.isEmpty()) {
+			this.transport.send(newcomer.vm(), new RosterList(told.stream().map(RegionPeers::toEntry).toList()));
+		}
+	}
+
+	private List<RosterMember> few(List<RosterMember> members) {
+		int first = members.isEmpty() ? 0 : this.random.nextInt(members.size());
+		List<RosterMember> chosen = new ArrayList<>();
+		for (int i = 0; i < Math.min(FEW, members.size()); i++) {
+			chosen.add(members.get((first + i) % members.size()));
 		}
+		return chosen;
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -91,6 +91,8 @@
 
 	private final Set<ServerName> tried = new HashSet<>();
 
+	private final RelayAttempts relays = new RelayAttempts();
+
 	private @Nullable ScheduledFuture<?> timeout;
 
 	private @Nullable SlotId question;
@@ -160,7 +162,7 @@
 			writeFrom(connection, before);
 		}
 		else if (this.question == null && current == null && isBodyReady()) {
-			ask();
+			place();
 		}
 		else if (this.content.size() > RequestContent.KEPT_BYTES) {
 			this.caller.setReading(false);
@@ -171,6 +173,19 @@
 		return this.content.isComplete() || this.content.size() > RequestContent.BUFFERED_BYTES;
 	}
 
+	private void place() {
+		BackendInstance entry = this.relays.isExhausted() ? null
+				: this.services.relay().find(this.request, this.relays.regions());
+		if (entry == null) {
+			ask();
+			return;
+		}
+		this.relays.began(entry.region());
+		ServerSend next = new ServerSend(this, null, entry, now());
+		this.send = next;
+		this.services.connections().acquire(entry, IDLE_REPEATABLE_MS, next);
+	}
+
 	private void ask() {
 		long now = now();
 		SlotId id = this.services.slots().nextId();
@@ -235,25 +250,34 @@
 			next(SlotOutcome.UNUSED, "no time left when the connection was open");
 			return;
 		}
-		this.policy.sent();
-		this.tried.add(current.server().id());
-		connection.begin(current, head(current, left), this.request.id());
-		if (LOGGER.isInfoEnabled()) {
-			LOGGER.info("{}",
-					LogLine.event("request.sent")
-						.with("id", this.request.id())
-						.with("send", this.policy.sends())
-						.with("server", current.server().id())
-						.with("dispatcher", current.grant().dispatcher())
-						.with("slotMs", current.startedAt() - this.askedAt)
-						.with("connectMs", now() - current.startedAt())
-						.with("leftMs", left)
-						.with("catalogAgeMs", this.services.catalog().ageMs())
-						.with("why", current.grant().why()));
+		SlotGrant grant = current.grant();
+		if (grant != null) {
+			this.policy.sent();
+			this.tried.add(current.server().id());
 		}
+		// Rejections by another entry VM do not repeat the identity.
+		connection.begin(current, head(current, left), (grant != null) ? this.request.id() : "");
+		logSent(current, grant, left);
 		writeFrom(connection, 0);
 	}
 
+	private void logSent(ServerSend current, @Nullable SlotGrant grant, long leftMs) {
+		if (!LOGGER.isInfoEnabled()) {
+			return;
+		}
+		LogLine line = LogLine.event((grant != null) ? "request.sent" : "request.relayed")
+			.with("id", this.request.id())
+			.with("send", this.policy.sends())
+			.with("server", current.server().id());
+		if (grant != null) {
+			line = line.with("dispatcher", grant.dispatcher()).with("slotMs", current.startedAt() - this.askedAt);
+		}
+		line = line.with("connectMs", now() - current.startedAt())
+			.with("leftMs", leftMs)
+			.with("catalogAgeMs", this.services.catalog().ageMs());
+		LOGGER.info("{}", (grant != null) ? line.with("why", grant.why()) : line);
+	}
+
 	private HttpRequest head(ServerSend current, long leftMs) {
 		HttpRequest received = this.request.head();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(received.headers(), (name) -> name.equals("expect"));
@@ -266,7 +290,12 @@
 		else if (!HttpUtil.isContentLengthSet(received)) {
 			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
 		}
-		this.services.protocol().address(headers, leftMs, current.server().id());
+		if (current.isRelay()) {
+			this.services.protocol().relay(headers, leftMs, this.request.caller());
+		}
+		else {
+			this.services.protocol().address(headers, leftMs, current.server().id());
+		}
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
 	}
 
@@ -289,6 +318,13 @@
 	}
 
 	void unreachable(ServerSend current, String reason) {
+		if (current.isRelay()) {
+			this.relays.unreachable(current.server().region());
+			endSend(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
+			this.lastTrouble = reason;
+			place();
+			return;
+		}
 		this.tried.add(current.server().id());
 		endSend(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
 		next(SlotOutcome.UNREACHABLE, reason);
@@ -345,6 +381,9 @@
 		}
 		int status = response.status().code();
 		HttpHeaders headers = response.headers();
+		if (current.isRelay() && !this.services.protocol().isSigned(headers)) {
+			return RelayAttempts.outcomeOf(status);
+		}
 		if (this.services.protocol().isReplaced(status)) {
 			return SlotOutcome.REPLACED;
 		}
@@ -395,11 +434,17 @@
 			return;
 		}
 		if (outcome == SlotOutcome.SERVED) {
-			this.services.estimates().of(this.request.route()).took(now() - current.startedAt());
+			if (!current.isRelay()) {
+				this.services.estimates().of(this.request.route()).took(now() - current.startedAt());
+			}
 			startAnswer(current, true);
 			finish(current);
 			return;
 		}
+		if (current.isRelay() && response != null) {
+			relayEnded(current, outcome, response);
+			return;
+		}
 		NextStep step = this.policy.after(outcome, this.content.isReplayable(), this.request.timeoutAt() - now());
 		String reason = "status " + ((response != null) ? response.status().code() : 0) + " of "
 				+ current.server().id();
@@ -412,6 +457,30 @@
 		follow(step, reason);
 	}
 
+	// Another entry VM has already made the further sends that are allowed.
+	private void relayEnded(ServerSend current, SlotOutcome outcome, HttpResponse response) {
+		String reason = "status " + response.status().code() + " of entry VM " + current.server().id();
+		if (outcome == SlotOutcome.FAILED) {
+			this.policy.after(outcome, false, 0);
+			if (isGenuine(response)) {
+				startAnswer(current, true);
+				finish(current);
+				return;
+			}
+			current.releaseHeld();
+			answerOwn((response.status().code() == TIMED_OUT) ? TIMED_OUT : FAILED, reason, 0);
+			return;
+		}
+		current.releaseHeld();
+		this.relays.rejected(this.services.protocol().retryAfterMs(response.headers()));
+		this.lastTrouble = reason;
+		if (!this.content.isReplayable() || this.services.relay().find(this.request, this.relays.regions()) == null) {
+			answerOwn(NOT_RUN, reason, this.relays.retryAfterMs(SHORT_RETRY_MS));
+			return;
+		}
+		place();
+	}
+
 	private void finish(ServerSend current) {
 		HttpResponse response = current.response();
 		int status = (response != null) ? response.status().code() : 0;
@@ -425,6 +494,11 @@
 		if (this.done) {
 			return;
 		}
+		if (current.isRelay() && !this.answering) {
+			this.policy.after(SlotOutcome.LOST, false, 0);
+			answerOwn(FAILED, reason, 0);
+			return;
+		}
 		if (this.answering) {
 			this.caller.abort(reason);
 			conclude(0, "entry", "response broken off: " + reason);
@@ -440,7 +514,7 @@
 	private void follow(NextStep step, String reason) {
 		this.lastTrouble = reason;
 		switch (step) {
-			case SEND_AGAIN -> ask();
+			case SEND_AGAIN -> place();
 			case ANSWER_NOT_RUN -> answerOwn(NOT_RUN, reason, SHORT_RETRY_MS);
 			case ANSWER_FAILED -> answerOwn(FAILED, reason, 0);
 		}
@@ -508,8 +582,19 @@
 		if (this.send == current) {
 			this.send = null;
 		}
-		this.services.metrics().countSend(this.request.service().value(), outcome.name());
-		release(current.grant(), outcome, load, (int) (now() - current.startedAt()));
+		SlotGrant grant = current.grant();
+		if (grant != null) {
+			this.services.metrics().countSend(this.request.service().value(), outcome.name());
+			release(grant, outcome, load, (int) (now() - current.startedAt()));
+			return;
+		}
+		this.services.metrics().countRelay(this.request.service().value(), outcome.name());
+		switch (outcome) {
+			case UNREACHABLE, LOST -> this.services.relay().failed(current.server());
+			case ABANDONED, UNUSED -> {
+			}
+			default -> this.services.relay().responded(current.server());
+		}
 	}
 
 	private void release(SlotGrant grant, SlotOutcome outcome, ServerLoad load, int tookMs) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -19,12 +19,13 @@
  * @param settings the settings of this process
  * @param catalog the routes and servers
  * @param slots gives servers to requests
+ * @param relay finds entry VMs of other regions
  * @param connections the connections to servers
  * @param protocol reads and writes headers
  * @param estimates how long requests take
  * @param metrics counts what happens
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogKeeper catalog,
-		SlotClient slots, BackendConnections connections, ServerProtocol protocol, WorkEstimates estimates,
-		GatewayMetrics metrics) {
+		SlotClient slots, RegionRelay relay, BackendConnections connections, ServerProtocol protocol,
+		WorkEstimates estimates, GatewayMetrics metrics) {
 }
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RelayAttempts.java
@@ -0,0 +1,71 @@
+package org.lovagevale.gateway.http;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.lovagevale.base.Region;
+import org.lovagevale.core.placing.SlotOutcome;
+
+/**
+ * The attempts to have a request placed by entry VMs of other regions.
+ *
+ * <p>
+ * Invariant: each region rejects a request once at most. Confined to the event loop.
+ */
+final class RelayAttempts {
+
+	/** Entry VMs that cannot be reached, after which the request is placed here. */
+	private static final int MOST_UNREACHABLE = 2;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int BAD_GATEWAY = 502;
+
+	private static final int GATEWAY_TIMEOUT = 504;
+
+	private static final int INTERNAL_ERROR = 500;
+
+	private final Set<Region> regions = new HashSet<>();
+
+	private int unreachable;
+
+	private long retryAfterMs = -1;
+
+	/**
+	 * Tells what a response of an entry VM that bears no mark of a server means.
+	 * @param status the status
+	 * @return whether a server may have run the request
+	 */
+	static SlotOutcome outcomeOf(int status) {
+		return switch (status) {
+			case INTERNAL_ERROR, BAD_GATEWAY, GATEWAY_TIMEOUT -> SlotOutcome.FAILED;
+			default -> (status < BAD_REQUEST) ? SlotOutcome.FAILED : SlotOutcome.NOT_EXECUTED;
+		};
+	}
+
+	void began(Region region) {
+		this.regions.add(region);
+	}
+
+	void unreachable(Region region) {
+		this.unreachable++;
+		this.regions.remove(region);
+	}
+
+	void rejected(long afterMs) {
+		this.retryAfterMs = Math.max(this.retryAfterMs, afterMs);
+	}
+
+	boolean isExhausted() {
+		return this.unreachable >= MOST_UNREACHABLE;
+	}
+
+	Set<Region> regions() {
+		return this.regions;
+	}
+
+	int retryAfterMs(int usualMs) {
+		return (this.retryAfterMs >= 0) ? (int) Math.min(Integer.MAX_VALUE, this.retryAfterMs) : usualMs;
+	}
+
+}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestIntake.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestIntake.java
@@ -128,8 +128,9 @@
 		long deadline = now + ((time == ServerProtocol.NO_TIME) ? route.timeoutMs() : time);
 		this.position = (this.position + STEP) % 1;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
+		String relayedFor = this.services.protocol().relayedCaller(head.headers());
 		return new CallerRequest(head, id, route, route.serviceAt(this.position), configuration.limits(),
-				configuration.version(), caller, now, deadline);
+				configuration.version(), (relayedFor != null) ? relayedFor : caller, relayedFor != null, now, deadline);
 	}
 
 	// The rest of the request is still to come and must not be taken for another one.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerSend.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerSend.java
@@ -20,7 +20,7 @@
 
 	private final Exchange exchange;
 
-	private final SlotGrant grant;
+	private final @Nullable SlotGrant grant;
 
 	private final BackendInstance server;
 
@@ -36,17 +36,25 @@
 
 	private @Nullable HttpResponse response;
 
-	ServerSend(Exchange exchange, SlotGrant grant, BackendInstance server, long startedAt) {
+	ServerSend(Exchange exchange, @Nullable SlotGrant grant, BackendInstance server, long startedAt) {
 		this.exchange = exchange;
 		this.grant = grant;
 		this.server = server;
 		this.startedAt = startedAt;
 	}
 
-	SlotGrant grant() {
+	/**
+	 * Returns the slot that it uses.
+	 * @return the slot, or {@code null} if it goes to another entry VM
+	 */
+	@Nullable SlotGrant grant() {
 		return this.grant;
 	}
 
+	boolean isRelay() {
+		return this.grant == null;
+	}
+
 	BackendInstance server() {
 		return this.server;
 	}
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
@@ -0,0 +1,88 @@
+package org.lovagevale.gateway;
+
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Requests whose home is another region, on two entry processes.
+ */
+@Timeout(30)
+class RegionRelayTests {
+
+	private static final Region WEST = new Region("west");
+
+	/** Contacts are exchanged within two greetings of a seed. */
+	private static final long EXCHANGE_MS = 2_500;
+
+	private TestServer server;
+
+	private TestGateway home;
+
+	private TestGateway away;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.home = new TestGateway(List.of()).homes(WEST).configure(2_000).server("a", this.server.port()).start();
+		this.away = new TestGateway("127.0.0.2", new FailureDomain("east-1"), new Region("east"),
+				List.of(this.home.peers()))
+			.homes(WEST)
+			.configure(2_000)
+			.server("a", this.server.port())
+			.start();
+		Thread.sleep(EXCHANGE_MS);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.away.close();
+		this.home.close();
+		this.server.close();
+	}
+
+	@Test
+	void requestIsPlacedByAnEntryVmOfItsHomeRegion() throws Exception {
+		String response = this.away.exchange(TestGateway.post("/write/1", "id-1", "0123456789"));
+		assertThat(response).startsWith("HTTP/1.1 200 OK").contains("Test-Signature: s").endsWith("hello");
+		assertThat(this.server.requests()).hasSize(1);
+		TestServer.Request received = this.server.requests().getFirst();
+		assertThat(received.body()).isEqualTo("0123456789");
+		assertThat(received.headers()).containsEntry("test-server", "a").doesNotContainKey("test-caller");
+		assertThat(this.home.process().metrics().scrape()).contains("lovagevale_gateway_sends_total");
+		assertThat(this.away.process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
+			.doesNotContain("lovagevale_gateway_sends_total");
+	}
+
+	@Test
+	void failureAfterASendIsNotRepeated() throws Exception {
+		this.server.script((request, socket) -> socket.close());
+		String response = this.away.exchange(TestGateway.post("/write/1", "id-1", "x"));
+		assertThat(response).startsWith("HTTP/1.1 502");
+		assertThat(this.server.requests()).hasSize(1);
+	}
+
+	@Test
+	void rejectionOfTheHomeRegionIsPassedOnWithItsTimeToComeBack() throws Exception {
+		this.server.script((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
+				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+		String response = this.away.exchange(TestGateway.post("/write/1", "id-1", "x"));
+		assertThat(response).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after: ");
+	}
+
+	@Test
+	void requestIsPlacedHereIfNoEntryVmOfTheHomeRegionCanBeReached() throws Exception {
+		this.home.close();
+		String response = this.away.exchange(TestGateway.post("/write/1", "id-1", "x"));
+		assertThat(response).startsWith("HTTP/1.1 200 OK");
+		assertThat(this.server.requests()).hasSize(1);
+	}
+
+}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -50,15 +50,23 @@
 
 	private final GatewayProcess process;
 
-	private final HostPort callers = new HostPort("127.0.0.1", freePort());
+	private final HostPort callers;
 
 	private final HostPort peers;
 
+	private Set<Region> homes = Set.of();
+
 	private long revision;
 
 	TestGateway(List<HostPort> seeds) throws IOException, GatewayException {
-		this.peers = new HostPort("127.0.0.1", freePort());
-		GatewaySettings settings = new GatewaySettings("test", DOMAIN, REGION, this.callers, this.peers, seeds,
+		this("127.0.0.1", DOMAIN, REGION, seeds);
+	}
+
+	TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds)
+			throws IOException, GatewayException {
+		this.callers = new HostPort(host, freePort());
+		this.peers = new HostPort(host, freePort());
+		GatewaySettings settings = new GatewaySettings("test", domain, region, this.callers, this.peers, seeds,
 				new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), 3_000, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				() -> Mono.fromSupplier(this::state), (item) -> this.published.get(item.key()), new TestProtocol());
@@ -88,9 +96,18 @@
 		return this;
 	}
 
-	private static Route route(String name, String prefix, RequestKind kind, long timeoutMs) {
+	HostPort peers() {
+		return this.peers;
+	}
+
+	TestGateway homes(Region... regions) {
+		this.homes = Set.of(regions);
+		return this;
+	}
+
+	private Route route(String name, String prefix, RequestKind kind, long timeoutMs) {
 		return new Route(name, "a.example", prefix, kind, timeoutMs, 400, 1, 2, List.of(new TrafficShare(SERVICE, 1)),
-				Set.of());
+				this.homes);
 	}
 
 	synchronized TestGateway server(String id, int port) {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.placing.ServerLoad;
 
@@ -24,6 +25,7 @@
 	public void address(HttpHeaders headers, long timeLeftMs, ServerName server) {
 		headers.set("Test-Time", Long.toString(timeLeftMs));
 		headers.set("Test-Server", server.value());
+		headers.remove("Test-Caller");
 	}
 
 	@Override
@@ -61,4 +63,21 @@
 		headers.set("Retry-After", Double.toString(afterMs / 1_000.0));
 	}
 
+	@Override
+	public long retryAfterMs(HttpHeaders headers) {
+		String text = headers.get("Retry-After");
+		return (text != null) ? (long) (Double.parseDouble(text) * 1_000) : NO_TIME;
+	}
+
+	@Override
+	public void relay(HttpHeaders headers, long timeLeftMs, String caller) {
+		headers.set("Test-Time", Long.toString(timeLeftMs));
+		headers.set("Test-Caller", caller);
+	}
+
+	@Override
+	public @Nullable String relayedCaller(HttpHeaders headers) {
+		return headers.get("Test-Caller");
+	}
+
 }
