Let a few hubs of each region hear all, and read the store once for all regions

Change: the four most capable VMs of a region are its hubs and share its duties; a process beats to hubs only, and the first hub tells the others each second who serves. Slots are looked at only while something waits; the other ticks are 100 ms. The reader passes its differences to one entry VM of each other region, which passes them on, so that one process reads for all.

Ruled out: slower beats in a full mesh (a silent dispatcher would be noticed after 6 s).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
@@ -7,7 +7,7 @@
  * These carry no settings tree and no idempotency keys; processes that are driven by a
  * settings tree ignore them.
  */
-public sealed interface RegionMessage extends PeerMessage permits RosterBeat, RosterList, CatalogNews, CatalogRequest,
-		SlotAsk, SlotGranted, SlotQueued, SlotRefused, SlotCancelled, SlotReturned {
+public sealed interface RegionMessage extends PeerMessage permits RosterBeat, RosterList, RosterSummary, RosterRequest,
+		CatalogNews, CatalogRequest, SlotAsk, SlotGranted, SlotQueued, SlotRefused, SlotCancelled, SlotReturned {
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/RemoteContacts.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/RemoteContacts.java
@@ -3,7 +3,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
@@ -119,6 +121,16 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the regions that can be reached.
+	 * @return the regions
+	 */
+	public Set<Region> regions() {
+		Set<Region> regions = new HashSet<>();
+		usable().forEach((member) -> regions.add(member.region()));
+		return regions;
+	}
+
 	/**
 	 * Finds the contact of a region that this process uses. It is the same as long as it
 	 * may be used, so that few connections are needed.
--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/RosterMember.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/RosterMember.java
@@ -17,12 +17,13 @@
  * @param callerPort the TCP port for callers
  * @param domain its failure domain
  * @param region its region
+ * @param capacity the processor time it may use, in percent of a core
  * @param incarnation this run of the process
  * @param beat a counter that it increases
  * @param phase what it does
  */
 public record RosterMember(VmName vm, String host, int peerPort, int callerPort, FailureDomain domain, Region region,
-		Incarnation incarnation, long beat, RosterPhase phase) {
+		int capacity, Incarnation incarnation, long beat, RosterPhase phase) {
 
 	/**
 	 * Returns this member with another beat and phase.
@@ -32,7 +33,7 @@
 	 */
 	public RosterMember withBeat(long nextBeat, RosterPhase nextPhase) {
 		return new RosterMember(this.vm, this.host, this.peerPort, this.callerPort, this.domain, this.region,
-				this.incarnation, nextBeat, nextPhase);
+				this.capacity, this.incarnation, nextBeat, nextPhase);
 	}
 
 	boolean isNewerThan(RosterMember other) {
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/RemoteContactsTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/RemoteContactsTests.java
@@ -18,7 +18,7 @@
 	private final RemoteContacts contacts = new RemoteContacts(this.clock, new VmName("self"), new Region("west"));
 
 	private static RosterMember member(String vm, Region region, long beat, RosterPhase phase) {
-		return new RosterMember(new VmName(vm), "127.0.0.1", 1, 2, new FailureDomain(region + "-1"), region,
+		return new RosterMember(new VmName(vm), "127.0.0.1", 1, 2, new FailureDomain(region + "-1"), region, 100,
 				new Incarnation(1, 1), beat, phase);
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/RosterTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/RosterTests.java
@@ -29,7 +29,7 @@
 
 	private static RosterMember member(String vm, String region, long start, long beat, RosterPhase phase) {
 		return new RosterMember(new VmName(vm), "10.0.0.1", 1, 2, new FailureDomain(region + "-1"), new Region(region),
-				new Incarnation(start, 0), beat, phase);
+				100, new Incarnation(start, 0), beat, phase);
 	}
 
 	private void hear(String vm, long beat) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -45,16 +45,16 @@
 public final class GatewayProcess {
 
 	/** The time between two looks at what is due, in milliseconds. */
-	private static final long TICK_MS = 50;
+	private static final long TICK_MS = 100;
 
 	/** Questions and waiting requests are looked at more often, in milliseconds. */
 	private static final long SLOT_TICK_MS = 20;
 
 	/** Health checks are looked at this often, in milliseconds. */
-	private static final long CHECK_TICK_MS = 50;
+	private static final long CHECK_TICK_MS = 100;
 
 	/** A process that finds no peers serves alone after this time, in milliseconds. */
-	private static final long LONELY_MS = 300;
+	private static final long LONELY_MS = 100;
 
 	/** Callers learn of a planned stop within this share of its time. */
 	private static final double LEAVE_SHARE = 0.55;
@@ -92,6 +92,8 @@
 
 	private volatile boolean ready;
 
+	private boolean slotTickDue;
+
 	/**
 	 * Assembles a process.
 	 * @param settings its settings
@@ -113,10 +115,11 @@
 		this.roster = new Roster(clock,
 				new RosterMember(RegionPeers.nameOf(settings.peers().host()), settings.peers().host(),
 						settings.peers().port(), settings.callers().port(), settings.domain(), settings.region(),
-						incarnation, 1, RosterPhase.STARTING));
+						settings.capacity(), incarnation, 1, RosterPhase.STARTING));
 		RemoteContacts contacts = new RemoteContacts(clock, this.roster.self().vm(), settings.region());
 		this.peers = new RegionPeers(this.loop, clock, this.roster, contacts, random, settings.seeds());
-		this.catalog = new CatalogKeeper(this.loop, clock, this.roster, this.peers, source, decoder, this.metrics);
+		this.catalog = new CatalogKeeper(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
+				this.metrics);
 		this.slots = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
 				settings.region(), settings.limits(), this::isSoleDispatcher, replies));
 		this.connections = new BackendConnections(this.loop, () -> loops.onChannel(SocketChannel.class, group),
@@ -151,7 +154,7 @@
 		this.peers.open(this.settings.peers());
 		this.front.open(this.settings.callers());
 		this.loop.scheduleWithFixedDelay(guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(guarded(this::slotTick), SLOT_TICK_MS, SLOT_TICK_MS, TimeUnit.MILLISECONDS);
+		this.slots.onWaiting(this::awaitSlots);
 		this.loop.scheduleWithFixedDelay(guarded(this.checks::tick), CHECK_TICK_MS, CHECK_TICK_MS,
 				TimeUnit.MILLISECONDS);
 		LOGGER.info("{}",
@@ -197,13 +200,25 @@
 		return this.catalog.configuration() != null && settled;
 	}
 
+	// An idle process is not woken for slots.
+	private void awaitSlots() {
+		if (!this.slotTickDue) {
+			this.slotTickDue = true;
+			this.loop.schedule(guarded(this::slotTick), SLOT_TICK_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	private void slotTick() {
+		this.slotTickDue = false;
 		if (this.slots.isWaiting()) {
 			this.slots.tick();
 		}
 		if (this.slots.dispatcher().isWaiting()) {
 			this.slots.dispatcher().tick();
 		}
+		if (this.slots.isWaiting() || this.slots.dispatcher().isWaiting()) {
+			awaitSlots();
+		}
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogKeeper.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogKeeper.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.catalog.BackendInstance;
@@ -19,6 +20,7 @@
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
 import org.lovagevale.core.roster.ReadSchedule;
+import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
 import org.lovagevale.gateway.CatalogSource;
@@ -46,6 +48,8 @@
 
 	private final Roster roster;
 
+	private final RemoteContacts contacts;
+
 	private final RegionLink link;
 
 	private final CatalogSource source;
@@ -66,16 +70,18 @@
 	 * @param loop the event loop
 	 * @param clock the clock
 	 * @param roster tells who reads
+	 * @param contacts entry VMs of other regions
 	 * @param link sends messages
 	 * @param source reads the platform
 	 * @param decoder decodes items
 	 * @param metrics counts reads
 	 */
-	public CatalogKeeper(EventLoop loop, Clock clock, Roster roster, RegionLink link, CatalogSource source,
-			CatalogDecoder decoder, GatewayMetrics metrics) {
+	public CatalogKeeper(EventLoop loop, Clock clock, Roster roster, RemoteContacts contacts, RegionLink link,
+			CatalogSource source, CatalogDecoder decoder, GatewayMetrics metrics) {
 		this.loop = loop;
 		this.clock = clock;
 		this.roster = roster;
+		this.contacts = contacts;
 		this.link = link;
 		this.source = source;
 		this.catalog = new Catalog(decoder);
@@ -165,6 +171,22 @@
 		boolean complete = base == 0;
 		List<PublishedItem> items = complete ? List.copyOf(this.catalog.items()) : change.changed();
 		CatalogNews news = new CatalogNews(complete, base, state.asOf(), age, items, change.removed());
+		passOn(news);
+		// One entry VM of each other region passes it on there.
+		for (Region region : this.contacts.regions()) {
+			RosterMember contact = this.contacts.in(region);
+			if (contact != null) {
+				this.link.send(contact.vm(), news);
+			}
+		}
+	}
+
+	private boolean isRemote(VmName vm) {
+		RosterMember member = this.roster.find(vm);
+		return member == null || !member.region().equals(this.roster.self().region());
+	}
+
+	private void passOn(CatalogNews news) {
 		for (RosterMember member : this.roster.alive()) {
 			if (!member.vm().equals(this.roster.self().vm())) {
 				this.link.send(member.vm(), news);
@@ -197,8 +219,13 @@
 			this.link.send(from, new CatalogRequest(this.catalog.revision()));
 			return;
 		}
-		this.schedule.heardNews();
+		if (from.compareTo(this.roster.self().vm()) < 0 || !this.schedule.isReader()) {
+			this.schedule.heardNews();
+		}
 		changed(change, from.value());
+		if (isRemote(from) && !news.complete()) {
+			passOn(new CatalogNews(false, news.base(), news.asOf(), ageMs(), news.items(), news.removed()));
+		}
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -30,6 +30,8 @@
 import org.lovagevale.core.message.RosterBeat;
 import org.lovagevale.core.message.RosterEntry;
 import org.lovagevale.core.message.RosterList;
+import org.lovagevale.core.message.RosterRequest;
+import org.lovagevale.core.message.RosterSummary;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
@@ -53,13 +55,19 @@
  *
  * <p>
  * A process connects to its seeds, which tell it whom they know, and then keeps a link to
- * each process of its region. Confined to the event loop.
+ * each hub of its region. Confined to the event loop.
  */
 public final class RegionPeers implements RegionLink {
 
 	/** The time between two messages about this process, in milliseconds. */
 	public static final long BEAT_MS = 400;
 
+	/** The time between two summaries of the first hub, in milliseconds. */
+	private static final long SUMMARY_MS = 1_000;
+
+	/** A hub has heard the others this long after it began to serve, in milliseconds. */
+	private static final long HEARD_ALL_MS = 2 * BEAT_MS;
+
 	/** Seeds are asked again after this time, in case their lists changed, in ms. */
 	private static final long SEED_MS = 4_000;
 
@@ -101,6 +109,10 @@
 
 	private long beatAt = Long.MIN_VALUE;
 
+	private long summaryAt = Long.MIN_VALUE / 2;
+
+	private long servingSince = Long.MAX_VALUE;
+
 	private Set<VmName> alive = Set.of();
 
 	/**
@@ -190,6 +202,7 @@
 			greetSeeds();
 			shareContacts();
 		}
+		summarize(now);
 		noteAlive();
 	}
 
@@ -218,22 +231,49 @@
 	public void beat() {
 		RosterBeat beat = new RosterBeat(toEntry(this.roster.beat()));
 		Set<VmName> kept = new HashSet<>();
-		for (RosterMember member : this.roster.known()) {
-			if (member.region().equals(this.roster.self().region())) {
-				// One link for a pair is enough; the other side opens it unless it is
-				// silent.
-				boolean opens = this.roster.self().vm().compareTo(member.vm()) < 0;
-				if (opens || !this.roster.isAlive(member.vm())) {
-					kept.add(member.vm());
-				}
-				if (this.roster.isAlive(member.vm()) || member.beat() == 0) {
-					this.transport.send(member.vm(), beat);
-				}
+		for (RosterMember member : this.roster.listeners()) {
+			// One link for a pair is enough; the other side opens it unless it is silent.
+			boolean opens = this.roster.self().vm().compareTo(member.vm()) < 0;
+			if (opens || !this.roster.isAlive(member.vm())) {
+				kept.add(member.vm());
 			}
+			this.transport.send(member.vm(), beat);
 		}
 		this.transport.keepLinks(kept);
 	}
 
+	// All others hear the hubs only, so the first hub tells them who serves.
+	private void summarize(long now) {
+		boolean serving = this.roster.self().phase() == RosterPhase.SERVING;
+		this.servingSince = serving ? Math.min(this.servingSince, now) : Long.MAX_VALUE;
+		List<RosterMember> hubs = this.roster.hubs();
+		boolean first = !hubs.isEmpty() && hubs.getFirst().vm().equals(this.roster.self().vm());
+		if (!first || now - this.servingSince < HEARD_ALL_MS || now - this.summaryAt < SUMMARY_MS) {
+			return;
+		}
+		this.summaryAt = now;
+		List<RosterMember> alive = this.roster.serving();
+		RosterSummary summary = new RosterSummary(alive.stream().map((member) -> member.vm().value()).toList());
+		for (RosterMember member : this.roster.alive()) {
+			if (hubs.stream().noneMatch((hub) -> hub.vm().equals(member.vm()))) {
+				this.transport.send(member.vm(), summary);
+			}
+		}
+	}
+
+	private void summarized(VmName from, RosterSummary summary) {
+		Set<VmName> serving = new HashSet<>();
+		summary.vms().forEach((vm) -> serving.add(new VmName(vm)));
+		if (this.roster.vouched(serving)) {
+			this.transport.send(from, new RosterRequest(this.roster.known().size()));
+		}
+		noteAlive();
+	}
+
+	private void requested(VmName from) {
+		this.transport.send(from, new RosterList(this.roster.alive().stream().map(RegionPeers::toEntry).toList()));
+	}
+
 	private void greetSeeds() {
 		RosterBeat beat = new RosterBeat(toEntry(this.roster.beat()));
 		for (HostPort seed : this.seeds) {
@@ -297,6 +337,8 @@
 			switch (region) {
 				case RosterBeat beat -> heard(from, beat);
 				case RosterList list -> list.entries().forEach(this::told);
+				case RosterSummary summary -> summarized(from, summary);
+				case RosterRequest request -> requested(from);
 				case CatalogNews news -> keeper.news(from, news);
 				case CatalogRequest request -> keeper.requested(from, request);
 				case SlotAsk ask -> client.asked(from, ask);
@@ -346,6 +388,9 @@
 		if (isNew || remote) {
 			tellOthers(member, isNew, remote);
 		}
+		if (!remote && member.phase() == RosterPhase.LEAVING) {
+			this.summaryAt = Long.MIN_VALUE / 2;
+		}
 	}
 
 	private void tellOthers(RosterMember newcomer, boolean isNew, boolean remote) {
@@ -378,14 +423,14 @@
 
 	private static RosterEntry toEntry(RosterMember member) {
 		return new RosterEntry(member.vm().value(), member.host(), member.peerPort(), member.callerPort(),
-				member.domain().value(), member.region().value(), member.incarnation().toString(), member.beat(),
-				member.phase().name());
+				member.domain().value(), member.region().value(), member.capacity(), member.incarnation().toString(),
+				member.beat(), member.phase().name());
 	}
 
 	private static RosterMember toMember(RosterEntry entry) {
 		return new RosterMember(new VmName(entry.vm()), entry.host(), entry.peerPort(), entry.callerPort(),
-				new FailureDomain(entry.domain()), new Region(entry.region()), Incarnation.parse(entry.incarnation()),
-				entry.beat(), RosterPhase.valueOf(entry.phase()));
+				new FailureDomain(entry.domain()), new Region(entry.region()), entry.capacity(),
+				Incarnation.parse(entry.incarnation()), entry.beat(), RosterPhase.valueOf(entry.phase()));
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -62,6 +62,9 @@
 
 	private final Map<VmName, Long> doubtedUntil = new HashMap<>();
 
+	private Runnable waiting = () -> {
+	};
+
 	private Consumer<ServerName> loadChecks = (server) -> {
 	};
 
@@ -115,12 +118,29 @@
 		}
 		question.dispatcher = target.vm();
 		this.link.send(target.vm(), SlotMessages.toMessage(request));
+		this.waiting.run();
 	}
 
 	private void decideHere(Asked question) {
 		question.dispatcher = this.roster.self().vm();
 		question.confirmed = true;
 		this.dispatcher.ask(question.request);
+		noteWaiting();
+	}
+
+	private void noteWaiting() {
+		if (this.dispatcher.isWaiting()) {
+			this.waiting.run();
+		}
+	}
+
+	/**
+	 * Sets what is told when questions or requests wait, so that {@link #tick()} and
+	 * {@link SlotDispatcher#tick()} are needed.
+	 * @param listener called on the event loop
+	 */
+	public void onWaiting(Runnable listener) {
+		this.waiting = listener;
 	}
 
 	/**
@@ -211,6 +231,7 @@
 	 */
 	public void asked(VmName from, SlotAsk ask) {
 		this.dispatcher.ask(SlotMessages.toRequest(from, ask));
+		noteWaiting();
 	}
 
 	/**
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -66,7 +66,7 @@
 			throws IOException, GatewayException {
 		this.callers = new HostPort(host, freePort());
 		this.peers = new HostPort(host, freePort());
-		GatewaySettings settings = new GatewaySettings("test", domain, region, this.callers, this.peers, seeds,
+		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callers, this.peers, seeds,
 				new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), 3_000, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				() -> Mono.fromSupplier(this::state), (item) -> this.published.get(item.key()), new TestProtocol());
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -13,6 +13,8 @@
 import org.lovagevale.core.message.PeerMessage;
 import org.lovagevale.core.message.RosterBeat;
 import org.lovagevale.core.message.RosterList;
+import org.lovagevale.core.message.RosterRequest;
+import org.lovagevale.core.message.RosterSummary;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
 import org.lovagevale.core.message.SlotAsk;
@@ -66,7 +68,11 @@
 
 	SLOT_CANCELLED(18, SlotCancelled.class),
 
-	SLOT_RETURNED(19, SlotReturned.class);
+	SLOT_RETURNED(19, SlotReturned.class),
+
+	ROSTER_SUMMARY(20, RosterSummary.class),
+
+	ROSTER_REQUEST(21, RosterRequest.class);
 
 	private final int code;
 
@@ -98,6 +104,8 @@
 			case SlotRefused refused -> SLOT_REFUSED;
 			case SlotCancelled cancelled -> SLOT_CANCELLED;
 			case SlotReturned returned -> SLOT_RETURNED;
+			case RosterSummary summary -> ROSTER_SUMMARY;
+			case RosterRequest request -> ROSTER_REQUEST;
 		};
 	}
 
