Relay what a region has no room for instead of placing it blindly elsewhere

Large responses stay in the region unless no server is left. A retry that the budget forbids may come back at once, as the caller's own attempt is not limited by it.

Ruled out: a knee at full servers (medians of 119, 120 and 117 ms at 0, 1 and 2 requests there).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
@@ -12,6 +12,7 @@
  * @param service the service
  * @param domain the failure domain of the sender
  * @param homes the regions in which the request may be served
+ * @param localOnly whether it is placed in the region of the dispatcher only
  * @param priority its rank
  * @param large whether its response is large
  * @param purpose the name of its {@code SendPurpose}
@@ -21,7 +22,7 @@
  * @param tried the servers it was sent to
  * @param fingerprint a hash of what the caller sent
  */
-public record SlotAsk(long number, String service, String domain, List<String> homes, int priority, boolean large,
-		String purpose, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
+public record SlotAsk(long number, String service, String domain, List<String> homes, boolean localOnly, int priority,
+		boolean large, String purpose, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
 		long fingerprint) implements RegionMessage {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerChoice.java
@@ -74,12 +74,12 @@
 		Slowness slowness = pool.slowness();
 		Candidate best = null;
 		Candidate bestLast = null;
-		boolean localOnly = request.large() && hasLocal(request, servers, evacuated, now);
+		boolean nearOnly = request.large() && hasLocal(request, servers, evacuated, now);
 		boolean desperate = isNoneUsable(request, servers, evacuated, now);
 		for (PlacedServer server : servers) {
 			boolean usable = desperate ? isUntried(request, server, evacuated)
 					: isUsable(request, server, evacuated, now);
-			if (!usable || !hasRoom(server, criteria.coldRate(), now) || localOnly && !isLocal(server)) {
+			if (!usable || !hasRoom(server, criteria.coldRate(), now) || nearOnly && !isLocal(server)) {
 				continue;
 			}
 			double slow = server.slowness(now, slowness.average());
@@ -164,6 +164,9 @@
 
 	boolean isPermitted(SlotRequest request, PlacedServer server, Set<FailureDomain> evacuated) {
 		Region place = server.instance().region();
+		if (request.localOnly() && !isLocal(server)) {
+			return false;
+		}
 		return !server.instance().draining() && !evacuated.contains(server.instance().domain())
 				&& (request.homes().isEmpty() || request.homes().contains(place));
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -146,6 +146,17 @@
 	 * @return milliseconds
 	 */
 	int drainMs(ServerChoice choice, Set<FailureDomain> evacuated, long now) {
+		return Math.max(LEAST_DRAIN_MS, waitMs(choice, evacuated, now));
+	}
+
+	/**
+	 * Estimates how long a request would wait that is asked for now.
+	 * @param choice tells the servers of this region
+	 * @param evacuated failure domains that get no requests
+	 * @param now the monotonic time in milliseconds
+	 * @return milliseconds
+	 */
+	int waitMs(ServerChoice choice, Set<FailureDomain> evacuated, long now) {
 		int slots = 1;
 		for (PlacedServer server : this.servers.values()) {
 			boolean usable = !server.instance().draining() && !evacuated.contains(server.instance().domain())
@@ -153,7 +164,7 @@
 			slots += (usable && choice.isLocal(server)) ? usableSlots(server) : 0;
 		}
 		long ahead = this.line.workAheadMs(Integer.MAX_VALUE);
-		return Math.max(LEAST_DRAIN_MS, (int) Admission.expectedWaitMs(ahead, LEAST_DRAIN_MS, slots));
+		return (int) Admission.expectedWaitMs(ahead, LEAST_DRAIN_MS, slots);
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -120,8 +120,9 @@
 			pool.budget().countFirst(now);
 		}
 		else if (!pool.budget().tryTake(this.owner.test(request.service()), now)) {
+			// The caller's own next attempt is not limited by this budget.
 			this.replies.refused(request.id(), RefusalCause.EXTRA_BUDGET,
-					pool.drainMs(this.choice, this.evacuated, now));
+					pool.waitMs(this.choice, this.evacuated, now));
 			return;
 		}
 		ServerChoice.Candidate found = pool.mayPass(request, now) ? choose(pool, request, now, now) : null;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
@@ -17,6 +17,8 @@
  * @param service the service
  * @param domain the failure domain of the entry VM that holds the request
  * @param homes the regions in which it may be served; empty for all
+ * @param localOnly whether it is placed in this region only, since entry VMs of other
+ * regions place it better there
  * @param priority the rank, 0 being served first
  * @param large whether its response is large, so that a near server saves bytes
  * @param purpose why it is to be sent
@@ -27,9 +29,9 @@
  * @param tried the servers that it was sent to before
  * @param fingerprint a hash of what the caller sends, the same for repeated requests
  */
-public record SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homes, int priority,
-		boolean large, SendPurpose purpose, int workMs, int targetLeftMs, int timeLeftMs, Set<ServerName> tried,
-		long fingerprint) {
+public record SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homes, boolean localOnly,
+		int priority, boolean large, SendPurpose purpose, int workMs, int targetLeftMs, int timeLeftMs,
+		Set<ServerName> tried, long fingerprint) {
 
 	/**
 	 * Copies the collections.
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/Fixture.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/Fixture.java
@@ -103,7 +103,7 @@
 	}
 
 	SlotRequest request(int priority, boolean first, int workMs, int targetLeftMs, int timeLeftMs) {
-		return new SlotRequest(new SlotId(VM, ++this.numbers), SERVICE, DOMAIN, Set.of(), priority, false,
+		return new SlotRequest(new SlotId(VM, ++this.numbers), SERVICE, DOMAIN, Set.of(), false, priority, false,
 				first ? SendPurpose.FIRST : SendPurpose.RETRY, workMs, targetLeftMs, timeLeftMs, Set.of(),
 				this.numbers);
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedRegion.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedRegion.java
@@ -184,7 +184,7 @@
 		double work = WORK_MS * Math.exp(this.random.nextGaussian() * 0.3);
 		this.jobs.put(id, new Job(id, now, work, this.dispatchers.get(vm)));
 		this.dispatchers.get(vm)
-			.ask(new SlotRequest(id, Fixture.SERVICE, Fixture.DOMAIN, Set.of(), 1, false, SendPurpose.FIRST,
+			.ask(new SlotRequest(id, Fixture.SERVICE, Fixture.DOMAIN, Set.of(), false, 1, false, SendPurpose.FIRST,
 					(int) WORK_MS, TARGET_MS, TIMEOUT_MS, Set.of(), this.offered));
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -98,8 +98,8 @@
 	void homeRegionsAreKept() {
 		this.fixture.server("a", new FailureDomain("east-1"), new Region("east"), 3, false, 0, 1).publish();
 		SlotRequest plain = this.fixture.request(1, true, 100, 400, 2_000);
-		SlotRequest atHome = new SlotRequest(plain.id(), plain.service(), plain.domain(), Set.of(Fixture.WEST), 1,
-				false, SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1);
+		SlotRequest atHome = new SlotRequest(plain.id(), plain.service(), plain.domain(), Set.of(Fixture.WEST), false,
+				1, false, SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1);
 		assertThat(this.fixture.refused).containsEntry(this.fixture.ask(atHome), RefusalCause.NO_SERVER);
 	}
 
@@ -177,8 +177,9 @@
 	}
 
 	private static SlotRequest withFingerprint(SlotRequest plain, long fingerprint) {
-		return new SlotRequest(plain.id(), plain.service(), plain.domain(), plain.homes(), plain.priority(), false,
-				plain.purpose(), plain.workMs(), plain.targetLeftMs(), plain.timeLeftMs(), plain.tried(), fingerprint);
+		return new SlotRequest(plain.id(), plain.service(), plain.domain(), plain.homes(), plain.localOnly(),
+				plain.priority(), false, plain.purpose(), plain.workMs(), plain.targetLeftMs(), plain.timeLeftMs(),
+				plain.tried(), fingerprint);
 	}
 
 	@Test
@@ -295,4 +296,23 @@
 		assertThat(this.fixture.granted).containsEntry(waiting, new ServerName("a"));
 	}
 
+	@Test
+	void localRequestIsNotPlacedInAnotherRegion() {
+		this.fixture.server("far", new FailureDomain("east-1"), new Region("east"), 3, false, 0, 1).publish();
+		SlotRequest plain = this.fixture.request(1, true, 100, 400, 2_000);
+		SlotRequest local = new SlotRequest(plain.id(), plain.service(), plain.domain(), Set.of(), true, 1, false,
+				SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1);
+		assertThat(this.fixture.refused).containsEntry(this.fixture.ask(local), RefusalCause.NO_SERVER);
+		assertThat(this.fixture.granted).containsKey(this.fixture.ask());
+	}
+
+	@Test
+	void attemptThatTheBudgetForbidsMayComeBackAsANewRequestAtOnce() {
+		this.fixture.server("a", Fixture.DOMAIN, Fixture.WEST, 500, false, 0, 1).publish();
+		this.fixture.owner = false;
+		long extra = this.fixture.ask(this.fixture.request(1, false, 100, 400, 2_000));
+		assertThat(this.fixture.refused).containsEntry(extra, RefusalCause.EXTRA_BUDGET);
+		assertThat(this.fixture.retryAfter.get(extra)).isLessThan(50);
+	}
+
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/RosterTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/RosterTests.java
@@ -1,6 +1,7 @@
 package org.lovagevale.core.roster;
 
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -120,4 +121,44 @@
 		assertThat(this.roster.isSettledMajority()).isTrue();
 	}
 
+	@Test
+	void dutiesFallToTheMostCapableVms() {
+		for (int i = 1; i <= 9; i++) {
+			this.roster.heard(new RosterMember(new VmName("big-" + i), "10.0.0.1", 1, 2, new FailureDomain("west-1"),
+					new Region("west"), 150, new Incarnation(1, 0), 1, RosterPhase.SERVING));
+		}
+		assertThat(this.roster.hubs()).hasSize(Roster.HUBS).allMatch((hub) -> hub.capacity() == 150);
+		assertThat(this.roster.dispatcher(SERVICE).capacity()).isEqualTo(150);
+		assertThat(this.roster.readerRank()).isGreaterThanOrEqualTo(Roster.HUBS);
+	}
+
+	@Test
+	void memberThatAHubNamesIsAliveUntilItIsNamedNoMore() {
+		this.roster.told(member("vm-1", "west", 1, 7, RosterPhase.STARTING));
+		assertThat(this.roster.vouched(Set.of(new VmName("vm-1")))).isFalse();
+		assertThat(this.roster.serving()).hasSize(2);
+		this.clock.advance(Roster.VOUCHED_MS);
+		assertThat(this.roster.serving()).hasSize(1);
+		this.roster.vouched(Set.of(new VmName("vm-1")));
+		this.roster.vouched(Set.of());
+		assertThat(this.roster.serving()).hasSize(1);
+	}
+
+	@Test
+	void summaryThatNamesAnUnknownMemberIsAskedAbout() {
+		assertThat(this.roster.vouched(Set.of(new VmName("vm-7")))).isTrue();
+	}
+
+	@Test
+	void processTellsHubsAndThoseThatTellIt() {
+		for (int i = 1; i <= 9; i++) {
+			this.roster.told(member("vm-" + i, "west", 1, 1, RosterPhase.SERVING));
+		}
+		assertThat(this.roster.listeners()).hasSize(Roster.HUBS);
+		for (int i = 1; i <= 9; i++) {
+			hear("vm-" + i, 1);
+		}
+		assertThat(this.roster.listeners()).hasSize(9);
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -124,7 +124,7 @@
 				settings.region(), settings.limits(), this::isSoleDispatcher, replies));
 		this.connections = new BackendConnections(this.loop, () -> loops.onChannel(SocketChannel.class, group),
 				protocol, clock, this.metrics);
-		this.relay = new RegionRelay(settings.region(), contacts, this.catalog, new HomeRegion(random));
+		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalog, new HomeRegion(random));
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalog, this.slots,
 				this.relay, this.connections, protocol, new WorkEstimates(), this.metrics);
 		this.checks = new HealthChecks(services, this.roster);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
@@ -33,8 +33,8 @@
 		List<String> homes = request.homes().stream().map(Region::value).toList();
 		List<String> tried = request.tried().stream().map(ServerName::value).toList();
 		return new SlotAsk(request.id().number(), request.service().value(), request.domain().value(), homes,
-				request.priority(), request.large(), request.purpose().name(), request.workMs(), request.targetLeftMs(),
-				request.timeLeftMs(), tried, request.fingerprint());
+				request.localOnly(), request.priority(), request.large(), request.purpose().name(), request.workMs(),
+				request.targetLeftMs(), request.timeLeftMs(), tried, request.fingerprint());
 	}
 
 	/**
@@ -48,8 +48,9 @@
 		Set<Region> homes = ask.homes().stream().map(Region::new).collect(Collectors.toSet());
 		Set<ServerName> tried = ask.tried().stream().map(ServerName::new).collect(Collectors.toSet());
 		return new SlotRequest(new SlotId(from, ask.number()), new ServiceName(ask.service()),
-				new FailureDomain(ask.domain()), homes, ask.priority(), ask.large(), SendPurpose.valueOf(ask.purpose()),
-				ask.workMs(), ask.targetLeftMs(), ask.timeLeftMs(), tried, ask.fingerprint());
+				new FailureDomain(ask.domain()), homes, ask.localOnly(), ask.priority(), ask.large(),
+				SendPurpose.valueOf(ask.purpose()), ask.workMs(), ask.targetLeftMs(), ask.timeLeftMs(), tried,
+				ask.fingerprint());
 	}
 
 	static SlotReturned toMessage(SlotRelease release) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -174,16 +174,28 @@
 	}
 
 	private void place() {
+		if (!this.services.relay().isAway(this.request) || !relay()) {
+			ask();
+		}
+	}
+
+	private boolean relay() {
 		BackendInstance entry = this.relays.isExhausted() ? null
 				: this.services.relay().find(this.request, this.relays.regions());
 		if (entry == null) {
-			ask();
-			return;
+			return false;
 		}
 		this.relays.began(entry.region());
 		ServerSend next = new ServerSend(this, null, entry, now());
 		this.send = next;
 		this.services.connections().acquire(entry, IDLE_REPEATABLE_MS, next);
+		return true;
+	}
+
+	// Servers of other regions are placed on from here only if nobody there does it.
+	private boolean isLocalOnly() {
+		return this.request.relayed() || !this.services.relay().isAway(this.request)
+				&& (this.relays.isRejected() || this.services.relay().isPossible(this.request));
 	}
 
 	private void ask() {
@@ -194,7 +206,7 @@
 		int work = this.services.estimates().of(this.request.route()).millis();
 		this.services.slots()
 			.ask(new SlotRequest(id, this.request.service(), this.services.settings().domain(),
-					this.request.route().homes(), this.request.route().priority(),
+					this.request.route().homes(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD,
 					(this.policy.sends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY, work,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), this.tried,
@@ -229,10 +241,24 @@
 		if (!this.done) {
 			String trouble = this.lastTrouble;
 			String reason = cause + ", retry after " + retryAfterMs + " ms";
+			if (mayOverflow(cause)) {
+				this.relays.rejected(retryAfterMs);
+				this.lastTrouble = reason;
+				if (relay()) {
+					return;
+				}
+			}
 			finishRefused((trouble != null) ? reason + ", after " + trouble : reason, retryAfterMs);
 		}
 	}
 
+	private boolean mayOverflow(RefusalCause cause) {
+		boolean full = cause == RefusalCause.NO_SERVER
+				|| cause == RefusalCause.OVERLOAD && this.request.route().kind() != RequestKind.DOWNLOAD;
+		return full && this.policy.sends() == 0 && !this.services.relay().isAway(this.request)
+				&& this.content.isReplayable();
+	}
+
 	private void finishRefused(String reason, int retryAfterMs) {
 		if (this.policy.mayHaveRun()) {
 			answerOwn(FAILED, reason, 0);
@@ -322,7 +348,9 @@
 			this.relays.unreachable(current.server().region());
 			endSend(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
 			this.lastTrouble = reason;
-			place();
+			if (!relay()) {
+				ask();
+			}
 			return;
 		}
 		this.tried.add(current.server().id());
@@ -473,12 +501,11 @@
 		}
 		current.releaseHeld();
 		this.relays.rejected(this.services.protocol().retryAfterMs(response.headers()));
+		this.services.relay().rejected(current.server().region());
 		this.lastTrouble = reason;
-		if (!this.content.isReplayable() || this.services.relay().find(this.request, this.relays.regions()) == null) {
+		if (!this.content.isReplayable() || !relay()) {
 			answerOwn(NOT_RUN, reason, this.relays.retryAfterMs(SHORT_RETRY_MS));
-			return;
 		}
-		place();
 	}
 
 	private void finish(ServerSend current) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RelayAttempts.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RelayAttempts.java
@@ -10,7 +10,8 @@
  * The attempts to have a request placed by entry VMs of other regions.
  *
  * <p>
- * Invariant: each region rejects a request once at most. Confined to the event loop.
+ * Invariant: each region rejects a request once at most. The caller may come back when
+ * the first of the regions has room. Confined to the event loop.
  */
 final class RelayAttempts {
 
@@ -29,6 +30,8 @@
 
 	private int unreachable;
 
+	private int rejections;
+
 	private long retryAfterMs = -1;
 
 	/**
@@ -53,7 +56,16 @@
 	}
 
 	void rejected(long afterMs) {
-		this.retryAfterMs = Math.max(this.retryAfterMs, afterMs);
+		this.rejections++;
+		this.retryAfterMs = (this.retryAfterMs < 0) ? afterMs : Math.min(this.retryAfterMs, afterMs);
+	}
+
+	/**
+	 * Tells whether any region rejected the request.
+	 * @return {@code true} if one did
+	 */
+	boolean isRejected() {
+		return this.rejections > 0;
 	}
 
 	boolean isExhausted() {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
@@ -22,6 +22,9 @@
 	/** Contacts are exchanged within two greetings of a seed. */
 	private static final long EXCHANGE_MS = 2_500;
 
+	/** A change of the configuration is read within this time. */
+	private static final long CONFIGURED_MS = 1_500;
+
 	private TestServer server;
 
 	private TestGateway home;
@@ -85,4 +88,14 @@
 		assertThat(this.server.requests()).hasSize(1);
 	}
 
+	@Test
+	void requestThatHasNoServerInItsRegionIsPassedOn() throws Exception {
+		this.away.homes().configure(2_000);
+		this.home.homes().configure(2_000);
+		Thread.sleep(CONFIGURED_MS);
+		assertThat(this.away.exchange(TestGateway.post("/write/1", "id-1", "x"))).startsWith("HTTP/1.1 200 OK");
+		assertThat(this.away.process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
+			.doesNotContain("lovagevale_gateway_sends_total");
+	}
+
 }
