--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long FAILURE_PAUSE_MS = 500;
 
+	/**
+	 * Time after which a read that reported neither success nor failure counts as failed,
+	 * in milliseconds. Reads have timeouts of their own, which are shorter.
+	 */
+	static final long MAX_READ_MS = 10_000;
+
 	/** Ranks by which a process whose reads fail is moved back. */
 	private static final int FAILURE_RANK_PENALTY = 3;
 
@@ -49,6 +55,9 @@
 	 * @return {@code true} if a read is due
 	 */
 	public boolean isDue(long ageMs, int rank, long now) {
+		if (this.reading && now - this.startedAt >= MAX_READ_MS) {
+			recordFailure();
+		}
 		if (this.reading || this.failures > 0 && now - this.startedAt < FAILURE_PAUSE_MS) {
 			return false;
 		}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -32,6 +32,13 @@
 		assertThat(this.schedule.isDue(2_200, 50, 10_000)).isTrue();
 	}
 
+	@Test
+	void readWithoutAnEndDoesNotStopFurtherReads() {
+		this.schedule.recordStart(0);
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, ReadSchedule.MAX_READ_MS - 1)).isFalse();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, ReadSchedule.MAX_READ_MS)).isTrue();
+	}
+
 	@Test
 	void processWhoseReadsFailIsRankedBehindOthers() {
 		this.schedule.recordStart(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.Epoll;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import org.lovagevale.base.Clock;
@@ -167,9 +168,9 @@
 	public void start() throws GatewayException {
 		this.peers.listen(this.settings.peerAddress());
 		this.frontend.open(this.settings.callerAddress());
-		this.loop.scheduleWithFixedDelay(loggingFailures(this::tick), 0, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(new PeriodicTask(this::tick), 0, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.slotClient.onWaiting(this::scheduleSlotTick);
-		this.loop.scheduleWithFixedDelay(loggingFailures(this.healthChecks::tick), HEALTH_CHECK_TICK_INTERVAL_MS,
+		this.loop.scheduleWithFixedDelay(new PeriodicTask(this.healthChecks::tick), HEALTH_CHECK_TICK_INTERVAL_MS,
 				HEALTH_CHECK_TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		LOGGER.info("{}",
 				LogLine.event("process.started")
@@ -179,21 +180,10 @@
 					.with("callers", this.settings.callerAddress())
 					.with("peers", this.settings.peerAddress())
 					.with("seeds", this.settings.seeds())
+					.with("transport", Epoll.isAvailable() ? "epoll" : "nio")
 					.with("incarnation", this.roster.self().incarnation()));
 	}
 
-	// Without this, the executor would cancel a periodic task that throws an exception.
-	private static Runnable loggingFailures(Runnable task) {
-		return () -> {
-			try {
-				task.run();
-			}
-			catch (RuntimeException ex) {
-				LOGGER.error("event=task.failed", ex);
-			}
-		};
-	}
-
 	private void tick() {
 		this.peers.tick();
 		this.catalogUpdater.tick();
@@ -220,7 +210,7 @@
 	private void scheduleSlotTick() {
 		if (!this.slotTickScheduled) {
 			this.slotTickScheduled = true;
-			this.loop.schedule(loggingFailures(this::slotTick), SLOT_TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+			this.loop.schedule(new PeriodicTask(this::slotTick), SLOT_TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -322,7 +312,7 @@
 			this.frontend.stopAccepting();
 			this.frontend.closeIdle();
 		}, acceptingMs, TimeUnit.MILLISECONDS);
-		this.loop.scheduleWithFixedDelay(loggingFailures(() -> {
+		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
 			if (this.clock.millis() - stopStartedAt < acceptingMs + TICK_INTERVAL_MS) {
 				return;
 			}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -18,6 +18,7 @@
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.gateway.GatewayException;
 import org.lovagevale.gateway.HostPort;
+import org.lovagevale.gateway.PeriodicTask;
 
 /**
  * Accepts connections from callers.
@@ -77,8 +78,8 @@
 			throw new GatewayException("cannot listen for callers on " + address, bound.cause());
 		}
 		this.listening = bound.channel();
-		this.loop.scheduleWithFixedDelay(this::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MS, TIMEOUT_CHECK_INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(new PeriodicTask(this::checkTimeouts), TIMEOUT_CHECK_INTERVAL_MS,
+				TIMEOUT_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
