--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -21,10 +21,11 @@
  * One connection to a backend server, used for one request at a time.
  *
  * <p>
- * Invariants: a response is passed on only if it carries the ID of the current request;
- * responses with other IDs are skipped, and the connection is then not reused. Data that
- * arrives while no request is in progress closes the connection. Confined to the event
- * loop.
+ * Invariants: a response to a request that must be identified is passed on only if it
+ * carries the ID of that request; responses with other IDs are skipped, and the
+ * connection is then not reused. Data that arrives while no request is in progress closes
+ * the connection. A server that sends only data that is no part of the expected response
+ * is read to a limit. Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -37,6 +38,12 @@
 	/** Maximum number of responses to other requests before the expected one. */
 	private static final int MAX_SKIPPED_RESPONSES = 3;
 
+	/** Maximum size of the bodies of such responses, in bytes. */
+	private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
+	/** Maximum number of interim responses before the final one. */
+	private static final int MAX_INFORMATIONAL_RESPONSES = 20;
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	/**
@@ -57,6 +64,8 @@
 
 	private String expectedRequestId = "";
 
+	private boolean idRequired;
+
 	private boolean requestComplete;
 
 	private boolean responseStarted;
@@ -69,6 +78,10 @@
 
 	private int skipped;
 
+	private long skippedBytes;
+
+	private int informationalCount;
+
 	private long idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
 
 	private long idleSinceMs;
@@ -111,18 +124,21 @@
 	 * Starts a request by writing its head.
 	 * @param newListener receives the events of the request
 	 * @param request the head of the request
-	 * @param requestId the ID that the response must carry, or an empty string if it
-	 * carries none
+	 * @param requestId the ID of the request; responses with another ID are skipped
+	 * @param responseIdRequired whether a response without an ID is an error
 	 */
-	void beginRequest(BackendListener newListener, HttpRequest request, String requestId) {
+	void beginRequest(BackendListener newListener, HttpRequest request, String requestId, boolean responseIdRequired) {
 		this.listener = newListener;
 		this.expectedRequestId = requestId;
+		this.idRequired = responseIdRequired;
 		this.requestComplete = false;
 		this.responseStarted = false;
 		this.skipping = false;
 		this.informational = false;
 		this.reusable = true;
 		this.skipped = 0;
+		this.skippedBytes = 0;
+		this.informationalCount = 0;
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
 		context().write(request);
 	}
@@ -175,16 +191,17 @@
 	private void readHead(HttpResponse response) {
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (this.informational) {
+			if (++this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+				fail("only interim responses");
+			}
 			return;
 		}
-		if (!this.expectedRequestId.isEmpty()) {
-			String id = this.protocol.requestId(response.headers());
-			this.skipping = !this.expectedRequestId.equals(id);
-			if (id == null) {
-				fail("response without the identity of its request");
-				return;
-			}
+		String id = this.protocol.requestId(response.headers());
+		if (id == null && this.idRequired) {
+			fail("response without the identity of its request");
+			return;
 		}
+		this.skipping = id != null && !id.equals(this.expectedRequestId);
 		if (this.skipping) {
 			this.reusable = false;
 			if (++this.skipped > MAX_SKIPPED_RESPONSES) {
@@ -231,7 +248,11 @@
 		boolean last = content instanceof LastHttpContent;
 		BackendListener active = this.listener;
 		if (this.informational || this.skipping || active == null) {
+			this.skippedBytes += content.content().readableBytes();
 			content.release();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				fail("responses to other requests are too large");
+			}
 			if (last) {
 				this.skipping = false;
 				this.informational = false;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -86,6 +86,12 @@
 	 */
 	private static final int DEFAULT_RETRY_AFTER_MS = 200;
 
+	/**
+	 * Time after its timeout for which the response to a request without a caller is
+	 * awaited, in milliseconds. After it the server is taken for silent.
+	 */
+	private static final long UNATTENDED_RESPONSE_MS = 500;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -313,7 +319,7 @@
 			this.triedServers.add(current.server().id());
 		}
 		// A rejection by another entry VM does not carry the request ID.
-		connection.beginRequest(current, requestHead(current, leftMs), (grant != null) ? this.request.id() : "");
+		connection.beginRequest(current, requestHead(current, leftMs), this.request.id(), grant != null);
 		logAttempt(current, grant, leftMs);
 		writeFrom(connection, 0);
 	}
@@ -392,16 +398,39 @@
 
 	void contentReceived(SendAttempt current, HttpContent part) {
 		if (this.done) {
-			part.release();
+			if (current.discard(part) > MAX_BUFFERED_RESPONSE_BYTES) {
+				abandon(current);
+			}
 			return;
 		}
 		if (this.responseStarted) {
 			this.caller.writeContent(part);
 			return;
 		}
-		long buffered = current.buffer(part);
-		if (buffered > MAX_BUFFERED_RESPONSE_BYTES && classify(current) == SlotOutcome.SERVED) {
+		if (current.buffer(part) > MAX_BUFFERED_RESPONSE_BYTES) {
+			bufferExceeded(current);
+		}
+	}
+
+	// The body of a response that is not passed on is not read to its end, since it may
+	// have
+	// none.
+	private void bufferExceeded(SendAttempt current) {
+		HttpResponse response = current.response();
+		SlotOutcome outcome = classify(current);
+		boolean genuineFailure = outcome == SlotOutcome.FAILED && response != null && isGenuine(response);
+		if (outcome == SlotOutcome.SERVED || genuineFailure) {
 			startResponse(current, false);
+			return;
+		}
+		current.cancel();
+		responseEnded(current);
+	}
+
+	private void abandon(SendAttempt current) {
+		if (!current.isEnded()) {
+			current.cancel();
+			endAttempt(current, SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
 		}
 	}
 
@@ -623,10 +652,16 @@
 		if (current == null) {
 			return;
 		}
-		// A non-repeatable request that was sent completely is left to run to its end.
+		// A non-repeatable request that was sent completely is left to run to its end,
+		// for as
+		// long as the server was given.
 		if (cancelSent || current.connection() == null || !this.content.isComplete()) {
-			current.cancel();
-			endAttempt(current, SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
+			abandon(current);
+		}
+		else {
+			this.services.loop()
+				.schedule(() -> abandon(current),
+						Math.max(0, this.request.timeoutAt() - now()) + UNATTENDED_RESPONSE_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -649,6 +684,7 @@
 		if (this.attempt == current) {
 			this.attempt = null;
 		}
+		current.markEnded();
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -78,6 +79,9 @@
 
 	private boolean chunked;
 
+	/** Whether the response in progress ends with the connection. */
+	private boolean closeDelimited;
+
 	private boolean closing;
 
 	private boolean draining;
@@ -257,7 +261,8 @@
 		this.responseStarted = true;
 		boolean sized = HttpUtil.isContentLengthSet(response) || isBodyless(response);
 		this.chunked = !sized && !this.http10;
-		if (!sized && this.http10) {
+		this.closeDelimited = !sized && this.http10;
+		if (this.closeDelimited) {
 			this.keepAlive = false;
 		}
 		if (this.chunked) {
@@ -365,6 +370,11 @@
 		this.closing = true;
 		releaseQueued();
 		context().flush();
+		if (this.closeDelimited) {
+			// A regular close would mark the end of the response, so the connection is
+			// reset.
+			context().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		context().close();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/SendAttempt.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/SendAttempt.java
@@ -32,6 +32,8 @@
 
 	private boolean cancelled;
 
+	private boolean ended;
+
 	private @Nullable BackendConnection connection;
 
 	private @Nullable HttpResponse response;
@@ -71,6 +73,25 @@
 		return this.response;
 	}
 
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	void markEnded() {
+		this.ended = true;
+	}
+
+	/**
+	 * Releases a part of the response body that nobody needs.
+	 * @param content the part
+	 * @return the number of received bytes that were not passed on
+	 */
+	long discard(HttpContent content) {
+		this.bufferedBytes += content.content().readableBytes();
+		content.release();
+		return this.bufferedBytes;
+	}
+
 	/**
 	 * Buffers a part of the response body that is not passed on yet.
 	 * @param content the part
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -0,0 +1,198 @@
+package org.lovagevale.gateway;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Guards against servers that send without end, never answer, or answer a second time.
+ */
+@Timeout(30)
+class TroubledServerTests {
+
+	/**
+	 * More than the socket buffers on both sides hold, and less than an entry process may
+	 * keep in memory.
+	 */
+	private static final long MAX_BYTES_UNTIL_CLOSED = 16_000_000;
+
+	private final AtomicLong sentBytes = new AtomicLong();
+
+	private final CountDownLatch closedByGateway = new CountDownLatch(1);
+
+	private TestServer server;
+
+	private TestGateway gateway;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.gateway = new TestGateway(List.of()).publishConfiguration(1_000)
+			.publishServer("a", this.server.port())
+			.start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.gateway.close();
+		this.server.close();
+	}
+
+	private void sendWithoutEnd(Socket socket, String head, String repeated) throws IOException {
+		byte[] bytes = repeated.repeat(1 + 10_000 / repeated.length()).getBytes(StandardCharsets.ISO_8859_1);
+		try {
+			TestServer.write(socket, head);
+			while (true) {
+				socket.getOutputStream().write(bytes);
+				this.sentBytes.addAndGet(bytes.length);
+			}
+		}
+		catch (SocketException ex) {
+			this.closedByGateway.countDown();
+			throw ex;
+		}
+	}
+
+	private void assertClosedSoon() throws InterruptedException {
+		assertThat(this.closedByGateway.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+		assertThat(this.sentBytes.get()).isLessThan(MAX_BYTES_UNTIL_CLOSED);
+	}
+
+	@Test
+	void bodyWithoutSignatureAndWithoutEndIsNotKept() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
+				"HTTP/1.1 200 OK\r\nTest-Id: " + request.headers().get("test-id") + "\r\n\r\n", "x"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertClosedSoon();
+	}
+
+	@Test
+	void rejectionWithABodyWithoutEndIsTakenAsARejection() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
+				"HTTP/1.1 503 Full\r\nTest-Id: " + request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\n\r\n",
+				"x"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 503");
+		assertClosedSoon();
+	}
+
+	@Test
+	void headWithoutEndIsNotKept() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nX: ", "x"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertClosedSoon();
+	}
+
+	@Test
+	void interimResponsesWithoutEndAreAFailure() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket, "", "HTTP/1.1 102 Processing\r\n\r\n"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertClosedSoon();
+	}
+
+	@Test
+	void responseToAnotherRequestWithoutEndIsAFailure() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
+				"HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Signature: s\r\n\r\n", "x"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertClosedSoon();
+	}
+
+	@Test
+	void bodyWithoutEndIsStoppedWhenTheCallerOfANonIdempotentRequestLeaves() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
+				"HTTP/1.1 200 OK\r\nTest-Id: " + request.headers().get("test-id") + "\r\nTest-Signature: s\r\n\r\n",
+				"x"));
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+			assertThat(socket.getInputStream().readNBytes(1_000)).hasSize(1_000);
+		}
+		assertThat(this.closedByGateway.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+	}
+
+	@Test
+	void connectionOfASilentServerIsClosedAfterTheTimeoutOfANonIdempotentRequest() throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		this.server.setHandler((request, socket) -> {
+			if (socket.getInputStream().read() < 0) {
+				closed.countDown();
+			}
+		});
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 504");
+		assertThat(closed.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+	}
+
+	@Test
+	void brokenOffResponseDoesNotLookCompleteToAnHttp10Caller() throws Exception {
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket, "HTTP/1.1 200 OK\r\nTest-Id: i\r\nTest-Signature: s\r\n"
+					+ "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+			sleep(200);
+			socket.close();
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x").replace("HTTP/1.1", "HTTP/1.0"));
+			assertThatThrownBy(() -> socket.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
+		}
+	}
+
+	@Test
+	void lateSecondCopyIsNotTakenAsTheResponseToAHealthCheck() throws Exception {
+		AtomicInteger requests = new AtomicInteger();
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket, TestServer.ok(request, "answer-" + requests.incrementAndGet()));
+			String copy = TestServer.ok(request, "copy")
+				.replace("Test-Signature", "Test-Server: other\r\nTest-Signature");
+			Thread.ofVirtual().start(() -> {
+				sleep(20);
+				try {
+					TestServer.write(socket, copy);
+				}
+				catch (IOException ex) {
+					// The gateway closed the connection.
+				}
+			});
+		});
+		try (Socket socket = this.gateway.connect()) {
+			for (int i = 0; i < 40; i++) {
+				TestServer.write(socket, TestGateway.postRequest("/write/1", "id-" + i, "x"));
+				assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200")
+					.contains("Test-Id: id-" + i)
+					.contains("answer-");
+				sleep(i % 25);
+			}
+		}
+	}
+
+	@Test
+	void caseOfTheHeaderNameOfALengthDoesNotMatter() throws Exception {
+		this.server.setHandler((request, socket) -> TestServer.write(socket,
+				TestServer.ok(request, "hello").toLowerCase(Locale.ROOT).replace("http", "HTTP")));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 200")
+			.endsWith("hello");
+	}
+
+	private static void sleep(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
