Count a silent server as failing

Cause: a request whose timeout passed without a response was released as abandoned, which says nothing about its server; a server that never answers, while its health check does, got as many requests as before. Change: a send without a response for four times the usual processing time counts as failed, as far as ejection and cost are concerned. The answer to the caller stays 504. Measured: of 30 idempotent requests to a silent and a sound server more than 5 went to the silent one before (the test failed), at most 5 now. Non-idempotent requests were protected before by the slots they hold.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -92,6 +92,12 @@
 	 */
 	private static final long UNATTENDED_RESPONSE_MS = 500;
 
+	/**
+	 * Time without a response after which a server counts as silent, as a multiple of the
+	 * usual processing time.
+	 */
+	private static final int MIN_SILENCE_FACTOR = 4;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	private static final int BAD_GATEWAY = 502;
@@ -429,11 +435,21 @@
 
 	private void abandon(SendAttempt current) {
 		if (!current.isEnded()) {
+			boolean silent = isSilent(current);
 			current.cancel();
-			endAttempt(current, SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
+			endAttempt(current, silent ? SlotOutcome.FAILED : SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
 		}
 	}
 
+	// A server that had far more time than the request takes failed it. With less time,
+	// its
+	// response may have been on the way.
+	private boolean isSilent(SendAttempt current) {
+		SlotGrant grant = current.grant();
+		return grant != null && current.connection() != null && current.response() == null
+				&& now() - current.startedAt() >= (long) MIN_SILENCE_FACTOR * grant.request().workMs();
+	}
+
 	void responseReadComplete(SendAttempt current) {
 		if (this.responseStarted) {
 			BackendConnection connection = current.connection();
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -136,6 +136,24 @@
 		assertThat(closed.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
 	}
 
+	@Test
+	void serverThatNeverAnswersGetsFewRequests() throws Exception {
+		AtomicInteger silentRequests = new AtomicInteger();
+		this.server.setHandler((request, socket) -> {
+			silentRequests.incrementAndGet();
+			sleep(5_000);
+		});
+		try (TestServer sound = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")))) {
+			this.gateway.publishServer("b", sound.port()).publishConfiguration(800);
+			sleep(1_000);
+			for (int i = 0; i < 30; i++) {
+				this.gateway.exchange(TestGateway.getRequest("/read/1", "id-" + i));
+			}
+		}
+		assertThat(silentRequests.get()).isLessThanOrEqualTo(5);
+	}
+
 	@Test
 	void brokenOffResponseDoesNotLookCompleteToAnHttp10Caller() throws Exception {
 		this.server.setHandler((request, socket) -> {
