--- a/lovagevale-base/src/main/java/org/lovagevale/base/Names.java
+++ b/lovagevale-base/src/main/java/org/lovagevale/base/Names.java
@@ -23,8 +23,7 @@
 		if (text.isEmpty() || text.length() > MAX_LENGTH || text.charAt(0) == '-') {
 			return false;
 		}
-		// Names are checked for each message, where a regular expression takes several
-		// times as
+		// Names are checked for each message; a regular expression takes several times as
 		// long.
 		for (int i = 0; i < text.length(); i++) {
 			char c = text.charAt(i);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -418,9 +418,7 @@
 		}
 	}
 
-	// The body of a response that is not passed on is not read to its end, since it may
-	// have
-	// none.
+	// A body that is not passed on is not read to its end, since it may have none.
 	private void bufferExceeded(SendAttempt current) {
 		HttpResponse response = current.response();
 		SlotOutcome outcome = classify(current);
@@ -441,9 +439,7 @@
 		}
 	}
 
-	// A server that had far more time than the request takes failed it. With less time,
-	// its
-	// response may have been on the way.
+	// With less time, the response of a sound server may have been on the way.
 	private boolean isSilent(SendAttempt current) {
 		SlotGrant grant = current.grant();
 		return grant != null && current.connection() != null && current.response() == null
@@ -668,9 +664,8 @@
 		if (current == null) {
 			return;
 		}
-		// A non-repeatable request that was sent completely is left to run to its end,
-		// for as
-		// long as the server was given.
+		// A non-repeatable request that was sent completely is left to run to its end, as
+		// long as its server has time left.
 		if (cancelSent || current.connection() == null || !this.content.isComplete()) {
 			abandon(current);
 		}
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
@@ -88,6 +88,16 @@
 		return List.of(oversizedString, oversizedArray, nullComponent, missingComponent, unknownType, deeplyNested);
 	}
 
+	@Test
+	void messageToSeveralPeersIsEncodedOnce() throws PeerException {
+		PeerMessage message = messages().getFirst();
+		byte[] bytes = this.codec.encode(message);
+		assertThat(this.codec.encode(message)).isSameAs(bytes);
+		PeerMessage other = messages().getLast();
+		assertThat(this.codec.decode(this.codec.encode(other))).isEqualTo(other);
+		assertThat(this.codec.decode(this.codec.encode(message))).isEqualTo(message);
+	}
+
 	@Property(seed = "20261204", tries = 2_000)
 	void randomBytesCauseOnlyPeerExceptions(@ForAll @Size(max = 200) byte[] bytes) {
 		decodeOrExpectPeerException(bytes);
