Accept the waiting connections before the port is closed

Reported by other operators: during a planned stop under load, requests that had just been accepted were cut off. Cause: Netty accepts one connection each time the loop polls, so under load callers wait in the accept queue, and closing the port resets that queue. Change: up to 256 connections are accepted each time, and the port is closed directly after; a connection is closed as idle only 300 ms after its last activity.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -51,6 +51,12 @@
 	 */
 	private static final long LINGER_MS = 1_000;
 
+	/**
+	 * Time without activity before which a connection is not closed as idle, in
+	 * milliseconds. The request of a caller that has just connected arrives within it.
+	 */
+	private static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
+
 	private static final int BAD_REQUEST = 400;
 
 	private static final int HEADERS_TOO_LARGE = 431;
@@ -423,16 +429,15 @@
 	}
 
 	/**
-	 * Closes the connection if no request is in progress.
-	 * @return {@code true} if the connection was closed
+	 * Closes the connection if no request is in progress and none is likely to be on its
+	 * way.
 	 */
-	boolean closeIfIdle() {
-		if (this.exchange != null || this.headStartedAt >= 0 || this.discarding) {
-			return false;
+	void closeIfIdle() {
+		boolean busy = this.exchange != null || this.headStartedAt >= 0 || this.discarding;
+		if (!busy && this.router.now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS) {
+			this.closing = true;
+			context().close();
 		}
-		this.closing = true;
-		context().close();
-		return true;
 	}
 
 	@Override
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -11,7 +12,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.core.catalog.RequestLimits;
@@ -28,6 +31,15 @@
 
 	private static final int ACCEPT_BACKLOG = 1_024;
 
+	/** Maximum number of connections that are accepted at a time. */
+	private static final int MAX_ACCEPTED_AT_ONCE = 256;
+
+	/**
+	 * Time after which the server stops accepting even if no further connection arrives,
+	 * in milliseconds.
+	 */
+	private static final long STOP_WITHOUT_CONNECTION_MS = 50;
+
 	private static final long TIMEOUT_CHECK_INTERVAL_MS = 250;
 
 	private final EventLoop loop;
@@ -38,6 +50,8 @@
 
 	private @Nullable Channel listening;
 
+	private boolean stopping;
+
 	// Far in the past, so that it can be subtracted from any time without overflow.
 	private long lastTimeoutCheckAt = Long.MIN_VALUE / 2;
 
@@ -64,6 +78,8 @@
 			.channelFactory(this.channelFactory::get)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
+			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new ChannelInitializer<>() {
 
@@ -82,6 +98,12 @@
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
+	// By default, one connection is accepted each time.
+	private static RecvByteBufAllocator acceptAllWaiting() {
+		return new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
+			.maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE);
+	}
+
 	private void accept(Channel channel) {
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
@@ -128,15 +150,39 @@
 	}
 
 	/**
-	 * Stops accepting connections.
+	 * Stops accepting connections. Those that callers have opened already are accepted
+	 * first, since closing the port would reset them.
 	 */
 	public void stopAccepting() {
+		this.stopping = true;
+		this.loop.schedule(this::closePort, STOP_WITHOUT_CONNECTION_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void closePort() {
 		Channel channel = this.listening;
 		if (channel != null) {
 			channel.close();
 		}
 	}
 
+	/**
+	 * Closes the port directly after all waiting connections were accepted.
+	 *
+	 * <p>
+	 * Confined to the event loop.
+	 */
+	private final class AcceptHandler extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext ctx) {
+			if (FrontendServer.this.stopping) {
+				closePort();
+			}
+			ctx.fireChannelReadComplete();
+		}
+
+	}
+
 	/**
 	 * Notifies the connection of received bytes before they are decoded.
 	 *
