--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -22,6 +22,8 @@
 
 	private static final int PAGE_ITEMS = 500;
 
+	private static final int PAGE_BYTES = 1_000_000;
+
 	private final TreeMap<String, Item> items = new TreeMap<>();
 
 	private final ServerSocket listening;
@@ -93,16 +95,18 @@
 		String after = query.getOrDefault("after", "");
 		List<String> found = new ArrayList<>();
 		boolean more = false;
+		int bytes = 0;
 		for (Map.Entry<String, Item> entry : this.items.entrySet()) {
 			if (!entry.getKey().startsWith(prefix) || entry.getKey().compareTo(after) <= 0) {
 				continue;
 			}
-			if (found.size() == PAGE_ITEMS) {
+			if (found.size() == PAGE_ITEMS || bytes >= PAGE_BYTES) {
 				more = true;
 				break;
 			}
 			Item item = entry.getValue();
 			String value = Base64.getEncoder().encodeToString(item.value().getBytes(StandardCharsets.UTF_8));
+			bytes += value.length();
 			found.add("{\"Key\":\"" + entry.getKey() + "\",\"Value\":\"" + value + "\",\"Revision\":" + item.revision()
 					+ ",\"CreateRev\":" + item.createRevision() + ",\"Lease\":0}");
 		}
