--- a/review/standins/BackEnd.java
+++ b/review/standins/BackEnd.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +21,8 @@
 
 	private static final int QUEUE = 6;
 
+	private static final long START_EPOCH_MS = System.currentTimeMillis() - 60_000;
+
 	private final String id;
 
 	private final String service;
@@ -34,6 +37,8 @@
 
 	private final AtomicInteger waiting = new AtomicInteger();
 
+	private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
 	/** Number of runs by the id of the request. */
 	private final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
@@ -76,10 +81,15 @@
 		return this.runs.size();
 	}
 
+	/** The entry of this server in the store. */
 	String entry(String zone, String state, int sequence) {
+		return entry(zone, state, sequence, START_EPOCH_MS);
+	}
+
+	String entry(String zone, String state, int sequence, long startedAtEpochMs) {
 		return "{\"Service\":\"" + this.service + "\",\"Address\":\"" + this.host + ":" + this.listening.getLocalPort()
 				+ "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + this.slots + ",\"State\":\"" + state
-				+ "\",\"WarmupLeft\":\"0ms\",\"Sequence\":" + sequence + ",\"born\":1790000000000}";
+				+ "\",\"WarmupLeft\":\"0ms\",\"Sequence\":" + sequence + ",\"born\":" + startedAtEpochMs + "}";
 	}
 
 	private void accept() {
@@ -95,6 +105,7 @@
 	}
 
 	private void serve(Socket socket) {
+		this.open.add(socket);
 		try (socket) {
 			socket.setTcpNoDelay(true);
 			BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
@@ -108,6 +119,23 @@
 		catch (IOException ex) {
 			// The gateway closed the connection.
 		}
+		finally {
+			this.open.remove(socket);
+		}
+	}
+
+	/** Ends the server: its port and its channels close, and its work is cut. */
+	void exit() {
+		Lab.note("server " + this.id + " exits with " + this.open.size() + " open channels");
+		try {
+			this.listening.close();
+			for (Socket socket : this.open) {
+				socket.close();
+			}
+		}
+		catch (IOException ex) {
+			Lab.note("server " + this.id + ": " + ex.getMessage());
+		}
 	}
 
 	private boolean serve(Request request) throws IOException {
