--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -152,6 +152,18 @@
 		return this.process.exitValue();
 	}
 
+	void killAndAwaitEnd() {
+		kill();
+		try {
+			if (this.process != null) {
+				awaitEnd(3_000);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	void kill() {
 		Process started = this.process;
 		if (started != null) {
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -27,6 +27,9 @@
 
 	static final int COULD_NOT_RUN = 2;
 
+	/** Exit code of the JVM if the rule was broken, since it exits with 1 if it fails itself. */
+	private static final int BROKEN_EXIT_CODE = 10;
+
 	private static final long START = System.nanoTime();
 
 	private static final int NETWORK = ThreadLocalRandom.current().nextInt(64, 200);
@@ -68,7 +71,7 @@
 			note("trouble=" + (TROUBLE ? "1" : "0"));
 			result = body.run() ? HELD : BROKEN;
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			note("could not run: " + ex);
 			ex.printStackTrace();
 		}
@@ -77,12 +80,12 @@
 
 	private static void end(int result) {
 		note("result=" + result + " (0: the rule held, 1: it was broken, 2: the case could not run)");
-		System.exit(result);
+		System.exit((result == BROKEN) ? BROKEN_EXIT_CODE : result);
 	}
 
 	private static void cleanUp() {
 		synchronized (GATEWAYS) {
-			GATEWAYS.forEach(Gateway::kill);
+			GATEWAYS.forEach(Gateway::killAndAwaitEnd);
 		}
 		try (Stream<Path> files = Files.walk(folder)) {
 			if (System.getenv("KEEP_LOGS") == null) {
