Treat a change of protocols by a server as a failure

Callers saw no answer at all for as long as the process lived: a server sent a 101 that nobody had asked for, followed by bytes until the connection was closed, and the process had no direct memory left.

Cause: after a 101 the decoder passes on raw buffers. channelRead released only messages of HTTP, so each buffer leaked, and no limit counted them. The same holds for the responses to health checks and for relayed requests, which use the same connection.

Now a 101 and any message that is no part of a response fail the request, release the message and close the connection.

Evidence: two new tests in TroubledServerTests failed before (504 after the timeout in place of 502; 178,964,247 bytes of direct memory kept after 2 s of health checks) and pass now. A third test, a trailer without end, passed before as well.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -24,8 +25,9 @@
  * Invariants: a response to a request that must be identified is passed on only if it
  * carries the ID of that request; responses with other IDs are skipped, and the
  * connection is then not reused. Data that arrives while no request is in progress closes
- * the connection. A server that sends only data that is no part of the expected response
- * is read to a limit. Confined to the event loop.
+ * the connection, and so does a response that changes the protocol. A server that sends
+ * only data that is no part of the expected response is read to a limit. Confined to the
+ * event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -175,7 +177,12 @@
 			ctx.close();
 			return;
 		}
-		if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+		if (!(message instanceof HttpObject object)) {
+			ReferenceCountUtil.release(message);
+			fail("data that is not part of a response");
+			return;
+		}
+		if (object.decoderResult().isFailure()) {
 			ReferenceCountUtil.release(message);
 			fail("malformed response: " + object.decoderResult().cause().getMessage());
 			return;
@@ -190,6 +197,10 @@
 
 	private void readHead(HttpResponse response) {
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+			fail("change of protocols that was not requested");
+			return;
+		}
 		if (this.informational) {
 			if (++this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
 				fail("only interim responses");
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestServer.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestServer.java
@@ -28,6 +28,9 @@
 
 	private volatile RequestHandler handler;
 
+	private volatile RequestHandler healthHandler = (request, socket) -> write(socket,
+			"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+
 	TestServer(RequestHandler handler) throws IOException {
 		this.handler = handler;
 		Thread.ofVirtual().start(this::acceptConnections);
@@ -41,6 +44,10 @@
 		this.handler = newHandler;
 	}
 
+	void setHealthHandler(RequestHandler newHandler) {
+		this.healthHandler = newHandler;
+	}
+
 	/**
 	 * Returns the received requests except health checks.
 	 * @return the requests
@@ -72,7 +79,7 @@
 					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
 			for (Request request = readRequest(in); request != null; request = readRequest(in)) {
 				if (request.requestLine().startsWith("GET /health ")) {
-					write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+					this.healthHandler.handle(request, socket);
 					continue;
 				}
 				this.requests.add(request);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +33,9 @@
 	 */
 	private static final long MAX_BYTES_UNTIL_CLOSED = 16_000_000;
 
+	/** More than the pool of buffers grows by for the connections in use. */
+	private static final long MAX_KEPT_BYTES = 16_000_000;
+
 	private final AtomicLong sentBytes = new AtomicLong();
 
 	private final CountDownLatch closedByGateway = new CountDownLatch(1);
@@ -68,6 +73,10 @@
 		}
 	}
 
+	private static long usedDirectMemory() {
+		return ((ByteBufAllocatorMetricProvider) ByteBufAllocator.DEFAULT).metric().usedDirectMemory();
+	}
+
 	private void assertClosedSoon() throws InterruptedException {
 		assertThat(this.closedByGateway.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
 		assertThat(this.sentBytes.get()).isLessThan(MAX_BYTES_UNTIL_CLOSED);
@@ -104,6 +113,41 @@
 		assertClosedSoon();
 	}
 
+	// Guards against bytes after a change of protocols that are kept and never released.
+	@Test
+	void bytesWithoutEndAfterAnUnrequestedChangeOfProtocolsAreReleased() throws Exception {
+		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
+				"HTTP/1.1 101 Switching Protocols\r\nTest-Id: " + request.headers().get("test-id") + "\r\n\r\n", "x"));
+		long before = usedDirectMemory();
+		for (int i = 0; i < 3; i++) {
+			assertThat(this.gateway.exchange(TestGateway.postRequest("/write/" + i, "id-" + i, "x")))
+				.startsWith("HTTP/1.1 502");
+		}
+		assertClosedSoon();
+		assertThat(usedDirectMemory() - before).isLessThan(MAX_KEPT_BYTES);
+	}
+
+	@Test
+	void changeOfProtocolsInTheResponseToAHealthCheckIsAFailedCheck() throws Exception {
+		this.server.setHealthHandler(
+				(request, socket) -> sendWithoutEnd(socket, "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"));
+		long before = usedDirectMemory();
+		sleep(2_000);
+		assertThat(this.closedByGateway.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+		assertThat(usedDirectMemory() - before).isLessThan(MAX_KEPT_BYTES);
+	}
+
+	@Test
+	void trailerWithoutEndIsNotKept() throws Exception {
+		this.server.setHandler(
+				(request,
+						socket) -> sendWithoutEnd(socket, "HTTP/1.1 200 OK\r\nTest-Id: "
+								+ request.headers().get("test-id") + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+								"x"));
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 502");
+		assertClosedSoon();
+	}
+
 	@Test
 	void responseToAnotherRequestWithoutEndIsAFailure() throws Exception {
 		this.server.setHandler((request, socket) -> sendWithoutEnd(socket,
