Reject requests that a planned stop would cut

Callers saw requests cut without an answer when a process ended after SIGTERM: read, passed on and at work at a sound server, among them requests that must not be repeated.

Cause: only the connections that were open when the stop began were closed after their next response. Those accepted later were kept alive and used until the end, and a request was passed on with its full time however little of the stop time was left.

Now each response during the stop closes its connection, whenever that was opened. PlannedStop decides, without a network, which requests are still begun: those whose timeout ends before the process does and, in the first half of the stop time, those of which three times the usual duration fits. All others, also those that wait for a slot, are rejected at once as not run; the time to come back is the shortest one if another entry VM serves, and the rest of the stop time if none does.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -18,6 +18,7 @@
 import org.lovagevale.core.Incarnation;
 import org.lovagevale.core.catalog.CatalogDecoder;
 import org.lovagevale.core.placing.HomeRegionChooser;
+import org.lovagevale.core.placing.PlannedStop;
 import org.lovagevale.core.placing.SlotDispatcher;
 import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
@@ -97,6 +98,8 @@
 
 	private final FrontendServer frontend;
 
+	private final PlannedStop plannedStop = new PlannedStop();
+
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
 	// Separate tasks, so that the failure of one does not prevent the others.
@@ -147,7 +150,8 @@
 		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalogUpdater,
 				new HomeRegionChooser(random));
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
-				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics);
+				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
+				this.roster, this.plannedStop);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
@@ -292,8 +296,9 @@
 	}
 
 	/**
-	 * Performs a planned stop: announces it to callers and peers, then blocks until all
-	 * connections of callers are closed or the stop time is almost over.
+	 * Performs a planned stop: announces it to callers and peers, rejects the requests
+	 * that cannot be completed, then blocks until all connections of callers are closed
+	 * or the stop time is almost over.
 	 */
 	public void stop() {
 		long stopStartedAt = this.clock.millis();
@@ -301,7 +306,7 @@
 		CountDownLatch stopped = new CountDownLatch(1);
 		this.loop.execute(() -> leave(stopStartedAt, stopped));
 		try {
-			if (!stopped.await(this.settings.stopMs() - STOP_MARGIN_MS, TimeUnit.MILLISECONDS)) {
+			if (!stopped.await(stopTimeMs(), TimeUnit.MILLISECONDS)) {
 				LOGGER.warn("{}",
 						LogLine.event("process.stopped")
 							.with("afterMs", this.clock.millis() - stopStartedAt)
@@ -313,17 +318,22 @@
 		}
 	}
 
+	private long stopTimeMs() {
+		return Math.max(0, this.settings.stopMs() - STOP_MARGIN_MS);
+	}
+
 	private void leave(long stopStartedAt, CountDownLatch stopped) {
 		LOGGER.info("{}", LogLine.event("process.leaving").with("connections", this.frontend.connectionCount()));
 		this.roster.enterPhase(RosterPhase.LEAVING);
 		this.peers.sendHeartbeat();
-		this.frontend.drain();
+		this.plannedStop.begin(stopStartedAt, stopTimeMs());
 		long acceptingMs = (long) (this.settings.stopMs() * ACCEPTING_SHARE);
 		this.loop.schedule(() -> {
 			this.frontend.stopAccepting();
 			this.frontend.closeIdle();
 		}, acceptingMs, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
+			this.frontend.rejectUnfinishable();
 			if (this.clock.millis() - stopStartedAt < acceptingMs + TICK_INTERVAL_MS) {
 				return;
 			}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -204,9 +204,14 @@
 
 	/**
 	 * Relays the request to another region if it must not be served in this one, and
-	 * otherwise requests a slot.
+	 * otherwise requests a slot. Rejects it if it could not be completed before this
+	 * process ends.
 	 */
 	private void place() {
+		if (!isFinishable()) {
+			rejectForStop();
+			return;
+		}
 		if (!this.services.relay().isOutsideHomeRegions(this.request) || !tryRelay()) {
 			requestSlot();
 		}
@@ -217,7 +222,7 @@
 	 * @return {@code false} if there is no entry VM to relay to
 	 */
 	private boolean tryRelay() {
-		BackendInstance entry = this.relayAttempts.isExhausted() ? null
+		BackendInstance entry = (this.relayAttempts.isExhausted() || !isFinishable()) ? null
 				: this.services.relay().findEntryVm(this.request, this.relayAttempts.triedRegions());
 		if (entry == null) {
 			return false;
@@ -259,6 +264,11 @@
 			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
 			return;
 		}
+		if (!isFinishable()) {
+			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
+			rejectForStop();
+			return;
+		}
 		BackendInstance server = this.services.catalog().server(grant.server());
 		if (server == null || server.draining()) {
 			this.triedServers.add(grant.server());
@@ -302,6 +312,35 @@
 				&& this.content.isReplayable();
 	}
 
+	/**
+	 * Tells whether the request will be over before a planned stop of this process ends.
+	 * @return {@code true} if it will, or if no planned stop is in progress
+	 */
+	private boolean isFinishable() {
+		return this.services.plannedStop()
+			.allows(now(), this.request.timeoutAt() + TIMEOUT_SLACK_MS,
+					this.services.estimates().forRoute(this.request.route()).millis());
+	}
+
+	/**
+	 * Rejects the request if it is not at a server or another entry VM and could not be
+	 * completed before a planned stop of this process ends.
+	 */
+	void rejectIfUnfinishable() {
+		if (!this.done && this.attempt == null && !isFinishable()) {
+			rejectForStop();
+		}
+	}
+
+	// Another entry VM can take the request at once; without one, the caller has to wait
+	// until this process has been replaced.
+	private void rejectForStop() {
+		cancelPending(true);
+		boolean elsewhere = !this.services.roster().serving().isEmpty() || this.services.relay().hasContacts();
+		int retryAfterMs = elsewhere ? 0 : (int) this.services.plannedStop().timeLeftMs(now());
+		respondRefused("this process is stopping", retryAfterMs);
+	}
+
 	private void respondRefused(String reason, int retryAfterMs) {
 		if (this.policy.mayHaveRun()) {
 			respondLocally(BAD_GATEWAY, reason, 0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import org.lovagevale.base.Clock;
+import org.lovagevale.core.placing.PlannedStop;
+import org.lovagevale.core.roster.Roster;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.GatewaySettings;
 import org.lovagevale.gateway.ServerProtocol;
@@ -24,8 +26,10 @@
  * @param protocol reads and writes the headers of requests and responses
  * @param estimates the estimated durations of requests
  * @param metrics the metrics of this process
+ * @param roster the known entry VMs
+ * @param plannedStop the planned stop of this process
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
-		WorkEstimates estimates, GatewayMetrics metrics) {
+		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -37,8 +37,8 @@
  *
  * <p>
  * Invariants: requests are handled one after the other, so that responses are sent in the
- * order of the requests; a response that closes the connection is the last one. Confined
- * to the event loop.
+ * order of the requests; a response that closes the connection is the last one; during a
+ * planned stop every response closes it. Confined to the event loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
 
@@ -90,8 +90,6 @@
 
 	private boolean closing;
 
-	private boolean draining;
-
 	private boolean processing;
 
 	/**
@@ -203,7 +201,7 @@
 
 	private void beginRequest(HttpRequest head) {
 		this.headStartedAt = -1;
-		this.keepAlive = HttpUtil.isKeepAlive(head) && !this.draining;
+		this.keepAlive = HttpUtil.isKeepAlive(head) && !this.router.isStopping();
 		this.http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
 		this.isHeadRequest = head.method().name().equals("HEAD");
 		this.responseStarted = false;
@@ -287,7 +285,7 @@
 	private void setConnectionHeader(HttpResponse response) {
 		Exchange current = this.exchange;
 		boolean bodyIncomplete = current != null && !current.isBodyComplete();
-		this.keepAlive = this.keepAlive && !this.draining && !bodyIncomplete;
+		this.keepAlive = this.keepAlive && !this.router.isStopping() && !bodyIncomplete;
 		if (!this.keepAlive) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
@@ -422,10 +420,14 @@
 	}
 
 	/**
-	 * Makes the connection close after its next response.
+	 * Rejects the request in progress if it is not at a server yet and could not be
+	 * completed before the planned stop of this process ends.
 	 */
-	void drain() {
-		this.draining = true;
+	void rejectIfUnfinishable() {
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.rejectIfUnfinishable();
+		}
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -128,10 +128,11 @@
 	}
 
 	/**
-	 * Makes each connection close after its next response.
+	 * Rejects the requests that are not at a server yet and could not be completed before
+	 * the planned stop of this process ends.
 	 */
-	public void drain() {
-		this.router.connections().forEach(FrontendConnection::drain);
+	public void rejectUnfinishable() {
+		this.router.connections().forEach(FrontendConnection::rejectIfUnfinishable);
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
@@ -82,6 +82,14 @@
 		return this.contacts.regions().stream().anyMatch(request.route()::isAllowedIn);
 	}
 
+	/**
+	 * Tells whether an entry VM of another region is known.
+	 * @return {@code true} if there is one
+	 */
+	boolean hasContacts() {
+		return !this.contacts.regions().isEmpty();
+	}
+
 	/**
 	 * Finds an entry VM of another region.
 	 * @param request the request
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -78,6 +78,10 @@
 		return this.services.clock().millis();
 	}
 
+	boolean isStopping() {
+		return this.services.plannedStop().isInProgress();
+	}
+
 	RequestLimits limits() {
 		ServingConfiguration configuration = this.services.catalog().configuration();
 		return (configuration != null) ? configuration.limits() : DEFAULT_LIMITS;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
@@ -13,8 +14,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a planned stop that cuts off requests which callers have just sent on
- * connections that were accepted.
+ * Guards against a planned stop that cuts off requests: those which callers have just
+ * sent on connections that were accepted, and those which are passed on to a server
+ * although the process ends before they do.
  */
 @Timeout(60)
 class PlannedStopTests {
@@ -50,6 +52,83 @@
 		assertThat(this.cutOff.get()).as("requests without an answer").isZero();
 	}
 
+	// Guards against callers that keep using a connection until the process ends.
+	@Test
+	void connectionOpenedDuringTheStopIsClosedAfterItsResponse() throws Exception {
+		try (TestServer server = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(1_000)
+					.publishServer("a", server.port())
+					.start()) {
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			Thread.sleep(200);
+			assertThat(gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 200")
+				.containsIgnoringCase("connection: close");
+			stop.join();
+		}
+	}
+
+	@Test
+	void requestThatWouldOutliveTheProcessIsRejectedAsNotRun() throws Exception {
+		try (TestServer server = new TestServer(PlannedStopTests::answerSlowly);
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(6_000)
+					.publishServer("a", server.port())
+					.start()) {
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			Thread.sleep(1_400);
+			assertThat(gateway.exchange(TestGateway.postRequest("/write/1", "late", "x"))).startsWith("HTTP/1.1 503")
+				.contains("Retry-After")
+				.containsIgnoringCase("connection: close");
+			stop.join();
+			assertThat(server.requests()).isEmpty();
+		}
+	}
+
+	// Guards against requests that get their slot when it is too late to use it.
+	@Test
+	void requestThatWaitsForASlotIsAnsweredBeforeTheProcessEnds() throws Exception {
+		try (TestServer server = new TestServer(PlannedStopTests::answerSlowly);
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(6_000)
+					.publishServer("a", server.port())
+					.start()) {
+			List<Thread> callers = new ArrayList<>();
+			List<String> responses = new CopyOnWriteArrayList<>();
+			for (int i = 0; i < 6; i++) {
+				String request = TestGateway.postRequest("/write/" + i, "id-" + i, "x");
+				callers.add(Thread.ofVirtual().start(() -> responses.add(exchangeOrFail(gateway, request))));
+			}
+			Thread.sleep(100);
+			gateway.process().stop();
+			// The process would end now.
+			List<String> inTime = List.copyOf(responses);
+			for (Thread caller : callers) {
+				caller.join();
+			}
+			assertThat(inTime).filteredOn((response) -> response.startsWith("HTTP/1.1 200")).hasSize(3);
+			assertThat(inTime).filteredOn((response) -> response.startsWith("HTTP/1.1 503")).hasSize(3);
+			assertThat(server.requests()).hasSize(3);
+		}
+	}
+
+	private static void answerSlowly(TestServer.Request request, Socket socket) throws IOException {
+		try {
+			Thread.sleep(1_500);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		TestServer.write(socket, TestServer.ok(request, "hello"));
+	}
+
+	private static String exchangeOrFail(TestGateway gateway, String request) {
+		try {
+			return gateway.exchange(request);
+		}
+		catch (IOException ex) {
+			return "cut off: " + ex.getMessage();
+		}
+	}
+
 	private void sendRequests(TestGateway gateway, String name) {
 		for (int i = 0; !this.stopped; i++) {
 			try (Socket socket = gateway.connect()) {
