Add tests for second copies of a refusal

Only health checks and entry VMs of other regions are answered without an identity; the first share the connections, so a copy of their refusal fails the request too.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -240,6 +240,67 @@
 		}
 	}
 
+	// Guards against "not run" for a request that a server has run.
+	@Test
+	void secondCopyOfARefusalIsNotTakenAsTheResponseToALaterRequest() throws Exception {
+		assertThat(statusAfterSecondCopyOf(refusal("id-0"))).startsWith("HTTP/1.1 502");
+	}
+
+	@Test
+	void secondCopyOfARefusalWithoutAnIdentityIsNotTakenAsAResponse() throws Exception {
+		assertThat(statusAfterSecondCopyOf(refusal("id-0").replace("Test-Id: id-0\r\n", "")))
+			.startsWith("HTTP/1.1 502");
+	}
+
+	// The server refuses the first request, writes the copy when it has read the second
+	// one, runs that and closes the connection.
+	private String statusAfterSecondCopyOf(String copy) throws Exception {
+		AtomicInteger requests = new AtomicInteger();
+		this.server.setHandler((request, socket) -> {
+			if (requests.getAndIncrement() == 0) {
+				TestServer.write(socket, refusal("id-0"));
+				return;
+			}
+			TestServer.write(socket, copy);
+			sleep(100);
+			socket.close();
+		});
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/0", "id-0", "x"))).startsWith("HTTP/1.1 503");
+		sleep(300);
+		String response = this.gateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
+		assertThat(requests).hasValue(2);
+		return response;
+	}
+
+	// Guards against a request that runs at a second server.
+	@Test
+	void twoCopiesOfARefusalAtOnceSendTheRequestToOneOtherServer() throws Exception {
+		AtomicInteger runs = new AtomicInteger();
+		this.server.setHandler((request, socket) -> {
+			String refusal = refusal(request.headers().get("test-id"));
+			TestServer.write(socket, refusal + refusal);
+		});
+		try (TestServer sound = new TestServer((request, socket) -> {
+			runs.incrementAndGet();
+			TestServer.write(socket, TestServer.ok(request, "hello"));
+		})) {
+			this.gateway.publishServer("b", sound.port()).publishConfiguration(800);
+			sleep(1_000);
+			int served = 0;
+			for (int i = 0; i < 20; i++) {
+				String response = this.gateway.exchange(TestGateway.postRequest("/write/" + i, "id-" + i, "x"));
+				assertThat(response).containsPattern("^HTTP/1.1 (200|503)");
+				served += response.startsWith("HTTP/1.1 200") ? 1 : 0;
+			}
+			assertThat(runs).hasValue(served);
+			assertThat(served).isPositive();
+		}
+	}
+
+	private static String refusal(String id) {
+		return "HTTP/1.1 503 Full\r\nTest-Id: " + id + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+	}
+
 	@Test
 	void caseOfTheHeaderNameOfALengthDoesNotMatter() throws Exception {
 		this.server.setHandler((request, socket) -> TestServer.write(socket,
