Follow what servers announce in their responses

A server that is leaving says so in its responses, and a server that rejects a request with 503 and Retry-After wants nothing from this process for that time. Both were ignored until now: a server went on getting requests until the store listed it as draining.

ServerAnnouncements (core) keeps both by the run of the server, not by its address, whatever the catalog says. Connections read them from the head of each response, also interim ones, those to other requests and those to health checks. The dispatcher grants no slot of a server that is leaving; a slot granted earlier goes back unused and the request is placed again. A pause holds for this process only: the servers are excluded from its slot requests and get no health checks from it. If all servers are paused, a request waits for the first one if it can still be run then, and is otherwise rejected at once with the time left. Connections are reused for the run of the server that they were opened to only, and idle ones to a server that is leaving are closed.

Values of Retry-After that are missing, not positive, not a number or a date have no effect; more than an hour counts as an hour.

Not done: other VMs learn that a server is leaving from the health checks of the dispatcher (every 200 ms while it is used), not by a message; an announcement in a relayed response is not attributed to its server.

--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
@@ -0,0 +1,163 @@
+package org.lovagevale.core.placing;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.Clock;
+import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
+import org.lovagevale.core.catalog.BackendInstance;
+
+/**
+ * What backend servers have announced in their responses to this process: that they are
+ * leaving, or that they want no requests from this process for some time.
+ *
+ * <p>
+ * Invariants: an announcement holds for one run of a server, whatever the catalog or
+ * another process says, and never for a later run; a run that is leaving stays so; the
+ * end of a pause never moves to an earlier time. At most {@link #MAX_RUNS} runs are
+ * remembered, the latest ones. Not thread-safe.
+ */
+public final class ServerAnnouncements {
+
+	/** Several times the number of servers of the largest deployment. */
+	static final int MAX_RUNS = 20_000;
+
+	/** Longer pauses are shortened to this time, in milliseconds. */
+	static final long MAX_PAUSE_MS = 3_600_000;
+
+	private final Clock clock;
+
+	private final Set<Run> leaving = Collections.newSetFromMap(new BoundedMap());
+
+	private final Map<Run, Pause> pauses = new HashMap<>();
+
+	/**
+	 * Creates an instance without announcements.
+	 * @param clock the clock
+	 */
+	public ServerAnnouncements(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Records that a server is leaving.
+	 * @param server the run of the server that sent the response
+	 * @return {@code true} if this was not known
+	 */
+	public boolean recordLeaving(BackendInstance server) {
+		return this.leaving.add(Run.of(server));
+	}
+
+	/**
+	 * Tells whether a server has announced that it is leaving.
+	 * @param server the run of the server
+	 * @return {@code true} if nothing may be sent to it any more
+	 */
+	public boolean isLeaving(BackendInstance server) {
+		return this.leaving.contains(Run.of(server));
+	}
+
+	/**
+	 * Records that a server wants no requests from this process for some time.
+	 * @param server the run of the server that sent the response
+	 * @param pauseMs the time in milliseconds; longer times than {@link #MAX_PAUSE_MS}
+	 * are shortened
+	 */
+	public void recordPause(BackendInstance server, long pauseMs) {
+		if (pauseMs < 0) {
+			throw new IllegalArgumentException("pause of " + pauseMs + " ms");
+		}
+		long now = this.clock.millis();
+		this.pauses.values().removeIf((pause) -> pause.endsAt() <= now);
+		Pause next = new Pause(server.service(), now + Math.min(MAX_PAUSE_MS, pauseMs));
+		this.pauses.merge(Run.of(server), next, Pause::later);
+	}
+
+	/**
+	 * Returns how long a server wants no requests from this process.
+	 * @param server the run of the server
+	 * @return the time left in milliseconds, 0 if the server is not paused
+	 */
+	public long pauseLeftMs(BackendInstance server) {
+		Pause pause = this.pauses.get(Run.of(server));
+		return (pause != null) ? Math.max(0, pause.endsAt() - this.clock.millis()) : 0;
+	}
+
+	/**
+	 * Tells whether a server may get a request from this process now.
+	 * @param server the run of the server
+	 * @return {@code false} if it is leaving or paused
+	 */
+	public boolean isAvailable(BackendInstance server) {
+		return !isLeaving(server) && pauseLeftMs(server) == 0;
+	}
+
+	/**
+	 * Returns the listed servers of a service that are paused.
+	 * @param service the service
+	 * @param listed provides the current run of a server, {@code null} if there is none
+	 * @return the time left of each pause, in milliseconds
+	 */
+	public Map<ServerName, Long> paused(ServiceName service, Function<ServerName, @Nullable BackendInstance> listed) {
+		Map<ServerName, Long> paused = new HashMap<>();
+		long now = this.clock.millis();
+		this.pauses.forEach((run, pause) -> {
+			if (pause.service().equals(service) && pause.endsAt() > now) {
+				BackendInstance current = listed.apply(run.server());
+				if (current != null && Run.of(current).equals(run)) {
+					paused.put(run.server(), pause.endsAt() - now);
+				}
+			}
+		});
+		return paused;
+	}
+
+	/**
+	 * One run of a server.
+	 *
+	 * @param server the server
+	 * @param startedAtEpochMs the start of the run, in milliseconds since the epoch
+	 */
+	private record Run(ServerName server, long startedAtEpochMs) {
+
+		private static Run of(BackendInstance instance) {
+			return new Run(instance.id(), instance.startedAtEpochMs());
+		}
+
+	}
+
+	/**
+	 * A time in which a server wants no requests from this process.
+	 *
+	 * @param service the service of the server
+	 * @param endsAt the monotonic time of the end, in milliseconds
+	 */
+	private record Pause(ServiceName service, long endsAt) {
+
+		private Pause later(Pause next) {
+			return (next.endsAt > this.endsAt) ? next : this;
+		}
+
+	}
+
+	/**
+	 * Forgets the oldest of more than {@link #MAX_RUNS} entries. Not thread-safe.
+	 */
+	private static final class BoundedMap extends LinkedHashMap<Run, Boolean> {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Run, Boolean> eldest) {
+			return size() > MAX_RUNS;
+		}
+
+	}
+
+}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
@@ -9,6 +9,7 @@
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.RandomSource;
 import org.lovagevale.base.Region;
+import org.lovagevale.core.catalog.BackendInstance;
 
 /**
  * Selects the server with the lowest expected response time for a request.
@@ -66,9 +67,12 @@
 
 	private final RandomSource random;
 
-	ServerSelector(Region region, RandomSource random) {
+	private final ServerAnnouncements announcements;
+
+	ServerSelector(Region region, RandomSource random, ServerAnnouncements announcements) {
 		this.region = region;
 		this.random = random;
+		this.announcements = announcements;
 	}
 
 	/**
@@ -184,10 +188,22 @@
 		if (request.localOnly() && !isLocal(server)) {
 			return false;
 		}
-		return !server.instance().draining() && !evacuated.contains(server.instance().domain())
+		return isInService(server, evacuated)
 				&& (request.homeRegions().isEmpty() || request.homeRegions().contains(region));
 	}
 
+	/**
+	 * Tells whether a server takes requests at all.
+	 * @param server the server
+	 * @param evacuated failure domains that get no requests
+	 * @return {@code false} if it is leaving or in an evacuated failure domain
+	 */
+	boolean isInService(PooledServer server, Set<FailureDomain> evacuated) {
+		BackendInstance instance = server.instance();
+		return !instance.draining() && !this.announcements.isLeaving(instance)
+				&& !evacuated.contains(instance.domain());
+	}
+
 	boolean isLocal(PooledServer server) {
 		return server.instance().region().equals(this.region);
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -163,8 +163,7 @@
 	int expectedWaitMs(ServerSelector selector, Set<FailureDomain> evacuated, long now) {
 		int slots = 1;
 		for (PooledServer server : this.servers.values()) {
-			boolean usable = !server.instance().draining() && !evacuated.contains(server.instance().domain())
-					&& !server.ejection().isEjected(now);
+			boolean usable = selector.isInService(server, evacuated) && !server.ejection().isEjected(now);
 			slots += (usable && selector.isLocal(server)) ? usableSlots(server) : 0;
 		}
 		long ahead = this.queue.workAheadMs(Integer.MAX_VALUE);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -25,8 +25,9 @@
  *
  * <p>
  * Invariants: a slot request gets at most one grant or refusal; no slots of draining
- * servers or of servers in evacuated failure domains are granted; slots of a cold server
- * are granted only by the sole owner of its service. Not thread-safe.
+ * servers, of servers that have announced that they are leaving, or of servers in
+ * evacuated failure domains are granted; slots of a cold server are granted only by the
+ * sole owner of its service. Not thread-safe.
  */
 public final class SlotDispatcher {
 
@@ -48,6 +49,8 @@
 
 	private final SlotReplies replies;
 
+	private final ServerAnnouncements announcements;
+
 	private final ServerSelector selector;
 
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
@@ -66,15 +69,17 @@
 	 * @param limits the limits on retries and cold servers
 	 * @param isSoleOwner tells for which services no other process of the region grants
 	 * slots
+	 * @param announcements the announcements of servers to this process
 	 * @param replies receives the replies
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
-			Predicate<ServiceName> isSoleOwner, SlotReplies replies) {
+			Predicate<ServiceName> isSoleOwner, ServerAnnouncements announcements, SlotReplies replies) {
 		this.clock = clock;
 		this.limits = limits;
 		this.isSoleOwner = isSoleOwner;
+		this.announcements = announcements;
 		this.replies = replies;
-		this.selector = new ServerSelector(region, random);
+		this.selector = new ServerSelector(region, random, announcements);
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -47,6 +47,14 @@
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> leavingServers = Counter.builder("lovagevale.gateway.servers.leaving")
+		.description("Backend servers that announced in a response that they are leaving")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> pauses = Counter.builder("lovagevale.gateway.servers.pauses")
+		.description("Rejections by backend servers that want no requests for some time")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Timer> durations = Timer.builder("lovagevale.gateway.duration")
 		.description("Time from the head of a request to the end of its response")
 		.serviceLevelObjectives(LATENCY_BUCKETS)
@@ -127,6 +135,22 @@
 		this.connections.withTags(SERVICE_TAG, service).increment();
 	}
 
+	/**
+	 * Counts a backend server that announced in a response that it is leaving.
+	 * @param service the name of the service
+	 */
+	public void countLeaving(String service) {
+		this.leavingServers.withTags(SERVICE_TAG, service).increment();
+	}
+
+	/**
+	 * Counts a rejection by a backend server that wants no requests for some time.
+	 * @param service the name of the service
+	 */
+	public void countPause(String service) {
+		this.pauses.withTags(SERVICE_TAG, service).increment();
+	}
+
 	/**
 	 * Counts a read of the platform.
 	 * @param succeeded whether the read returned the published state
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -19,6 +19,7 @@
 import org.lovagevale.core.catalog.CatalogDecoder;
 import org.lovagevale.core.placing.HomeRegionChooser;
 import org.lovagevale.core.placing.PlannedStop;
+import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.core.placing.SlotDispatcher;
 import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
@@ -143,15 +144,16 @@
 		this.peers = new RegionPeers(this.loop, clock, this.roster, contacts, random, settings.seeds());
 		this.catalogUpdater = new CatalogUpdater(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
 				this.metrics);
+		ServerAnnouncements announcements = new ServerAnnouncements(clock);
 		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
-				settings.region(), settings.limits(), this::isSoleDispatcher, replies));
+				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
 		this.connectionPool = new BackendConnectionPool(this.loop, () -> loops.onChannel(SocketChannel.class, group),
-				protocol, clock, this.metrics);
+				protocol, clock, this.metrics, announcements);
 		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalogUpdater,
 				new HomeRegionChooser(random));
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
 				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
-				this.roster, this.plannedStop);
+				this.roster, this.plannedStop, announcements);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
@@ -66,6 +66,23 @@
 	 */
 	boolean isReplaced(int status);
 
+	/**
+	 * Returns whether a response states that its server is leaving.
+	 * @param headers the headers of the response
+	 * @return {@code true} if nothing new may be sent to the server
+	 */
+	boolean isLeaving(HttpHeaders headers);
+
+	/**
+	 * Returns the time for which a server that rejected a request wants no further
+	 * requests.
+	 * @param status the status code of the response
+	 * @param headers the headers of the response
+	 * @return the time in milliseconds, {@link #NO_TIME} if the response states none or
+	 * one that is not a positive number
+	 */
+	long pauseMs(int status, HttpHeaders headers);
+
 	/**
 	 * Returns the server load that a response reports.
 	 * @param headers the headers of the response
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.gateway.ServerProtocol;
 
 /**
@@ -58,6 +59,10 @@
 
 	private final BackendResponseDecoder decoder;
 
+	private final BackendInstance server;
+
+	private final ResponseObserver observer;
+
 	private final ReleaseListener releaseListener;
 
 	private @Nullable ChannelHandlerContext context;
@@ -88,9 +93,20 @@
 
 	private long idleSinceMs;
 
-	BackendConnection(ServerProtocol protocol, BackendResponseDecoder decoder, ReleaseListener releaseListener) {
+	/**
+	 * Creates a connection that is not open yet.
+	 * @param server the run of the server that the connection is opened to
+	 * @param protocol interprets the headers of responses
+	 * @param decoder the decoder in front of this handler
+	 * @param observer receives the head of each response
+	 * @param releaseListener receives this connection each time it has become idle
+	 */
+	BackendConnection(BackendInstance server, ServerProtocol protocol, BackendResponseDecoder decoder,
+			ResponseObserver observer, ReleaseListener releaseListener) {
+		this.server = server;
 		this.protocol = protocol;
 		this.decoder = decoder;
+		this.observer = observer;
 		this.releaseListener = releaseListener;
 	}
 
@@ -106,6 +122,10 @@
 		return context().channel();
 	}
 
+	BackendInstance server() {
+		return this.server;
+	}
+
 	long idleMs(long now) {
 		return now - this.idleSinceMs;
 	}
@@ -196,6 +216,7 @@
 	}
 
 	private void readHead(HttpResponse response) {
+		this.observer.received(this.server, response);
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
 			fail("change of protocols that was not requested");
@@ -327,6 +348,22 @@
 		fail((cause instanceof IOException) ? "connection lost: " + cause.getMessage() : String.valueOf(cause));
 	}
 
+	/**
+	 * Receives the head of each response, including interim ones and those to other
+	 * requests.
+	 */
+	@FunctionalInterface
+	interface ResponseObserver {
+
+		/**
+		 * Called before the response is handled.
+		 * @param server the run of the server that the connection was opened to
+		 * @param response the head of the response
+		 */
+		void received(BackendInstance server, HttpResponse response);
+
+	}
+
 	/**
 	 * Receives connections that can be reused.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -15,18 +15,25 @@
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.ServerProtocol;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * A pool of connections to backend servers.
+ * A pool of connections to backend servers and to entry VMs of other regions.
  *
  * <p>
- * Confined to the event loop.
+ * Invariant: a connection is reused only for the run of the server that it was opened to,
+ * and only while that run has not announced that it is leaving. Confined to the event
+ * loop.
  */
 public final class BackendConnectionPool {
 
@@ -42,6 +49,8 @@
 	/** Maximum number of idle connections per server. */
 	private static final int MAX_IDLE_PER_SERVER = 4;
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(BackendConnectionPool.class);
+
 	private final EventLoop loop;
 
 	private final Supplier<Channel> channelFactory;
@@ -52,6 +61,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final ServerAnnouncements announcements;
+
 	private final Map<ServerName, ArrayDeque<BackendConnection>> idle = new HashMap<>();
 
 	/**
@@ -61,14 +72,16 @@
 	 * @param protocol interprets the headers of responses
 	 * @param clock the clock
 	 * @param metrics counts the opened connections
+	 * @param announcements receives what servers announce in their responses
 	 */
 	public BackendConnectionPool(EventLoop loop, Supplier<Channel> channelFactory, ServerProtocol protocol, Clock clock,
-			GatewayMetrics metrics) {
+			GatewayMetrics metrics, ServerAnnouncements announcements) {
 		this.loop = loop;
 		this.channelFactory = channelFactory;
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
+		this.announcements = announcements;
 	}
 
 	/**
@@ -79,13 +92,31 @@
 	 * @param listener receives the connection or the error
 	 */
 	void acquire(BackendInstance server, long maxIdleMs, BackendListener listener) {
-		BackendConnection idleConnection = takeIdle(server.id(), maxIdleMs);
+		acquire(server, maxIdleMs, this::recordAnnouncements, listener);
+	}
+
+	/**
+	 * Provides an idle connection to an entry VM, or a new one if there is none. What its
+	 * responses announce concerns a server behind it, and not the entry VM.
+	 * @param entryVm the entry VM, represented as a backend server
+	 * @param maxIdleMs the maximum time that a reused connection may have been idle, in
+	 * milliseconds
+	 * @param listener receives the connection or the error
+	 */
+	void acquireEntryVm(BackendInstance entryVm, long maxIdleMs, BackendListener listener) {
+		acquire(entryVm, maxIdleMs, (vm, response) -> {
+		}, listener);
+	}
+
+	private void acquire(BackendInstance server, long maxIdleMs, BackendConnection.ResponseObserver observer,
+			BackendListener listener) {
+		BackendConnection idleConnection = takeIdle(server, maxIdleMs);
 		if (idleConnection != null) {
 			listener.connected(idleConnection);
 			return;
 		}
 		BackendResponseDecoder decoder = new BackendResponseDecoder();
-		BackendConnection connection = new BackendConnection(this.protocol, decoder,
+		BackendConnection connection = new BackendConnection(server, this.protocol, decoder, observer,
 				(released) -> addIdle(server.id(), released));
 		this.metrics.countConnection(server.service().value());
 		bootstrap(decoder, connection).connect(server.host(), server.port()).addListener((future) -> {
@@ -116,12 +147,38 @@
 			});
 	}
 
-	private @Nullable BackendConnection takeIdle(ServerName server, long maxIdleMs) {
-		ArrayDeque<BackendConnection> idleConnections = this.idle.get(server);
+	private void recordAnnouncements(BackendInstance server, HttpResponse response) {
+		long pauseMs = this.protocol.pauseMs(response.status().code(), response.headers());
+		if (pauseMs > 0) {
+			this.announcements.recordPause(server, pauseMs);
+			this.metrics.countPause(server.service().value());
+			LOGGER.info("{}", LogLine.event("server.paused").with("server", server.id()).with("pauseMs", pauseMs));
+		}
+		if (this.protocol.isLeaving(response.headers()) && this.announcements.recordLeaving(server)) {
+			this.metrics.countLeaving(server.service().value());
+			LOGGER.info("{}",
+					LogLine.event("server.leaving")
+						.with("server", server.id())
+						.with("startedAt", server.startedAtEpochMs()));
+			closeIdle(server.id());
+		}
+	}
+
+	private void closeIdle(ServerName server) {
+		ArrayDeque<BackendConnection> idleConnections = this.idle.remove(server);
+		if (idleConnections != null) {
+			idleConnections.forEach((connection) -> connection.channel().close());
+		}
+	}
+
+	private @Nullable BackendConnection takeIdle(BackendInstance server, long maxIdleMs) {
+		ArrayDeque<BackendConnection> idleConnections = this.idle.get(server.id());
 		long now = this.clock.millis();
 		while (idleConnections != null && !idleConnections.isEmpty()) {
 			BackendConnection connection = idleConnections.removeLast();
-			if (connection.isUsable() && connection.idleMs(now) < Math.min(maxIdleMs, connection.idleLimitMs())) {
+			boolean sameRun = connection.server().startedAtEpochMs() == server.startedAtEpochMs();
+			if (sameRun && connection.isUsable()
+					&& connection.idleMs(now) < Math.min(maxIdleMs, connection.idleLimitMs())) {
 				return connection;
 			}
 			connection.channel().close();
@@ -130,6 +187,10 @@
 	}
 
 	private void addIdle(ServerName server, BackendConnection connection) {
+		if (this.announcements.isLeaving(connection.server())) {
+			connection.channel().close();
+			return;
+		}
 		connection.markIdle(this.clock.millis());
 		ArrayDeque<BackendConnection> idleConnections = this.idle.computeIfAbsent(server, (name) -> new ArrayDeque<>());
 		idleConnections.addLast(connection);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -230,7 +231,7 @@
 		this.relayAttempts.started(entry.region());
 		SendAttempt newAttempt = new SendAttempt(this, null, entry, now());
 		this.attempt = newAttempt;
-		this.services.connectionPool().acquire(entry, REPEATABLE_MAX_IDLE_MS, newAttempt);
+		this.services.connectionPool().acquireEntryVm(entry, REPEATABLE_MAX_IDLE_MS, newAttempt);
 		return true;
 	}
 
@@ -247,15 +248,23 @@
 		this.pendingSlotId = id;
 		this.slotRequestedAt = now;
 		int workMs = this.services.estimates().forRoute(this.request.route()).millis();
+		Set<ServerName> excluded = new HashSet<>(this.triedServers);
+		excluded.addAll(pausedServers().keySet());
 		this.services.slots()
 			.requestSlot(new SlotRequest(id, this.request.service(), this.services.settings().domain(),
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD,
 					(this.policy.sends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY, workMs,
-					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), this.triedServers,
+					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
 					this.content.fingerprint()), this);
 	}
 
+	// Other entry VMs may go on using these servers, so their dispatcher does not know.
+	private Map<ServerName, Long> pausedServers() {
+		return this.services.announcements()
+			.paused(this.request.service(), (name) -> this.services.catalog().server(name));
+	}
+
 	@Override
 	public void granted(SlotGrant grant) {
 		this.pendingSlotId = null;
@@ -270,10 +279,15 @@
 			return;
 		}
 		BackendInstance server = this.services.catalog().server(grant.server());
-		if (server == null || server.draining()) {
+		if (server == null || server.draining() || this.services.announcements().isLeaving(server)) {
 			this.triedServers.add(grant.server());
 			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
-			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is not listed here");
+			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is not listed here or leaving");
+			return;
+		}
+		if (!this.services.announcements().isAvailable(server)) {
+			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
+			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is paused");
 			return;
 		}
 		SendAttempt newAttempt = new SendAttempt(this, grant, server, now());
@@ -296,10 +310,43 @@
 					return;
 				}
 			}
+			long pauseLeftMs = firstPauseLeftMs();
+			if (cause == RefusalCause.NO_SERVER && pauseLeftMs > 0) {
+				awaitPauseEnd(pauseLeftMs, reason);
+				return;
+			}
 			respondRefused((failure != null) ? reason + ", after " + failure : reason, retryAfterMs);
 		}
 	}
 
+	/**
+	 * Returns the time until the first pause of a server ends that was not tried.
+	 * @return the time in milliseconds, 0 if there is no such server
+	 */
+	private long firstPauseLeftMs() {
+		return pausedServers().entrySet()
+			.stream()
+			.filter((entry) -> !this.triedServers.contains(entry.getKey()))
+			.mapToLong(Map.Entry::getValue)
+			.min()
+			.orElse(0);
+	}
+
+	// All servers are paused. The request waits for the first one if there is time enough
+	// to run it then, and is otherwise rejected at once.
+	private void awaitPauseEnd(long pauseLeftMs, String reason) {
+		int workMs = this.services.estimates().forRoute(this.request.route()).millis();
+		if (now() + pauseLeftMs + workMs > this.request.timeoutAt()) {
+			respondRefused(reason, (int) pauseLeftMs);
+			return;
+		}
+		this.services.loop().schedule(() -> {
+			if (!this.done && this.attempt == null && this.pendingSlotId == null) {
+				place();
+			}
+		}, pauseLeftMs, TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Tells whether a request for which this region has no capacity may be relayed.
 	 * @param cause the reason for which no slot was granted
@@ -352,13 +399,15 @@
 
 	void connected(SendAttempt current, BackendConnection connection) {
 		long leftMs = this.request.timeoutAt() - now();
-		if (leftMs <= 0) {
+		SlotGrant grant = current.grant();
+		boolean available = grant == null || this.services.announcements().isAvailable(current.server());
+		if (leftMs <= 0 || !available) {
 			connection.channel().close();
 			endAttempt(current, SlotOutcome.UNUSED, ServerLoad.UNKNOWN);
-			attemptFailed(SlotOutcome.UNUSED, "no time left when the connection was open");
+			attemptFailed(SlotOutcome.UNUSED, available ? "no time left when the connection was open"
+					: "server " + current.server().id() + " is leaving or paused");
 			return;
 		}
-		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.policy.recordSend();
 			this.triedServers.add(current.server().id());
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import org.lovagevale.base.Clock;
 import org.lovagevale.core.placing.PlannedStop;
+import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.GatewaySettings;
@@ -28,8 +29,10 @@
  * @param metrics the metrics of this process
  * @param roster the known entry VMs
  * @param plannedStop the planned stop of this process
+ * @param announcements the announcements of servers to this process
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
-		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop) {
+		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop,
+		ServerAnnouncements announcements) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -27,7 +27,8 @@
  * A server is checked when a request is about to be placed on it and its load is not
  * known well enough, and otherwise periodically. Invariants: at most one check of a
  * server is in progress at a time; two checks of a server start at least
- * {@link #MIN_INTERVAL_MS} apart. Confined to the event loop.
+ * {@link #MIN_INTERVAL_MS} apart; a server that is leaving or has asked this process to
+ * pause is not checked. Confined to the event loop.
  */
 public final class HealthChecks {
 
@@ -110,8 +111,8 @@
 	public void refresh(ServerName id) {
 		long now = this.services.clock().millis();
 		BackendInstance server = this.services.catalog().server(id);
-		if (server != null && isDispatchedHere(server.service()) && !this.running.containsKey(id)
-				&& now - lastCheckedAt(id) >= MIN_INTERVAL_MS) {
+		if (server != null && this.services.announcements().isAvailable(server) && isDispatchedHere(server.service())
+				&& !this.running.containsKey(id) && now - lastCheckedAt(id) >= MIN_INTERVAL_MS) {
 			check(server, now);
 		}
 	}
@@ -127,7 +128,8 @@
 	}
 
 	private boolean isDue(BackendInstance server, long now) {
-		if (!server.region().equals(this.roster.self().region()) || this.running.containsKey(server.id())) {
+		if (!server.region().equals(this.roster.self().region()) || this.running.containsKey(server.id())
+				|| !this.services.announcements().isAvailable(server)) {
 			return false;
 		}
 		long sinceLastRequest = now - this.services.slots().dispatcher().lastRequestedAt(server.service());
