Take a failed write of the request for a lost connection

Callers got a complete, signed 200 with half of the body: the server answered a long request early, without a length, and reset the connection halfway.

Cause: while part of the request is unwritten, the reset is noticed by the write. The HTTP library then closes the channel without an exception, and its decoder takes the close for the regular end of a response without a length. The result of the write was looked at nowhere.

Now a write that fails for another reason than the closing of the channel marks the connection, and nothing that is read afterwards is passed on. The request fails as possibly run.

Related paths, by reading: responses to HTTP/1.0 callers are reset when they break off; between entry VMs responses are sized or chunked.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -1,8 +1,11 @@
 package org.lovagevale.gateway.http;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -24,11 +27,11 @@
  *
  * <p>
  * Invariants: a response to a request that must be identified is passed on only if it
- * carries the ID of that request; responses with other IDs are skipped, and the
- * connection is then not reused. Data that arrives while no request is in progress closes
- * the connection, and so does a response that changes the protocol. A server that sends
- * only data that is no part of the expected response is read to a limit. Confined to the
- * event loop.
+ * carries the ID of that request; nothing is passed on after a failed write; responses
+ * with other IDs are skipped, and the connection is then not reused. Data that arrives
+ * while no request is in progress closes the connection, and so does a response that
+ * changes the protocol. A server that sends only data that is no part of the expected
+ * response is read to a limit. Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -65,6 +68,11 @@
 
 	private final ReleaseListener releaseListener;
 
+	private final ChannelFutureListener writeListener = this::recordWrite;
+
+	/** The reason why the request could not be written to its end. */
+	private @Nullable Throwable writeFailure;
+
 	private @Nullable ChannelHandlerContext context;
 
 	private @Nullable BackendListener listener;
@@ -162,14 +170,23 @@
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
-		context().write(request);
+		context().write(request).addListener(this.writeListener);
 	}
 
 	void write(HttpContent content) {
 		if (content instanceof LastHttpContent) {
 			this.requestComplete = true;
 		}
-		context().writeAndFlush(content);
+		context().writeAndFlush(content).addListener(this.writeListener);
+	}
+
+	// A reset that is noticed by a write closes the channel like an orderly end, and is
+	// not reported as an exception. The channel's own closing fails writes as well.
+	private void recordWrite(ChannelFuture write) {
+		Throwable cause = write.cause();
+		if (cause != null && !(cause instanceof ClosedChannelException)) {
+			this.writeFailure = cause;
+		}
 	}
 
 	void setReading(boolean reading) {
@@ -202,6 +219,12 @@
 			fail("data that is not part of a response");
 			return;
 		}
+		Throwable brokenBy = this.writeFailure;
+		if (brokenBy != null) {
+			ReferenceCountUtil.release(message);
+			fail("connection lost while the request was written: " + brokenBy.getMessage());
+			return;
+		}
 		if (object.decoderResult().isFailure()) {
 			ReferenceCountUtil.release(message);
 			fail("malformed response: " + object.decoderResult().cause().getMessage());
