Let a server's reports stand again after an odd entry

Callers lost requests at a server that had reported that it was leaving: the entry process had ignored that report and went on sending to it.

Cause: the order of two reports of a server was decided by its start and its counter alone. An entry of another writer with a start in the year 2099, or with a counter far too large, made every later report of the server look outdated, until the entry was removed. After an entry that cannot be used at all, the order was forgotten instead, so that an outdated report could stand.

ReportOrder now decides for each key, also across unusable entries. A report that looks outdated is ignored once; a second one in a row that continues it stands, and so does one that says the same run is draining. Of one run nothing reverts that it is draining. An ignored report is passed on to the other processes, which so decide alike.

Left as it is: until the second report, at most two report intervals, the odd entry names a server that is used.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
@@ -39,6 +39,9 @@
 
 	private final Map<String, CatalogItem> decodedItems = new HashMap<>();
 
+	/** Kept beside unusable entries, which have no order. */
+	private final Map<String, ReportOrder> reportOrders = new HashMap<>();
+
 	private @Nullable ServingConfiguration configuration;
 
 	private long revision;
@@ -176,6 +179,7 @@
 		for (String key : removedKeys) {
 			if (this.items.remove(key) != null) {
 				this.decodedItems.remove(key);
+				this.reportOrders.remove(key);
 				removed.add(key);
 			}
 		}
@@ -192,13 +196,15 @@
 		CatalogItem decoded = this.decoder.decode(item);
 		this.items.put(item.key(), item);
 		CatalogItem previous = this.decodedItems.get(item.key());
-		if (decoded instanceof CatalogItem.ListedServer listed && previous instanceof CatalogItem.ListedServer known) {
-			// Reports may be published out of order.
-			if (listed.isOlderThan(known)) {
-				return false;
+		if (decoded instanceof CatalogItem.ListedServer listed) {
+			if (!isAccepted(item.key(), listed)) {
+				// Passed on, so that the next report is decided in the same way there.
+				return true;
+			}
+			if (previous instanceof CatalogItem.ListedServer known) {
+				this.decodedItems.put(item.key(), decoded);
+				return !listed.instance().equals(known.instance());
 			}
-			this.decodedItems.put(item.key(), decoded);
-			return !listed.instance().equals(known.instance());
 		}
 		this.decodedItems.put(item.key(), decoded);
 		if (decoded instanceof CatalogItem.PublishedConfiguration configured) {
@@ -207,6 +213,15 @@
 		return !Objects.equals(previous, decoded);
 	}
 
+	private boolean isAccepted(String key, CatalogItem.ListedServer report) {
+		ReportOrder order = this.reportOrders.get(key);
+		if (order == null) {
+			this.reportOrders.put(key, new ReportOrder(report));
+			return true;
+		}
+		return order.accept(report);
+	}
+
 	private boolean adopt(ServingConfiguration next) {
 		ServingConfiguration known = this.configuration;
 		if (known != null && next.version() <= known.version()) {
--- a/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.Region;
@@ -66,6 +67,64 @@
 		assertThat(this.catalog.servers().get(new ServerName("s")).draining()).isFalse();
 	}
 
+	private @Nullable BackendInstance server() {
+		return this.catalog.servers().get(new ServerName("s"));
+	}
+
+	private void report(long revision, String value) {
+		this.catalog.replace(List.of(item("s", revision, value)), revision, revision * 10);
+	}
+
+	// Guards against an entry whose figures hide all later reports of the server.
+	@Test
+	void reportsAfterAnEntryWithAStartInTheFutureStand() {
+		report(1, "server 1000 1 ready");
+		report(2, "server 4102444799999 3 ready");
+		report(3, "server 1000 2 ready");
+		report(4, "server 1000 3 ready");
+		report(5, "server 1000 4 draining");
+		assertThat(server()).isNotNull().matches(BackendInstance::draining);
+		report(6, "server 2000 1 ready");
+		assertThat(server()).isNotNull().matches((server) -> !server.draining());
+	}
+
+	@Test
+	void reportsAfterAnEntryWithATooLargeNumberStand() {
+		report(1, "server 1000 1 ready");
+		report(2, "server 1000 999999999999 ready");
+		report(3, "server 1000 2 draining");
+		assertThat(server()).isNotNull().matches(BackendInstance::draining);
+	}
+
+	@Test
+	void lateReportsDoNotRevertThatAServerIsDraining() {
+		report(1, "server 1000 5 draining");
+		report(2, "server 1000 3 ready");
+		report(3, "server 1000 4 ready");
+		assertThat(server()).isNotNull().matches(BackendInstance::draining);
+	}
+
+	// Guards against an order of reports that is forgotten after an unusable entry.
+	@Test
+	void outdatedReportAfterAnUnusableEntryIsIgnored() {
+		report(1, "server 1000 5 draining");
+		report(2, "unusable");
+		assertThat(server()).isNull();
+		report(3, "server 1000 4 ready");
+		assertThat(server()).isNull();
+		report(4, "server 1000 6 draining");
+		assertThat(server()).isNotNull().matches(BackendInstance::draining);
+	}
+
+	// Guards against followers that ignore a report for longer than its reader.
+	@Test
+	void ignoredReportIsPassedOn() {
+		report(1, "server 1000 1 ready");
+		report(2, "server 9000 1 ready");
+		CatalogChange change = this.catalog.replace(List.of(item("s", 3, "server 1000 2 ready")), 3, 30);
+		assertThat(change.changed()).hasSize(1);
+	}
+
 	@Test
 	void reportWithoutNewContentIsNoChange() {
 		this.catalog.replace(List.of(item("s", 1, "server 1000 1 ready")), 1, 0);
