End a response that stalls when its timeout is over

Callers waited for the rest of a response that never came: the server had sent a part of it and then nothing, without closing the connection.

Cause: the timeout of a request was ignored once a part of its response had been passed on.

Now such a response is ended at the timeout if nothing more has come for 200 ms and the caller takes data; the request is cancelled at the server. A response that still arrives is passed on to its end, also when it is late.

Evidence: responseThatStallsIsEndedAtTheTimeout (GET and POST) failed before, without an end after 5 s, and passes now. responseThatArrivesSlowlyIsNotEndedAtTheTimeout passed before and now. Not covered: a caller that takes no data.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -93,6 +93,12 @@
 	 */
 	private static final long UNATTENDED_RESPONSE_MS = 500;
 
+	/**
+	 * Time without further data after which a response that is late counts as stalled, in
+	 * milliseconds.
+	 */
+	private static final long STALL_MS = 200;
+
 	/**
 	 * Time without a response after which a server counts as silent, as a multiple of the
 	 * usual processing time.
@@ -140,6 +146,9 @@
 
 	private long slotRequestedAt;
 
+	/** Monotonic time in milliseconds of the last part of a response. */
+	private long lastContentAt;
+
 	Exchange(ExchangeServices services, CallerConnection caller, CallerRequest request) {
 		this.services = services;
 		this.caller = caller;
@@ -497,6 +506,7 @@
 			}
 			return;
 		}
+		this.lastContentAt = now();
 		if (this.responseStarted) {
 			this.caller.writeContent(part);
 			return;
@@ -713,7 +723,11 @@
 	}
 
 	private void timedOut() {
-		if (this.done || this.responseStarted) {
+		if (this.done) {
+			return;
+		}
+		if (this.responseStarted) {
+			endIfStalled();
 			return;
 		}
 		SendAttempt pending = this.attempt;
@@ -728,6 +742,25 @@
 		}
 	}
 
+	/**
+	 * Ends a response that is late and no longer arrives. One that does is passed on to
+	 * its end.
+	 */
+	private void endIfStalled() {
+		SendAttempt current = this.attempt;
+		if (this.done || current == null) {
+			return;
+		}
+		if (!this.caller.isWritable() || now() - this.lastContentAt < STALL_MS) {
+			this.timeoutTimer = this.services.loop().schedule(this::endIfStalled, STALL_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		current.cancel();
+		endAttempt(current, SlotOutcome.FAILED, ServerLoad.UNKNOWN);
+		this.caller.abort("response stalled");
+		complete(0, "entry", "response stalled");
+	}
+
 	/**
 	 * Handles the loss of the connection to the caller.
 	 */
@@ -740,7 +773,8 @@
 
 	/**
 	 * Cancels the pending slot request and the current attempt.
-	 * @param cancelSent whether to cancel also a request that was sent completely
+	 * @param cancelSent whether to cancel also a request that a server has received
+	 * completely
 	 */
 	private void cancelPending(boolean cancelSent) {
 		SlotId slotId = this.pendingSlotId;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -168,6 +170,42 @@
 		assertThat(this.closedByGateway.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
 	}
 
+	// Guards against a response that never ends for its caller.
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /read/1", "POST /write/1" })
+	void responseThatStallsIsEndedAtTheTimeout(String target) throws Exception {
+		CountDownLatch closed = new CountDownLatch(1);
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket,
+					"HTTP/1.1 200 OK\r\nTest-Id: i\r\nTest-Signature: s\r\nContent-Length: 10\r\n\r\nhalf");
+			if (socket.getInputStream().read() < 0) {
+				closed.countDown();
+			}
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x").replace("POST /write/1", target));
+			long startedAt = System.nanoTime();
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+				.endsWith("\r\n\r\nhalf");
+			assertThat((System.nanoTime() - startedAt) / 1_000_000).isBetween(900L, 1_500L);
+		}
+		assertThat(closed.await(1, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+	}
+
+	@Test
+	void responseThatArrivesSlowlyIsNotEndedAtTheTimeout() throws Exception {
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket,
+					"HTTP/1.1 200 OK\r\nTest-Id: i\r\nTest-Signature: s\r\nContent-Length: 15\r\n\r\n");
+			for (int i = 0; i < 15; i++) {
+				TestServer.write(socket, "x");
+				sleep(100);
+			}
+		});
+		assertThat(this.gateway.exchange(TestGateway.postRequest("/write/1", "i", "x"))).startsWith("HTTP/1.1 200")
+			.endsWith("x".repeat(15));
+	}
+
 	@Test
 	void connectionOfASilentServerIsClosedAfterTheTimeoutOfANonIdempotentRequest() throws Exception {
 		CountDownLatch closed = new CountDownLatch(1);
