Cancel a relayed request when its caller leaves

Servers ran requests over half a second after their callers had left: a request that is not idempotent, relayed to another region and waiting there, was not cancelled.

Cause: a non-idempotent request that was sent completely is left to run, and a request at another entry VM counted as sent to a server.

Now the connection to the other entry VM is closed. That VM cancels the request if it waits, and leaves it to run if a server has it.

Evidence: requestThatWaitsInItsHomeRegionIsCancelledWhenItsCallerLeaves failed before and passes now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -787,8 +787,9 @@
 			return;
 		}
 		// A non-repeatable request that was sent completely is left to run to its end, as
-		// long as its server has time left.
-		if (cancelSent || current.connection() == null || !this.content.isComplete()) {
+		// long as its server has time left. Another entry VM decides by itself what to
+		// cancel when the connection to it is closed.
+		if (cancelSent || current.isRelay() || current.connection() == null || !this.content.isComplete()) {
 			abandon(current);
 		}
 		else {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway;
 
+import java.net.Socket;
 import java.util.List;
 
 import org.junit.jupiter.api.AfterEach;
@@ -84,6 +85,34 @@
 		assertThat(response).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after: ");
 	}
 
+	// Guards against a request that runs although its caller has left while it was
+	// queued.
+	@Test
+	void requestThatWaitsInItsHomeRegionIsCancelledWhenItsCallerLeaves() throws Exception {
+		this.server.setHandler((request, socket) -> TestServer.write(socket,
+				"HTTP/1.1 503 Busy\r\nTest-Id: " + request.headers().get("test-id")
+						+ "\r\nTest-Not-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"));
+		this.homeGateway.exchange(TestGateway.postRequest("/write/1", "first", "x"));
+		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		try (Socket socket = this.remoteGateway.connect()) {
+			TestServer.write(socket, TestGateway.postRequest("/write/2", "left", "x"));
+			sleep(200);
+			assertThat(socket.getInputStream().available()).isZero();
+		}
+		sleep(1_500);
+		assertThat(this.server.requests()).extracting((request) -> request.headers().get("test-id"))
+			.containsExactly("first");
+	}
+
+	private static void sleep(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Test
 	void requestIsPlacedHereIfNoEntryVmOfTheHomeRegionCanBeReached() throws Exception {
 		this.homeGateway.close();
