Attribute announcements and stalls to the right cause

A response of another server that has taken over an address announced the leaving or the pause of its predecessor: status 421, or another identity.

A late response could be ended as stalled in the moment in which a slow caller takes data again, or directly after its head.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -148,6 +148,12 @@
 	}
 
 	private void recordAnnouncements(BackendInstance server, HttpResponse response) {
+		String sender = this.protocol.instanceId(response.headers());
+		if (this.protocol.isReplaced(response.status().code())
+				|| sender != null && !sender.equals(server.id().value())) {
+			// The address belongs to another server now.
+			return;
+		}
 		long pauseMs = this.protocol.pauseMs(response.status().code(), response.headers());
 		if (pauseMs > 0) {
 			this.announcements.recordPause(server, pauseMs);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -561,6 +561,8 @@
 	}
 
 	void callerWritable() {
+		// While the caller took no data, none was read from the server.
+		this.lastContentAt = now();
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
@@ -606,6 +608,7 @@
 			throw new IllegalStateException("no response to pass on");
 		}
 		this.responseStarted = true;
+		this.lastContentAt = now();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(response.headers(), (name) -> false);
 		List<HttpContent> buffered = current.takeBuffered();
 		if (complete && !isHeadRequest() && !HttpUtil.isContentLengthSet(response)) {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/AnnouncingServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/AnnouncingServerTests.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -103,6 +105,20 @@
 		assertThat(post(0)).startsWith("HTTP/1.1 200").endsWith("first");
 	}
 
+	// Guards against an announcement that is attributed to the former server of an
+	// address.
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "421 Misdirected\r\nTest-Leaving: 1", "503 Full\r\nTest-Server: other\r\nTest-Leaving: 1" })
+	void anotherServerAtTheAddressAnnouncesNothing(String status) throws Exception {
+		this.first.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 " + status + "\r\nTest-Id: "
+				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+		post(0);
+		this.first.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "first")));
+		Thread.sleep(1_500);
+		assertThat(post(1)).startsWith("HTTP/1.1 200");
+	}
+
 	@Test
 	void nextRunOfTheServerStartsFree() throws Exception {
 		this.first.setHandler((request, socket) -> TestServer.write(socket,
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TroubledServerTests.java
@@ -206,6 +206,25 @@
 			.endsWith("x".repeat(15));
 	}
 
+	@Test
+	void responseToASlowCallerIsNotEndedAtTheTimeout() throws Exception {
+		String body = "x".repeat(20_000_000);
+		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, body)));
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+			long received = 0;
+			byte[] part = new byte[500_000];
+			for (int read = 0; read >= 0 && received < body.length(); received += read) {
+				sleep(40);
+				read = socket.getInputStream().readNBytes(part, 0, part.length);
+				if (read == 0) {
+					break;
+				}
+			}
+			assertThat(received).isGreaterThanOrEqualTo(body.length());
+		}
+	}
+
 	@Test
 	void connectionOfASilentServerIsClosedAfterTheTimeoutOfANonIdempotentRequest() throws Exception {
 		CountDownLatch closed = new CountDownLatch(1);
