--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -49,8 +49,6 @@
 
 	private final SlotReplies replies;
 
-	private final ServerAnnouncements announcements;
-
 	private final ServerSelector selector;
 
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
@@ -77,7 +75,6 @@
 		this.clock = clock;
 		this.limits = limits;
 		this.isSoleOwner = isSoleOwner;
-		this.announcements = announcements;
 		this.replies = replies;
 		this.selector = new ServerSelector(region, random, announcements);
 	}
