Log and count failed writes and delays of the event loop

Adds the counter lovagevale.gateway.writes.failed, the timer lovagevale.gateway.loop.delay, the gauge lovagevale.gateway.memory.direct, and the events response.unwritten, request.unwritten and loop.delayed. No decision changes.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
 
 /**
  * The metrics of an entry process.
@@ -73,10 +76,37 @@
 		.description("Calls to the platform that brought nothing")
 		.register(this.registry);
 
+	private final Meter.MeterProvider<Counter> failedWrites = Counter.builder("lovagevale.gateway.writes.failed")
+		.description("Parts of requests and responses that could not be written to an open connection")
+		.withRegistry(this.registry);
+
+	private final Timer loopDelays = Timer.builder("lovagevale.gateway.loop.delay")
+		.description("Delay of the periodic work of the event loop")
+		.serviceLevelObjectives(LATENCY_BUCKETS)
+		.register(this.registry);
+
 	private final Counter healthChecks = Counter.builder("lovagevale.gateway.health.checks")
 		.description("Health checks of backend servers")
 		.register(this.registry);
 
+	/**
+	 * Creates metrics that are all zero.
+	 */
+	public GatewayMetrics() {
+		Gauge.builder("lovagevale.gateway.memory.direct", GatewayMetrics::directMemoryBytes)
+			.description("Direct memory reserved for the buffers of connections, in bytes")
+			.register(this.registry);
+	}
+
+	/**
+	 * Returns the direct memory that is reserved for the buffers of connections.
+	 * @return the size in bytes, -1 if the allocator does not report it
+	 */
+	public static long directMemoryBytes() {
+		return (ByteBufAllocator.DEFAULT instanceof ByteBufAllocatorMetricProvider provider)
+				? provider.metric().usedDirectMemory() : -1;
+	}
+
 	/**
 	 * Counts a response to a caller and records its duration.
 	 * @param route the name of the route, empty if there is none
@@ -162,6 +192,23 @@
 		}
 	}
 
+	/**
+	 * Counts a part of a message that could not be written although its connection was
+	 * open.
+	 * @param receiver {@code caller} or {@code server}
+	 */
+	public void countFailedWrite(String receiver) {
+		this.failedWrites.withTags("receiver", receiver).increment();
+	}
+
+	/**
+	 * Records by how much the periodic work of the event loop was late.
+	 * @param delayMs the delay in milliseconds
+	 */
+	public void recordLoopDelay(long delayMs) {
+		this.loopDelays.record(Duration.ofMillis(delayMs));
+	}
+
 	/**
 	 * Counts a health check of a backend server.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -59,6 +59,9 @@
 	 */
 	private static final long SLOT_TICK_INTERVAL_MS = 20;
 
+	/** Delay of the periodic work that is logged, in milliseconds. */
+	private static final long REPORTED_DELAY_MS = 250;
+
 	/**
 	 * Time after the start at which a process that has found no peers begins to serve
 	 * alone, in milliseconds.
@@ -110,6 +113,8 @@
 
 	private final PeriodicTask callersTask;
 
+	private final PeriodicTask delayTask = new PeriodicTask(this::recordDelay);
+
 	private final long startedAt;
 
 	private volatile GatewaySettings settings;
@@ -118,6 +123,9 @@
 
 	private boolean slotTickScheduled;
 
+	/** Monotonic time in milliseconds of the last periodic work, -1 before the first. */
+	private long lastTickAt = -1;
+
 	/**
 	 * Creates a process without opening any port.
 	 * @param settings the settings
@@ -185,6 +193,7 @@
 		this.frontend.open(this.settings.callerAddress());
 		this.slotClient.onWaiting(this::scheduleSlotTick);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
+			this.delayTask.run();
 			this.peersTask.run();
 			this.serversTask.run();
 			this.callersTask.run();
@@ -201,6 +210,22 @@
 					.with("incarnation", this.roster.self().incarnation()));
 	}
 
+	// A delay means that the event loop was blocked or the process did not run: what
+	// arrived
+	// meanwhile was read late, and the timeouts were late as well.
+	private void recordDelay() {
+		long now = this.clock.millis();
+		long delayMs = (this.lastTickAt < 0) ? 0 : Math.max(0, now - this.lastTickAt - TICK_INTERVAL_MS);
+		this.lastTickAt = now;
+		this.metrics.recordLoopDelay(delayMs);
+		if (delayMs >= REPORTED_DELAY_MS) {
+			LOGGER.warn("{}",
+					LogLine.event("loop.delayed")
+						.with("delayMs", delayMs)
+						.with("directBytes", GatewayMetrics.directMemoryBytes()));
+		}
+	}
+
 	private void tick() {
 		this.peers.tick();
 		this.catalogUpdater.tick();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -19,8 +19,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.ServerProtocol;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection to a backend server, used for one request at a time.
@@ -58,6 +62,8 @@
 	 */
 	private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(BackendConnection.class);
+
 	private final ServerProtocol protocol;
 
 	private final BackendResponseDecoder decoder;
@@ -68,6 +74,8 @@
 
 	private final ReleaseListener releaseListener;
 
+	private final GatewayMetrics metrics;
+
 	private final ChannelFutureListener writeListener = this::recordWrite;
 
 	/** The reason why the request could not be written to its end. */
@@ -108,14 +116,16 @@
 	 * @param decoder the decoder in front of this handler
 	 * @param observer receives the head of each response
 	 * @param releaseListener receives this connection each time it has become idle
+	 * @param metrics counts the parts of requests that could not be written
 	 */
 	BackendConnection(BackendInstance server, ServerProtocol protocol, BackendResponseDecoder decoder,
-			ResponseObserver observer, ReleaseListener releaseListener) {
+			ResponseObserver observer, ReleaseListener releaseListener, GatewayMetrics metrics) {
 		this.server = server;
 		this.protocol = protocol;
 		this.decoder = decoder;
 		this.observer = observer;
 		this.releaseListener = releaseListener;
+		this.metrics = metrics;
 	}
 
 	private ChannelHandlerContext context() {
@@ -186,6 +196,13 @@
 		Throwable cause = write.cause();
 		if (cause != null && !(cause instanceof ClosedChannelException)) {
 			this.writeFailure = cause;
+			this.metrics.countFailedWrite("server");
+			LOGGER.warn("{}",
+					LogLine.event("request.unwritten")
+						.with("id", this.expectedRequestId)
+						.with("server", this.server.id())
+						.with("directBytes", GatewayMetrics.directMemoryBytes())
+						.with("why", String.valueOf(cause)));
 		}
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -117,7 +117,7 @@
 		}
 		BackendResponseDecoder decoder = new BackendResponseDecoder();
 		BackendConnection connection = new BackendConnection(server, this.protocol, decoder, observer,
-				(released) -> addIdle(server.id(), released));
+				(released) -> addIdle(server.id(), released), this.metrics);
 		this.metrics.countConnection(server.service().value());
 		bootstrap(decoder, connection).connect(server.host(), server.port()).addListener((future) -> {
 			if (future.isSuccess()) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -1,11 +1,13 @@
 package org.lovagevale.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -29,6 +31,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -69,6 +72,8 @@
 
 	private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
 
+	private final ChannelFutureListener writeListener = this::recordWrite;
+
 	private @Nullable ChannelHandlerContext context;
 
 	private @Nullable Exchange exchange;
@@ -212,8 +217,9 @@
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(head)) {
-			context().writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
+			context().flush();
 		}
 		this.router.accept(head, this, remoteHost());
 	}
@@ -273,7 +279,7 @@
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
 		setConnectionHeader(response);
-		context().write(response);
+		write(response);
 	}
 
 	private boolean isBodyless(HttpResponse response) {
@@ -301,19 +307,36 @@
 			return;
 		}
 		// finish() writes the end of the response.
-		context().write((content instanceof LastHttpContent) ? toPlainContent(content) : content);
+		write((content instanceof LastHttpContent) ? toPlainContent(content) : content);
 		if (this.responseStarted) {
 			context().flush();
 		}
 	}
 
+	private void write(Object message) {
+		context().write(message).addListener(this.writeListener);
+	}
+
+	private void recordWrite(ChannelFuture write) {
+		Throwable cause = write.cause();
+		if (cause == null || cause instanceof ClosedChannelException) {
+			return;
+		}
+		this.router.countFailedWrite();
+		LOGGER.warn("{}",
+				LogLine.event("response.unwritten")
+					.with("caller", remoteHost())
+					.with("directBytes", GatewayMetrics.directMemoryBytes())
+					.with("why", String.valueOf(cause)));
+	}
+
 	private static HttpContent toPlainContent(HttpContent last) {
 		return new DefaultHttpContent(last.content());
 	}
 
 	@Override
 	public void finish() {
-		context().write(LastHttpContent.EMPTY_LAST_CONTENT);
+		write(LastHttpContent.EMPTY_LAST_CONTENT);
 		responseEnded();
 	}
 
@@ -327,7 +350,7 @@
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
 		this.responseStarted = true;
 		setConnectionHeader(response);
-		context().write(response);
+		write(response);
 		responseEnded();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -105,6 +105,10 @@
 		this.services.metrics().countAnswer("", status, "entry", 0);
 	}
 
+	void countFailedWrite() {
+		this.services.metrics().countFailedWrite("caller");
+	}
+
 	/**
 	 * Validates the head of a request and starts its exchange, or rejects the request.
 	 * @param head the head
