Close a connection after a failed write instead of writing on

On the other side, servers got a request body with a hole, framed as whole.

Cause: nobody looked at the result of a write to a caller, and the result of a write to a server counted only when the next bytes were read. If the memory of the process does not suffice for a head, a chunk or the last chunk, that part was left out and what follows was written. The encoder also writes a chunk in three parts and reports a failure after the last.

Change: the first part that cannot be written closes the connection before the next one is written; a response that ends with its connection is reset.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -4,7 +4,6 @@
 import java.nio.channels.ClosedChannelException;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -76,7 +75,12 @@
 
 	private final GatewayMetrics metrics;
 
-	private final ChannelFutureListener writeListener = this::recordWrite;
+	private final ChannelFutureListener writeListener = (write) -> {
+		Throwable cause = write.cause();
+		if (cause != null) {
+			writeFailed(cause);
+		}
+	};
 
 	/** The reason why the request could not be written to its end. */
 	private @Nullable Throwable writeFailure;
@@ -180,21 +184,34 @@
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
-		context().write(request).addListener(this.writeListener);
+		writePart(request);
 	}
 
 	void write(HttpContent content) {
 		if (content instanceof LastHttpContent) {
 			this.requestComplete = true;
 		}
-		context().writeAndFlush(content).addListener(this.writeListener);
+		writePart(content);
+		context().flush();
 	}
 
-	// A reset that is noticed by a write closes the channel like an orderly end, and is
-	// not reported as an exception. The channel's own closing fails writes as well.
-	private void recordWrite(ChannelFuture write) {
-		Throwable cause = write.cause();
-		if (cause != null && !(cause instanceof ClosedChannelException)) {
+	private void writePart(HttpObject part) {
+		if (this.writeFailure != null) {
+			ReferenceCountUtil.release(part);
+			return;
+		}
+		context().write(part).addListener(this.writeListener);
+	}
+
+	/**
+	 * Closes the connection after a part of a request could not be written. Without that
+	 * part, the server would run a request with another body. A reset that is noticed by
+	 * a write closes the channel like an orderly end, and is not reported as an
+	 * exception; the channel's own closing fails writes as well.
+	 * @param cause the error
+	 */
+	void writeFailed(Throwable cause) {
+		if (!(cause instanceof ClosedChannelException) && this.writeFailure == null) {
 			this.writeFailure = cause;
 			this.metrics.countFailedWrite("server");
 			LOGGER.warn("{}",
@@ -203,6 +220,7 @@
 						.with("server", this.server.id())
 						.with("directBytes", GatewayMetrics.directMemoryBytes())
 						.with("why", String.valueOf(cause)));
+			context().close();
 		}
 	}
 
@@ -378,7 +396,9 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
-		fail("connection closed by the server");
+		Throwable cause = this.writeFailure;
+		fail((cause != null) ? "the request could not be written: " + cause.getMessage()
+				: "connection closed by the server");
 	}
 
 	@Override
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -141,7 +141,9 @@
 					if (channel instanceof EpollSocketChannel) {
 						channel.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS);
 					}
-					channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
+					channel.pipeline()
+						.addLast(new WriteFailureHandler(connection::writeFailed), new HttpRequestEncoder(), decoder,
+								connection);
 				}
 
 			});
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -41,7 +40,9 @@
  * <p>
  * Invariants: requests are handled one after the other, so that responses are sent in the
  * order of the requests; a response that closes the connection is the last one; during a
- * planned stop every response closes it. Confined to the event loop.
+ * planned stop every response closes it; after a part of a response that could not be
+ * written, nothing more is written and the connection is closed. Confined to the event
+ * loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
 
@@ -72,7 +73,12 @@
 
 	private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
 
-	private final ChannelFutureListener writeListener = this::recordWrite;
+	private final ChannelFutureListener writeListener = (write) -> {
+		Throwable cause = write.cause();
+		if (cause != null) {
+			writeFailed(cause);
+		}
+	};
 
 	private @Nullable ChannelHandlerContext context;
 
@@ -95,6 +101,11 @@
 
 	private boolean closing;
 
+	/**
+	 * Whether a part of a response could not be written; nothing more is written then.
+	 */
+	private boolean writeFailed;
+
 	private boolean processing;
 
 	/**
@@ -314,20 +325,31 @@
 	}
 
 	private void write(Object message) {
+		if (this.writeFailed) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
 		context().write(message).addListener(this.writeListener);
 	}
 
-	private void recordWrite(ChannelFuture write) {
-		Throwable cause = write.cause();
-		if (cause == null || cause instanceof ClosedChannelException) {
+	/**
+	 * Closes the connection after a part of a response could not be written. Without that
+	 * part, the following ones would be taken for it, and the next response for the rest
+	 * of this one.
+	 * @param cause the error
+	 */
+	void writeFailed(Throwable cause) {
+		if (cause instanceof ClosedChannelException || this.writeFailed) {
 			return;
 		}
+		this.writeFailed = true;
 		this.router.countFailedWrite();
 		LOGGER.warn("{}",
 				LogLine.event("response.unwritten")
 					.with("caller", remoteHost())
 					.with("directBytes", GatewayMetrics.directMemoryBytes())
 					.with("why", String.valueOf(cause)));
+		closeBrokenOff();
 	}
 
 	private static HttpContent toPlainContent(HttpContent last) {
@@ -368,6 +390,9 @@
 		this.exchange = null;
 		this.responseStarted = false;
 		this.lastActivityAt = this.router.now();
+		if (this.writeFailed) {
+			return;
+		}
 		boolean bodyIncomplete = current != null && !current.isBodyComplete();
 		if (this.keepAlive && !bodyIncomplete) {
 			context().flush();
@@ -394,9 +419,14 @@
 	@Override
 	public void abort(String reason) {
 		this.exchange = null;
+		context().flush();
+		closeBrokenOff();
+	}
+
+	private void closeBrokenOff() {
 		this.closing = true;
+		this.discarding = false;
 		releaseQueued();
-		context().flush();
 		if (this.closeDelimited) {
 			// A regular close would mark the end of the response, so the connection is
 			// reset.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -108,7 +108,7 @@
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
 			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router.limits()),
-					new HttpResponseEncoder(), connection);
+					new WriteFailureHandler(connection::writeFailed), new HttpResponseEncoder(), connection);
 	}
 
 	/**
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -48,7 +48,7 @@
 	 */
 	private static final Duration QUIET_PERIOD = Duration.ofMillis(50);
 
-	private final LoopResources loops = LoopResources.create("test", 1, true);
+	private final ObservedLoops loops = new ObservedLoops(LoopResources.create("test", 1, true));
 
 	private final Map<String, CatalogItem> published = new HashMap<>();
 
@@ -154,6 +154,10 @@
 		return this.process;
 	}
 
+	ObservedLoops loops() {
+		return this.loops;
+	}
+
 	Socket connect() throws IOException {
 		Socket socket = new Socket(this.callerAddress.host(), this.callerAddress.port());
 		socket.setSoTimeout(5_000);
