End an exchange whose request body cannot be read to its end

What callers saw: 408, which states that a request was not run, for a body that stalled after a server had been sent a part of it.

Cause: the connection to the caller answered by itself with 408, 400 or 413, without regard to what the exchange had done. If a response had begun, the encoder refused the second one, and the connection ended by chance.

Change: the exchange decides. A response that has begun is broken off; a 408 becomes 504 once the request is at a server or entry VM.

Evidence: EarlyResponseTests.stalledBodyIsNotRejectedAsNotRunOnceAServerHasIt failed before (408 instead of 504).

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -111,6 +111,8 @@
 
 	private static final int GATEWAY_TIMEOUT = 504;
 
+	private static final int REQUEST_TIMEOUT = 408;
+
 	private static final int CONTENT_TOO_LARGE = 413;
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
@@ -192,7 +194,7 @@
 		int firstNewPart = this.content.parts().size();
 		this.content.add(part);
 		if (this.content.size() > this.request.limits().maxBodyBytes()) {
-			respondLocally(CONTENT_TOO_LARGE, "body-too-large", 0);
+			requestFailed(CONTENT_TOO_LARGE, "body-too-large");
 			return;
 		}
 		SendAttempt current = this.attempt;
@@ -397,6 +399,27 @@
 		respondRefused("this process is stopping", retryAfterMs);
 	}
 
+	/**
+	 * Ends the exchange because the rest of the request cannot be read. A status that
+	 * states that the request was not run is replaced if a server has a part of it.
+	 * @param status the HTTP status of the response, unless one was begun
+	 * @param reason the reason, sent in the response body
+	 */
+	void requestFailed(int status, String reason) {
+		if (this.done) {
+			return;
+		}
+		SendAttempt current = this.attempt;
+		boolean mayHaveRun = this.policy.mayHaveRun() || current != null && current.connection() != null;
+		cancelPending(true);
+		if (this.responseStarted) {
+			this.caller.abort(reason);
+			complete(0, "caller", reason);
+			return;
+		}
+		respondLocally((mayHaveRun && status == REQUEST_TIMEOUT) ? GATEWAY_TIMEOUT : status, reason, 0);
+	}
+
 	private void respondRefused(String reason, int retryAfterMs) {
 		if (this.policy.mayHaveRun()) {
 			respondLocally(BAD_GATEWAY, reason, 0);
@@ -806,9 +829,6 @@
 		if (this.done) {
 			return;
 		}
-		if (status == CONTENT_TOO_LARGE) {
-			cancelPending(true);
-		}
 		HttpHeaders headers = new DefaultHttpHeaders();
 		if (status == SERVICE_UNAVAILABLE) {
 			this.services.protocol().setRetryAfter(headers, Math.max(DEFAULT_RETRY_AFTER_MS / 2, retryAfterMs));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -196,9 +196,7 @@
 	private void receiveBody(Exchange current, HttpObject next) {
 		if (next.decoderResult().isFailure() || !(next instanceof HttpContent content)) {
 			ReferenceCountUtil.release(next);
-			current.callerDisconnected();
-			this.exchange = null;
-			rejectAndClose(BAD_REQUEST, "malformed body");
+			rejectAndClose(current, BAD_REQUEST, "malformed body");
 			return;
 		}
 		current.bodyReceived(content);
@@ -266,6 +264,11 @@
 		reply(status, reason, new DefaultHttpHeaders());
 	}
 
+	private void rejectAndClose(Exchange current, int status, String reason) {
+		this.keepAlive = false;
+		current.requestFailed(status, reason);
+	}
+
 	/**
 	 * Responds to a request that is not handled and discards the rest of it.
 	 * @param status the HTTP status
@@ -466,9 +469,7 @@
 			closeIfIdle();
 		}
 		else if (current != null && !current.isBodyComplete() && idleMs > idleTimeoutMs) {
-			current.callerDisconnected();
-			this.exchange = null;
-			rejectAndClose(REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
+			rejectAndClose(current, REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
 		}
 	}
 
