Close a link after a frame that was written in part

If the body could not be copied to direct memory, its length went out alone, and the peer read the next frames at the wrong offset.

--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
@@ -123,7 +124,8 @@
 			return false;
 		}
 		this.counters.countSent(bytes.length + LENGTH_FIELD_BYTES);
-		this.channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+		// The peer would take the next frame for the part that could not be written.
+		this.channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
 		return true;
 	}
 
