--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/EarlyResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/EarlyResponseTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
 
 /**
  * Guards against a second response in the middle of one that a server began before it had
@@ -73,6 +74,18 @@
 		}
 	}
 
+	@Test
+	void responseThatEndsWithItsConnectionDoesNotLookCompleteAfterAStalledBody() throws Exception {
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket,
+					"POST /write/unsized HTTP/1.0\r\nHost: a.example\r\nTest-Id: x\r\nTest-Time: 9000\r\n"
+							+ "Content-Length: 200000\r\n\r\n" + "c".repeat(100_000));
+			assertThat(socket.getInputStream().readNBytes(SENT_BYTES)).hasSize(SENT_BYTES);
+			assertThatIOException().isThrownBy(() -> socket.getInputStream().readAllBytes())
+				.withMessageContaining("reset");
+		}
+	}
+
 	private void assertOneBrokenResponse(String rest) throws Exception {
 		try (Socket socket = this.gateway.connect()) {
 			TestServer.write(socket, head("/write/early") + chunk(100_000));
@@ -127,6 +140,11 @@
 					TestServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 					text.setLength(0);
 				}
+				else if (text.toString().startsWith("POST /write/unsized") && text.length() >= 100_000) {
+					TestServer.write(socket,
+							"HTTP/1.1 200 OK\r\nTest-Id: x\r\nTest-Signature: s\r\n\r\n" + "r".repeat(SENT_BYTES));
+					text.setLength(0);
+				}
 				else if (text.toString().startsWith("POST /write/early") && text.length() >= 100_000) {
 					TestServer.write(socket, "HTTP/1.1 200 OK\r\nTest-Id: x\r\nTest-Signature: s\r\nContent-Length: "
 							+ BODY_BYTES + "\r\n\r\n" + "r".repeat(SENT_BYTES));
