Keep the connection to a server that takes no data for a while

Cause: the connections to servers and entry VMs had a TCP user timeout of 1.5 s. The operating system applies it to a closed receive window too, so a pause of the server, or of the entry VM behind it, counted as a lost connection.

Change: a request with a body of more than 16 KB, or of unknown length, keeps its connection until it times out. Smaller ones fit into the window, so that a VM without power is noticed as before.

A long upload to a VM without power is now noticed at its timeout.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -53,6 +55,18 @@
 	/** Maximum number of interim responses before the final one. */
 	private static final int MAX_INFORMATIONAL_RESPONSES = 20;
 
+	/**
+	 * Time after which a connection with unacknowledged data is closed, in milliseconds.
+	 * It allows for several retransmissions.
+	 */
+	private static final int ACKNOWLEDGEMENT_TIMEOUT_MS = 1_500;
+
+	/**
+	 * Size of a request body, in bytes, up to which a server acknowledges all of it even
+	 * if it does not read.
+	 */
+	private static final int MAX_UNREAD_BYTES = 16_384;
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	/**
@@ -103,6 +117,8 @@
 
 	private boolean reusable;
 
+	private int acknowledgementTimeoutMs;
+
 	private int skipped;
 
 	private long skippedBytes;
@@ -164,6 +180,22 @@
 		return this.listener == null && channel().isActive();
 	}
 
+	/**
+	 * Sets for how long data of the next request may stay unacknowledged. The operating
+	 * system also counts the time in which the server is alive but takes no data, so a
+	 * long body may wait until the request times out.
+	 * @param bodyBytes the size of the request body, or what is known of it
+	 * @param timeLeftMs the time left for the request, in milliseconds
+	 */
+	void setAcknowledgementTimeout(long bodyBytes, long timeLeftMs) {
+		int timeoutMs = (bodyBytes <= MAX_UNREAD_BYTES) ? ACKNOWLEDGEMENT_TIMEOUT_MS
+				: (int) Math.max(ACKNOWLEDGEMENT_TIMEOUT_MS, Math.min(Integer.MAX_VALUE, timeLeftMs));
+		if (timeoutMs != this.acknowledgementTimeoutMs && channel() instanceof EpollSocketChannel) {
+			this.acknowledgementTimeoutMs = timeoutMs;
+			channel().config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, timeoutMs);
+		}
+	}
+
 	/**
 	 * Starts a request by writing its head.
 	 * @param newListener receives the events of the request
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -12,8 +12,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -40,12 +38,6 @@
 	/** Timeout for opening a connection within the region, in milliseconds. */
 	private static final int CONNECT_TIMEOUT_MS = 400;
 
-	/**
-	 * Time after which a connection with unacknowledged data is closed, in milliseconds.
-	 * It allows for several retransmissions.
-	 */
-	private static final int TCP_USER_TIMEOUT_MS = 1_500;
-
 	/** Maximum number of idle connections per server. */
 	private static final int MAX_IDLE_PER_SERVER = 4;
 
@@ -138,9 +130,6 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					if (channel instanceof EpollSocketChannel) {
-						channel.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS);
-					}
 					channel.pipeline()
 						.addLast(new WriteFailureHandler(connection::writeFailed), new HttpRequestEncoder(), decoder,
 								connection);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -444,6 +444,7 @@
 			this.policy.recordSend();
 			this.triedServers.add(current.server().id());
 		}
+		connection.setAcknowledgementTimeout(this.content.isComplete() ? this.content.size() : Long.MAX_VALUE, leftMs);
 		// A rejection by another entry VM does not carry the request ID.
 		connection.beginRequest(current, requestHead(current, leftMs), this.request.id(), grant != null);
 		logAttempt(current, grant, leftMs);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -211,6 +211,7 @@
 			this.connection = ready;
 			HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, this.path);
 			request.headers().set(HttpHeaderNames.HOST, this.server.host() + ":" + this.server.port());
+			ready.setAcknowledgementTimeout(0, TIMEOUT_MS);
 			// A response with the ID of a request is a late copy of an earlier response.
 			ready.beginRequest(this, request, "", false);
 			ready.write(LastHttpContent.EMPTY_LAST_CONTENT);
