Count the pause of a request body only while it is read

What callers saw: 408 or 504 for an upload whose server paused for longer than the idle timeout of callers. The entry process had stopped reading from the caller itself.

Change: the pause counts only while the connection is read, and from the moment at which reading resumes.

Evidence: PausingServerTests.callerIsNotTakenForStalledWhileItsServerPauses failed before (504 after 3.6 s) and passes now; EarlyResponseTests 5 of 5.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -446,7 +446,16 @@
 	@Override
 	public void setReading(boolean reading) {
 		boolean full = this.queued.size() > MAX_QUEUED_OBJECTS;
+		boolean resumed = reading && !full && !isReading();
 		context().channel().config().setAutoRead(reading && !full);
+		if (resumed) {
+			// The caller could send nothing while this process did not read.
+			this.lastActivityAt = this.router.now();
+		}
+	}
+
+	private boolean isReading() {
+		return context().channel().config().isAutoRead();
 	}
 
 	/**
@@ -468,7 +477,7 @@
 		else if (current == null && idleMs > idleTimeoutMs) {
 			closeIfIdle();
 		}
-		else if (current != null && !current.isBodyComplete() && idleMs > idleTimeoutMs) {
+		else if (current != null && !current.isBodyComplete() && isReading() && idleMs > idleTimeoutMs) {
 			rejectAndClose(current, REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
 		}
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PausingServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PausingServerTests.java
@@ -27,6 +27,9 @@
 	/** Longer than data may stay unacknowledged on a connection that died. */
 	private static final Duration PAUSE = Duration.ofMillis(2_300);
 
+	/** Longer than a caller may pause within a request. */
+	private static final Duration LONG_PAUSE = Duration.ofMillis(3_800);
+
 	private ServerSocket server;
 
 	private TestGateway gateway;
@@ -51,6 +54,11 @@
 		assertThat(upload(PAUSE)).startsWith("HTTP/1.1 200 ");
 	}
 
+	@Test
+	void callerIsNotTakenForStalledWhileItsServerPauses() throws Exception {
+		assertThat(upload(LONG_PAUSE)).startsWith("HTTP/1.1 200 ");
+	}
+
 	private String upload(Duration pause) throws Exception {
 		Thread.ofVirtual().start(() -> accept(pause));
 		try (Socket socket = this.gateway.connect()) {
