Take nothing from the retry budget for unused slots

Callers saw: a request whose slot went back unused, since the server had announced its leaving or a pause or is not listed at the VM, could be rejected as not run for lack of retry budget.

Cause: the budget of a service is charged when a slot is requested. A slot that is released unused kept its charge, and the request that is placed again was charged once more. A first send counted twice in the same way, which raised the allowance of further sends.

A grant now keeps the purpose and the time of its charge, and an unused release takes just that charge back. Not covered: an unused slot of a server that its dispatcher no longer lists keeps its charge.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -3,7 +3,8 @@
 import java.util.ArrayDeque;
 
 /**
- * Limits how often requests are sent again after a failed attempt.
+ * Limits how often requests are sent again after a failed attempt. A slot that is
+ * released unused counts neither as a first nor as an extra send.
  *
  * <p>
  * Invariant: in any window, the number of extra sends stays below a ratio of the number
@@ -56,6 +57,19 @@
 		return true;
 	}
 
+	/**
+	 * Takes back a send that was recorded but not made.
+	 * @param purpose the purpose of the send
+	 * @param recordedAt the monotonic time at which it was recorded, in milliseconds
+	 */
+	void recordUnused(SendPurpose purpose, long recordedAt) {
+		ArrayDeque<Long> sends = switch (purpose) {
+			case FIRST -> this.firstSends;
+			case RETRY -> this.extraSends;
+		};
+		sends.removeLastOccurrence(recordedAt);
+	}
+
 	double allowance(boolean soleOwner) {
 		double constant = this.limits.retryExtra() / Math.max(1, this.limits.regions()) * CONSTANT_SHARE;
 		return (soleOwner ? constant : 0) + this.firstSends.size() * this.limits.retryRatio() * RATIO_SHARE;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -100,8 +100,8 @@
 		this.coldUntil = now + leftMs;
 	}
 
-	void grant(SlotId id, long until, boolean lastSlot) {
-		this.grants.put(id, new Grant(until, lastSlot));
+	void grant(SlotId id, Grant grant) {
+		this.grants.put(id, grant);
 	}
 
 	/**
@@ -213,8 +213,11 @@
 	 * @param expiresAt the monotonic time after which the slot counts as released, in
 	 * milliseconds
 	 * @param lastSlot whether it was the last free slot of the server
+	 * @param purpose the purpose of the send for which the slot was granted
+	 * @param requestedAt the monotonic time at which the slot was requested, in
+	 * milliseconds
 	 */
-	record Grant(long expiresAt, boolean lastSlot) {
+	record Grant(long expiresAt, boolean lastSlot, SendPurpose purpose, long requestedAt) {
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -135,7 +135,7 @@
 		}
 		ServerSelector.Candidate found = pool.mayBypassQueue(request, now) ? choose(pool, request, now, now) : null;
 		if (found != null) {
-			grant(pool, request, found, now);
+			grant(pool, new QueuedRequest(request, now), found, now);
 			return;
 		}
 		enqueue(pool, request, now);
@@ -209,7 +209,12 @@
 				}
 			}
 			case REPLACED, UNREACHABLE -> server.ejection().recordUnreachable(now);
-			case ABANDONED, UNUSED -> {
+			case UNUSED -> {
+				if (grant != null) {
+					pool.budget().recordUnused(grant.purpose(), grant.requestedAt());
+				}
+			}
+			case ABANDONED -> {
 			}
 		}
 	}
@@ -340,7 +345,7 @@
 			// The receiver of a grant may release the slot at once, and that nested call
 			// may already have served this request.
 			if (found != null && pool.queue().remove(queued.request().id())) {
-				grant(pool, queued.request(), found, now);
+				grant(pool, queued, found, now);
 			}
 		}
 	}
@@ -363,7 +368,8 @@
 				pool.slowness().maxLoadAgeMs(waited));
 	}
 
-	private void grant(ServicePool pool, SlotRequest request, ServerSelector.Candidate found, long now) {
+	private void grant(ServicePool pool, QueuedRequest queued, ServerSelector.Candidate found, long now) {
+		SlotRequest request = queued.request();
 		PooledServer server = found.server();
 		boolean cold = server.isCold(now);
 		if (cold) {
@@ -372,7 +378,8 @@
 		String why = "costMs=" + Math.round(found.costMs()) + " outstanding=" + server.outstanding(now) + "/"
 				+ server.slots() + " loadAgeMs=" + Math.min(server.loadAgeMs(now), Integer.MAX_VALUE) + " cold=" + cold
 				+ " waiting=" + pool.queue().size();
-		server.grant(request.id(), now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS, server.isLastSlot(now));
+		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
+				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -172,6 +172,31 @@
 		assertThat(this.fixture.refused).containsValue(RefusalCause.EXTRA_BUDGET);
 	}
 
+	@Test
+	void slotsReleasedUnusedTakeNothingFromTheRetryBudget() {
+		this.fixture.addServer("a").publishCatalog();
+		for (int i = 0; i < 100; i++) {
+			long extra = this.fixture.requestSlot(this.fixture.slotRequest(1, false, 100, 400, 2_000));
+			assertThat(this.fixture.granted).containsKey(extra);
+			this.fixture.release(extra, SlotOutcome.UNUSED);
+		}
+	}
+
+	@Test
+	void slotsReleasedUnusedDoNotRaiseTheRetryBudget() {
+		this.fixture.addServer("a", DispatcherFixture.DOMAIN, DispatcherFixture.WEST, 500, false, 0, 1)
+			.publishCatalog();
+		for (int i = 0; i < 1_000; i++) {
+			this.fixture.release(this.fixture.requestSlot(), SlotOutcome.UNUSED);
+		}
+		int grantsBefore = this.fixture.granted.size();
+		for (int i = 0; i < 100; i++) {
+			this.fixture.requestSlot(this.fixture.slotRequest(1, false, 100, 400, 2_000));
+		}
+		double maxExtraSends = DispatcherFixture.LIMITS.retryExtra() / DispatcherFixture.LIMITS.regions();
+		assertThat(this.fixture.granted.size() - grantsBefore).isLessThanOrEqualTo((int) maxExtraSends);
+	}
+
 	@Test
 	void requestWhoseConnectionIsLostRepeatedlyIsQuarantined() {
 		this.fixture.addServer("a").addServer("b").publishCatalog();
