--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -3,7 +3,8 @@
 import java.util.ArrayDeque;
 
 /**
- * Limits how often requests are sent again after a failed attempt.
+ * Limits how often requests are sent again after a failed attempt. A slot that is
+ * released unused counts neither as a first nor as an extra send.
  *
  * <p>
  * Invariant: in any window, the extra sends that all dispatchers of a service permit,
@@ -98,6 +99,21 @@
 		return false;
 	}
 
+	/**
+	 * Takes back a send that was recorded but not made.
+	 * @param purpose the purpose of the send
+	 * @param recordedAt the monotonic time at which it was recorded, in milliseconds
+	 */
+	void recordUnused(SendPurpose purpose, long recordedAt) {
+		switch (purpose) {
+			case FIRST -> {
+				this.recentFirstSends.removeLastOccurrence(recordedAt);
+				this.ratioCredit = Math.max(0, this.ratioCredit - this.limits.retryRatio() * RATIO_SHARE);
+			}
+			case RETRY -> this.ratioCredit++;
+		}
+	}
+
 	private void limitRatioCredit(long now) {
 		long keptSince = now - (long) (this.limits.retryWindowMs() * KEPT_WINDOW_SHARE);
 		while (!this.recentFirstSends.isEmpty() && this.recentFirstSends.element() < keptSince) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -51,6 +51,8 @@
 
 	private final ServerSelector selector;
 
+	private final ServerAnnouncements announcements;
+
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
 
 	private final CrashSuspects suspects = new CrashSuspects();
@@ -76,6 +78,7 @@
 		this.limits = limits;
 		this.isSoleOwner = isSoleOwner;
 		this.replies = replies;
+		this.announcements = announcements;
 		this.selector = new ServerSelector(region, random, announcements);
 	}
 
@@ -136,7 +139,7 @@
 		}
 		ServerSelector.Candidate found = pool.mayBypassQueue(request, now) ? choose(pool, request, now, now) : null;
 		if (found != null) {
-			grant(pool, request, found, now);
+			grant(pool, new QueuedRequest(request, now), found, now);
 			return;
 		}
 		enqueue(pool, request, now);
@@ -210,7 +213,12 @@
 				}
 			}
 			case REPLACED, UNREACHABLE -> server.ejection().recordUnreachable(now);
-			case ABANDONED, UNUSED -> {
+			case UNUSED -> {
+				if (grant != null) {
+					pool.budget().recordUnused(grant.purpose(), grant.requestedAt());
+				}
+			}
+			case ABANDONED -> {
 			}
 		}
 	}
@@ -251,6 +259,17 @@
 		}
 	}
 
+	/**
+	 * Records that a server has announced its leaving to another process.
+	 * @param id the server
+	 * @param startedAtEpochMs the start of the run that is leaving, in milliseconds since
+	 * the epoch
+	 * @return {@code true} if this was not known
+	 */
+	public boolean recordLeaving(ServerName id, long startedAtEpochMs) {
+		return this.announcements.recordLeaving(id, startedAtEpochMs);
+	}
+
 	/**
 	 * Records that a health check could not reach a server.
 	 * @param id the server
@@ -342,7 +361,7 @@
 			// The receiver of a grant may release the slot at once, and that nested call
 			// may already have served this request.
 			if (found != null && pool.queue().remove(queued.request().id())) {
-				grant(pool, queued.request(), found, now);
+				grant(pool, queued, found, now);
 			}
 		}
 	}
@@ -365,7 +384,8 @@
 				pool.slowness().maxLoadAgeMs(waited));
 	}
 
-	private void grant(ServicePool pool, SlotRequest request, ServerSelector.Candidate found, long now) {
+	private void grant(ServicePool pool, QueuedRequest queued, ServerSelector.Candidate found, long now) {
+		SlotRequest request = queued.request();
 		PooledServer server = found.server();
 		boolean cold = server.isCold(now);
 		if (cold) {
@@ -374,7 +394,8 @@
 		String why = "costMs=" + Math.round(found.costMs()) + " outstanding=" + server.outstanding(now) + "/"
 				+ server.slots() + " loadAgeMs=" + Math.min(server.loadAgeMs(now), Integer.MAX_VALUE) + " cold=" + cold
 				+ " waiting=" + pool.queue().size();
-		server.grant(request.id(), now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS, server.isLastSlot(now));
+		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
+				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -292,6 +292,7 @@
 		BackendInstance server = this.services.catalog().server(grant.server());
 		if (server == null || server.draining() || this.services.announcements().isLeaving(server)) {
 			this.triedServers.add(grant.server());
+			reportLeaving(grant, server);
 			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
 			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is not listed here or leaving");
 			return;
@@ -331,18 +332,28 @@
 	}
 
 	/**
-	 * Returns the time until the first pause of a server ends that was not tried.
+	 * Returns the time until the first pause ends of a server that the request may be
+	 * sent to.
 	 * @return the time in milliseconds, 0 if there is no such server
 	 */
 	private long firstPauseLeftMs() {
 		return pausedServers().entrySet()
 			.stream()
-			.filter((entry) -> !this.triedServers.contains(entry.getKey()))
+			.filter((entry) -> isPermitted(entry.getKey()))
 			.mapToLong(Map.Entry::getValue)
 			.min()
 			.orElse(0);
 	}
 
+	private boolean isPermitted(ServerName id) {
+		BackendInstance server = this.services.catalog().server(id);
+		return server != null && !this.triedServers.contains(id) && !server.draining()
+				&& !this.services.announcements().isLeaving(server)
+				&& !this.services.catalog().catalog().evacuated().contains(server.domain())
+				&& this.request.route().isAllowedIn(server.region())
+				&& (!isLocalOnly() || server.region().equals(this.services.roster().self().region()));
+	}
+
 	// All servers are paused. The request waits for the first one if there is time enough
 	// to run it then, and is otherwise rejected at once.
 	private void awaitPauseEnd(long pauseLeftMs, String reason) {
@@ -569,6 +580,9 @@
 	}
 
 	void responseReadComplete(SendAttempt current) {
+		if (this.done) {
+			return;
+		}
 		if (this.responseStarted) {
 			BackendConnection connection = current.connection();
 			if (connection != null && !this.caller.isWritable()) {
@@ -587,6 +601,10 @@
 	void callerWritable() {
 		// While the caller took no data, none was read from the server.
 		this.lastContentAt = now();
+		resumeReadingResponse();
+	}
+
+	private void resumeReadingResponse() {
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
@@ -795,6 +813,8 @@
 		if (!this.done) {
 			cancelPending(isRepeatable());
 			complete(0, "caller", "caller closed its connection");
+			// A response that is not cancelled is read to the limit of unattended ones.
+			resumeReadingResponse();
 		}
 	}
 
@@ -846,6 +866,7 @@
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
+			reportLeaving(grant, current.server());
 			release(grant, outcome, load, (int) (now() - current.startedAt()));
 			return;
 		}
@@ -858,6 +879,12 @@
 		}
 	}
 
+	private void reportLeaving(SlotGrant grant, @Nullable BackendInstance server) {
+		if (server != null && this.services.announcements().isLeaving(server)) {
+			this.services.slots().reportLeaving(grant, server);
+		}
+	}
+
 	private void release(SlotGrant grant, SlotOutcome outcome, ServerLoad load, int tookMs) {
 		this.services.slots()
 			.release(grant, new SlotRelease(grant.request().id(), grant.server(), outcome, tookMs,
