Add an account of the bytes that a process holds for callers

What callers send (bodies that wait for a slot, heads) had a bound per request but none on its sum. MemoryAccount decides which requests are accepted and when reading stops. A request is accepted only if the body that it announces fits as a whole; otherwise many slow uploads could fill the limit halfway and none could be completed. Large requests are rejected from 0.75 of the limit (0.65 if their route does not have the highest priority), so that small ones still find room.

Messages between processes, health checks and reads of the platform are not accounted and cannot be rejected.

MemoryAccountTests: two properties with 500 tries each (held bytes never exceed the limit for announced requests, exceed it by one read at most for others, and return to 0), three examples. Nothing uses the class yet.

--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/HeldKind.java
@@ -0,0 +1,14 @@
+package org.lovagevale.core.memory;
+
+/**
+ * What the bytes belong to that a process holds for its callers.
+ */
+public enum HeldKind {
+
+	/** The heads of requests. */
+	REQUEST_HEAD,
+
+	/** The bodies of requests that wait for a server or may be sent again. */
+	REQUEST_BODY
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -0,0 +1,149 @@
+package org.lovagevale.core.memory;
+
+import org.lovagevale.base.Clock;
+
+/**
+ * Accounts for the bytes that a process holds for its callers, and decides which requests
+ * are accepted and whether further bytes are read.
+ *
+ * <p>
+ * A request is accepted only if all bytes that it announces fit. So the accepted requests
+ * can be read completely, instead of blocking each other halfway.
+ *
+ * <p>
+ * Invariants: the held bytes exceed the limit at most by bytes that were not announced
+ * and had been read before reading stopped; they are 0 once all reservations are
+ * released. Messages between processes, health checks and reads of the platform are not
+ * accounted, so they are never rejected for the bytes of callers. Not thread-safe.
+ */
+public final class MemoryAccount {
+
+	/**
+	 * Share of the limit up to which large requests are accepted. The rest is left for
+	 * the small ones, which most callers send.
+	 */
+	private static final double LARGE_REQUEST_SHARE = 0.75;
+
+	/**
+	 * Share of the limit up to which large requests are accepted if their route does not
+	 * have the highest priority.
+	 */
+	private static final double LESS_IMPORTANT_SHARE = 0.65;
+
+	/** Size up to which a request counts as small, in bytes. */
+	private static final long MAX_SMALL_REQUEST_BYTES = 4_096;
+
+	/** Factor by which earlier releases lose weight in the mean holding time. */
+	private static final double HOLDING_TIME_DECAY = 0.95;
+
+	private static final int MIN_RETRY_AFTER_MS = 200;
+
+	private final Clock clock;
+
+	private final long limitBytes;
+
+	private final long[] heldByKind = new long[HeldKind.values().length];
+
+	private long heldBytes;
+
+	private double releasedBytes;
+
+	private double releasedByteMillis;
+
+	/**
+	 * Creates an account that is empty.
+	 * @param clock the source of the current time
+	 * @param limitBytes the limit on the held bytes
+	 */
+	public MemoryAccount(Clock clock, long limitBytes) {
+		if (limitBytes <= 0) {
+			throw new IllegalArgumentException("limit of " + limitBytes + " bytes, expected at least 1");
+		}
+		this.clock = clock;
+		this.limitBytes = limitBytes;
+	}
+
+	/**
+	 * Decides whether a new request is accepted.
+	 * @param requestBytes the size of its head and the announced size of its body, in
+	 * bytes
+	 * @param priority the priority of its route, 0 being the highest
+	 * @return {@code false} if it has to be rejected
+	 */
+	public boolean accepts(long requestBytes, int priority) {
+		return this.heldBytes + requestBytes <= this.limitBytes * shareFor(requestBytes, priority);
+	}
+
+	private static double shareFor(long requestBytes, int priority) {
+		if (requestBytes <= MAX_SMALL_REQUEST_BYTES) {
+			return 1;
+		}
+		return (priority == 0) ? LARGE_REQUEST_SHARE : LESS_IMPORTANT_SHARE;
+	}
+
+	/**
+	 * Returns whether the limit is reached, so that only announced bytes are read.
+	 * @return {@code true} if the limit is reached
+	 */
+	public boolean isFull() {
+		return this.heldBytes >= this.limitBytes;
+	}
+
+	/**
+	 * Returns when a rejected request can be sent again. By then, about as many bytes
+	 * have been released as are held now.
+	 * @return the time in milliseconds
+	 */
+	public int retryAfterMs() {
+		double holdingTimeMs = this.releasedByteMillis / Math.max(1, this.releasedBytes);
+		return (int) Math.max(MIN_RETRY_AFTER_MS, holdingTimeMs);
+	}
+
+	/**
+	 * Reserves bytes. The reservation is not limited; {@link #accepts} is asked before.
+	 * @param kind what the bytes belong to
+	 * @param bytes the size in bytes
+	 * @return the reservation, to be released by the caller of this method
+	 */
+	public MemoryReservation reserve(HeldKind kind, long bytes) {
+		return new MemoryReservation(this, kind, bytes, this.clock.millis());
+	}
+
+	/**
+	 * Returns the held bytes of all kinds.
+	 * @return the size in bytes
+	 */
+	public long heldBytes() {
+		return this.heldBytes;
+	}
+
+	/**
+	 * Returns the held bytes of a kind.
+	 * @param kind what the bytes belong to
+	 * @return the size in bytes
+	 */
+	public long heldBytes(HeldKind kind) {
+		return this.heldByKind[kind.ordinal()];
+	}
+
+	/**
+	 * Returns the limit on the held bytes.
+	 * @return the limit in bytes
+	 */
+	public long limitBytes() {
+		return this.limitBytes;
+	}
+
+	void add(HeldKind kind, long bytes) {
+		this.heldByKind[kind.ordinal()] += bytes;
+		this.heldBytes += bytes;
+	}
+
+	// Weighted by size, since the release of a small request makes room for no large one.
+	void recordRelease(long bytes, long reservedAt) {
+		long heldMs = this.clock.millis() - reservedAt;
+		this.releasedBytes = HOLDING_TIME_DECAY * this.releasedBytes + bytes;
+		this.releasedByteMillis = HOLDING_TIME_DECAY * this.releasedByteMillis + (double) bytes * heldMs;
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryReservation.java
@@ -0,0 +1,58 @@
+package org.lovagevale.core.memory;
+
+/**
+ * The bytes of one kind that one request or connection holds.
+ *
+ * <p>
+ * Invariant: once released, it holds nothing and cannot be resized. Not thread-safe.
+ */
+public final class MemoryReservation {
+
+	private final MemoryAccount account;
+
+	private final HeldKind kind;
+
+	private final long reservedAt;
+
+	private long bytes;
+
+	private boolean released;
+
+	MemoryReservation(MemoryAccount account, HeldKind kind, long bytes, long now) {
+		this.account = account;
+		this.kind = kind;
+		this.reservedAt = now;
+		resize(bytes);
+	}
+
+	/**
+	 * Returns the reserved bytes.
+	 * @return the size in bytes
+	 */
+	public long bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Changes the size. It is not limited, since the bytes have already been read.
+	 * @param newBytes the size in bytes
+	 */
+	public void resize(long newBytes) {
+		if (!this.released) {
+			this.account.add(this.kind, newBytes - this.bytes);
+			this.bytes = newBytes;
+		}
+	}
+
+	/**
+	 * Releases all bytes. Further calls have no effect.
+	 */
+	public void release() {
+		if (!this.released) {
+			this.account.recordRelease(this.bytes, this.reservedAt);
+			resize(0);
+			this.released = true;
+		}
+	}
+
+}
--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -0,0 +1,97 @@
+package org.lovagevale.core.memory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.lovagevale.base.ManualClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against requests that are accepted beyond the limit, and against bytes that stay
+ * accounted after their request has ended.
+ */
+class MemoryAccountTests {
+
+	private static final long LIMIT_BYTES = 1_000_000;
+
+	private static final int MAX_REQUEST_BYTES = 100_000;
+
+	private static final int STEPS = 500;
+
+	private final ManualClock clock = new ManualClock(1_000, 0);
+
+	private final MemoryAccount account = new MemoryAccount(this.clock, LIMIT_BYTES);
+
+	@Property(seed = "20261205", tries = 500)
+	void acceptedRequestsNeverExceedTheLimitAndReleaseAllTheyHold(@ForAll long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		MemoryAccount accepting = new MemoryAccount(this.clock, LIMIT_BYTES);
+		List<MemoryReservation> held = new ArrayList<>();
+		for (int i = 0; i < STEPS; i++) {
+			int bytes = random.nextInt(1, MAX_REQUEST_BYTES);
+			if (random.nextInt(3) > 0 && accepting.accepts(bytes, random.nextInt(3))) {
+				held.add(accepting.reserve(HeldKind.values()[random.nextInt(2)], bytes));
+			}
+			else if (!held.isEmpty()) {
+				MemoryReservation ended = held.remove(random.nextInt(held.size()));
+				ended.release();
+				ended.resize(bytes);
+				ended.release();
+			}
+			long sum = held.stream().mapToLong(MemoryReservation::bytes).sum();
+			assertThat(accepting.heldBytes()).isEqualTo(sum).isLessThanOrEqualTo(LIMIT_BYTES);
+		}
+		held.forEach(MemoryReservation::release);
+		assertThat(accepting.heldBytes()).isZero();
+		for (HeldKind kind : HeldKind.values()) {
+			assertThat(accepting.heldBytes(kind)).isZero();
+		}
+	}
+
+	@Property(seed = "20261205", tries = 500)
+	void unannouncedBytesExceedTheLimitOnlyByOneReadEach(@ForAll long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		MemoryAccount reading = new MemoryAccount(this.clock, LIMIT_BYTES);
+		MemoryReservation body = reading.reserve(HeldKind.REQUEST_BODY, 0);
+		int readBytes = 0;
+		for (int i = 0; i < STEPS && !reading.isFull(); i++) {
+			readBytes = random.nextInt(1, MAX_REQUEST_BYTES);
+			body.resize(body.bytes() + readBytes);
+		}
+		assertThat(reading.heldBytes()).isLessThan(LIMIT_BYTES + readBytes);
+		body.release();
+		assertThat(reading.isFull()).isFalse();
+	}
+
+	@Example
+	void smallRequestsAreAcceptedWhileLargeOnesAreRejected() {
+		while (this.account.accepts(MAX_REQUEST_BYTES, 0)) {
+			this.account.reserve(HeldKind.REQUEST_BODY, MAX_REQUEST_BYTES);
+		}
+		assertThat(this.account.accepts(1_000, 0)).isTrue();
+	}
+
+	@Example
+	void largeRequestsOfLowerPriorityAreRejectedFirst() {
+		while (this.account.accepts(MAX_REQUEST_BYTES, 1)) {
+			this.account.reserve(HeldKind.REQUEST_BODY, MAX_REQUEST_BYTES);
+		}
+		assertThat(this.account.accepts(MAX_REQUEST_BYTES, 0)).isTrue();
+	}
+
+	@Example
+	void retryDelayFollowsTheTimeForWhichRequestsHoldTheirBytes() {
+		for (int i = 0; i < 200; i++) {
+			MemoryReservation body = this.account.reserve(HeldKind.REQUEST_BODY, 1_000);
+			this.clock.advance(1_500);
+			body.release();
+		}
+		assertThat(this.account.retryAfterMs()).isBetween(1_400, 1_500);
+	}
+
+}
