Let a dispatcher earn its budget for retries

What callers saw: nothing; the servers of a service got more arrivals beyond the first of each request than the limit, 0.2 of the requests plus 62 in 10 s over all regions.

Cause: each dispatcher of a service began with its whole part of the constant, and kept credit for the first sends of 10 s. Dispatchers that replaced each other within a window, after planned stops or kills, could each use all of that.

Evidence: a model of three regions with successive dispatchers and servers that reject 60 % of the requests.

Why the fix works: a budget starts with one extra send. The constant is earned over the time for which the dispatcher is the sole owner and is lost at the same rate when it is not, so a window holds at most what was kept at its start, what was earned in it and one send for each new sole owner. The credit of the first sends is kept for a quarter of a window only. Without the initial send, a service with few requests had no retry after a start (GatewayProcessTests failed).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -123,10 +123,11 @@
 			this.replies.refused(request.id(), RefusalCause.QUARANTINED, (int) CrashSuspects.QUARANTINE_MS);
 			return;
 		}
+		pool.budget().observeOwnership(this.isSoleOwner.test(request.service()), now);
 		if (request.purpose() == SendPurpose.FIRST) {
 			pool.budget().recordFirstSend(now);
 		}
-		else if (!pool.budget().tryAcquire(this.isSoleOwner.test(request.service()), now)) {
+		else if (!pool.budget().tryAcquire(now)) {
 			// Only the expected wait, as a retry by the caller is not limited by this
 			// budget.
 			this.replies.refused(request.id(), RefusalCause.EXTRA_BUDGET,
@@ -228,6 +229,7 @@
 		if (pool != null && server != null) {
 			server.recordLoad(load, now);
 			pool.slowness().recordLoad(load);
+			pool.budget().observeOwnership(this.isSoleOwner.test(server.instance().service()), now);
 			server.ejection().recordReachable();
 			if (warmupLeftMs >= 0) {
 				server.setWarmupLeft(warmupLeftMs, now);
