--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -10,18 +10,24 @@
  * Invariant: in any window, the extra sends that all dispatchers of a service permit,
  * also those that replace each other within the window, stay below a ratio of the number
  * of first sends plus a constant, {@link PlacingLimits#retryExtra()}. For this, a budget
- * starts empty: each first send adds to it, and so does the time for which the dispatcher
- * is the sole owner of the service. What is not used is kept only to a bounded amount,
- * since a successor earns its own budget at the same rate. Not thread-safe.
+ * starts almost empty: each first send adds to it, and so does the time for which the
+ * dispatcher is the sole owner of the service. What is not used is kept only to a bounded
+ * amount, since a successor earns its own budget at the same rate. Not thread-safe.
  */
 final class ExtraSendBudget {
 
 	/**
 	 * Share of a region's part of the constant that is earned per window and also the
-	 * share that is kept at most. A window contains what was kept at its start and what
-	 * is earned in it.
+	 * share that is kept at most. A window contains what was kept at its start, what is
+	 * earned in it and the initial credits of new dispatchers.
 	 */
-	private static final double CONSTANT_SHARE = 0.5;
+	private static final double CONSTANT_SHARE = 0.4;
+
+	/**
+	 * Extra sends that a new dispatcher may permit as the sole owner, so that a service
+	 * with few requests has one after a start.
+	 */
+	private static final double INITIAL_CREDIT = 1;
 
 	/**
 	 * Share of the permitted ratio that each first send adds. The first sends of one
@@ -51,6 +57,8 @@
 
 	private boolean soleOwner;
 
+	private boolean hadInitialCredit;
+
 	private long observedAt;
 
 	ExtraSendBudget(PlacingLimits limits) {
@@ -71,6 +79,10 @@
 		// Another process may earn the constant in the time that is not owned.
 		double kept = Math.max(0, this.constantCredit - (elapsedMs - ownedMs) * perMs);
 		this.constantCredit = Math.min(max, kept + ownedMs * perMs);
+		if (owner && !this.hadInitialCredit) {
+			this.hadInitialCredit = true;
+			this.constantCredit = INITIAL_CREDIT;
+		}
 		this.soleOwner = owner;
 		this.observedAt = now;
 	}
