Stop a process in order that gets SIGTERM while it starts

Callers whose connections had just been accepted were cut: a SIGTERM between the opening of the ports and the end of the start ended the process at once.

Cause: the shutdown hook was added after all ports were open.

Evidence: terminationRightAfterThePortsOpenedIsAPlannedStop failed before (process.started, then the end without process.leaving).

A lock orders the opening of the ports and the stop: a process that has not begun to accept connections ends at once and opens no port any more, any other makes a planned stop. The periodic work could also mark a process ready again between the beginning of the stop and the change to the leaving phase; the phase change now clears the mark.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -117,6 +117,15 @@
 
 	private final long startedAt;
 
+	/** Orders the opening of ports and the beginning of a planned stop. */
+	private final Object portLock = new Object();
+
+	private boolean peerPortOpen;
+
+	private boolean callerPortOpen;
+
+	private boolean stopping;
+
 	private volatile GatewaySettings settings;
 
 	private volatile boolean ready;
@@ -185,12 +194,17 @@
 
 	/**
 	 * Opens all ports and starts the periodic work: the discovery of peers, reads of the
-	 * platform and health checks.
+	 * platform and health checks. Does nothing once a planned stop has begun. May be
+	 * called again after it failed; ports that are open stay open.
 	 * @throws GatewayException if a port cannot be opened
 	 */
 	public void start() throws GatewayException {
-		this.peers.listen(this.settings.peerAddress());
-		this.frontend.open(this.settings.callerAddress());
+		synchronized (this.portLock) {
+			if (this.stopping) {
+				return;
+			}
+			openPorts();
+		}
 		this.slotClient.onWaiting(this::scheduleSlotTick);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
 			this.delayTask.run();
@@ -210,6 +224,15 @@
 					.with("incarnation", this.roster.self().incarnation()));
 	}
 
+	private void openPorts() throws GatewayException {
+		if (!this.peerPortOpen) {
+			this.peers.listen(this.settings.peerAddress());
+			this.peerPortOpen = true;
+		}
+		this.frontend.open(this.settings.callerAddress());
+		this.callerPortOpen = true;
+	}
+
 	// A delay means that the event loop was blocked or the process did not run: what
 	// arrived
 	// meanwhile was read late, and the timeouts were late as well.
@@ -325,9 +348,16 @@
 	/**
 	 * Performs a planned stop: announces it to callers and peers, rejects the requests
 	 * that cannot be completed, then blocks until all connections of callers are closed
-	 * or the stop time is almost over.
+	 * or the stop time is almost over. Returns at once if the process has not begun to
+	 * accept connections.
 	 */
 	public void stop() {
+		synchronized (this.portLock) {
+			this.stopping = true;
+			if (!this.callerPortOpen) {
+				return;
+			}
+		}
 		long stopStartedAt = this.clock.millis();
 		this.ready = false;
 		CountDownLatch stopped = new CountDownLatch(1);
@@ -351,6 +381,8 @@
 
 	private void leave(long stopStartedAt, CountDownLatch stopped) {
 		LOGGER.info("{}", LogLine.event("process.leaving").with("connections", this.frontend.connectionCount()));
+		// The periodic work may have set it since the stop began.
+		this.ready = false;
 		this.roster.enterPhase(RosterPhase.LEAVING);
 		this.peers.sendHeartbeat();
 		this.plannedStop.begin(stopStartedAt, stopTimeMs());
