Tell the dispatcher which server has announced its leaving

Callers saw: a server that had announced its leaving to one entry VM went on getting requests from the other VMs of the region until the next health check of the dispatcher or the store said so. In a partition from the store nothing else does.

Cause: the announcement stayed at the process that read it. The release of a slot told the dispatcher the outcome and the load, but not the leaving.

A process now sends the server and its run directly before it releases a slot of it, also one that it could not use. The dispatcher records it for that run alone, before the released slot can be granted again. Idle connections to a server that leaves are closed at such a VM too.

The message has a type of its own, since a component added to the release would make the releases of processes of the version before malformed. A process of that version does not know the new type; a link between both versions during an upgrade was not run.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
@@ -7,7 +7,8 @@
  * Such messages carry no settings tree and no idempotency keys. Processes that are
  * configured by a settings tree ignore them.
  */
-public sealed interface RegionMessage extends PeerMessage permits RosterBeat, RosterList, RosterSummary, RosterRequest,
-		CatalogNews, CatalogRequest, SlotAsk, SlotGranted, SlotQueued, SlotRefused, SlotCancelled, SlotReturned {
+public sealed interface RegionMessage extends PeerMessage
+		permits RosterBeat, RosterList, RosterSummary, RosterRequest, CatalogNews, CatalogRequest, SlotAsk, SlotGranted,
+		SlotQueued, SlotRefused, SlotCancelled, SlotReturned, ServerLeaving {
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
@@ -54,6 +54,17 @@
 		return this.leaving.add(Run.of(server));
 	}
 
+	/**
+	 * Records that a server has announced its leaving to another process.
+	 * @param server the server
+	 * @param startedAtEpochMs the start of the run that is leaving, in milliseconds since
+	 * the epoch
+	 * @return {@code true} if this was not known
+	 */
+	public boolean recordLeaving(ServerName server, long startedAtEpochMs) {
+		return this.leaving.add(new Run(server, startedAtEpochMs));
+	}
+
 	/**
 	 * Tells whether a server has announced that it is leaving.
 	 * @param server the run of the server
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -51,6 +51,8 @@
 
 	private final ServerSelector selector;
 
+	private final ServerAnnouncements announcements;
+
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
 
 	private final CrashSuspects suspects = new CrashSuspects();
@@ -76,6 +78,7 @@
 		this.limits = limits;
 		this.isSoleOwner = isSoleOwner;
 		this.replies = replies;
+		this.announcements = announcements;
 		this.selector = new ServerSelector(region, random, announcements);
 	}
 
@@ -254,6 +257,17 @@
 		}
 	}
 
+	/**
+	 * Records that a server has announced its leaving to another process.
+	 * @param id the server
+	 * @param startedAtEpochMs the start of the run that is leaving, in milliseconds since
+	 * the epoch
+	 * @return {@code true} if this was not known
+	 */
+	public boolean recordLeaving(ServerName id, long startedAtEpochMs) {
+		return this.announcements.recordLeaving(id, startedAtEpochMs);
+	}
+
 	/**
 	 * Records that a health check could not reach a server.
 	 * @param id the server
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -34,6 +34,7 @@
 import org.lovagevale.core.message.RosterList;
 import org.lovagevale.core.message.RosterRequest;
 import org.lovagevale.core.message.RosterSummary;
+import org.lovagevale.core.message.ServerLeaving;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
@@ -397,6 +398,7 @@
 				case SlotRefused refused -> client.handleRefusal(from, refused);
 				case SlotCancelled cancelled -> client.dispatcher().cancel(new SlotId(from, cancelled.number()));
 				case SlotReturned returned -> client.handleRelease(from, returned);
+				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
 			}
 		}
 		catch (IllegalArgumentException ex) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -12,6 +12,8 @@
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.VmName;
+import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.message.ServerLeaving;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
@@ -184,6 +186,35 @@
 		this.sender.send(grant.dispatcher(), SlotMessages.toMessage(release));
 	}
 
+	/**
+	 * Reports a server that has announced its leaving to the dispatcher that granted a
+	 * slot of it. To be called before the slot is released, so that no other request gets
+	 * it.
+	 * @param grant the slot
+	 * @param server the run of the server
+	 */
+	public void reportLeaving(SlotGrant grant, BackendInstance server) {
+		if (!isSelf(grant.dispatcher())) {
+			this.sender.send(grant.dispatcher(), new ServerLeaving(server.id().value(), server.startedAtEpochMs()));
+		}
+	}
+
+	/**
+	 * Handles the report by another process that a server is leaving.
+	 * @param from the VM of the sender
+	 * @param leaving the server and its run
+	 */
+	public void handleServerLeaving(VmName from, ServerLeaving leaving) {
+		ServerName server = new ServerName(leaving.server());
+		if (this.dispatcher.recordLeaving(server, leaving.startedAtEpochMs())) {
+			LOGGER.info("{}",
+					LogLine.event("server.leaving")
+						.with("server", server)
+						.with("startedAt", leaving.startedAtEpochMs())
+						.with("from", from));
+		}
+	}
+
 	/**
 	 * Lets the dispatcher of this process decide the requests whose dispatcher has not
 	 * confirmed them in time, is no longer alive or is leaving.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -206,7 +206,8 @@
 	}
 
 	/**
-	 * Closes connections that have been idle too long or whose server is no longer known.
+	 * Closes connections that have been idle too long or whose server is no longer known
+	 * or leaving.
 	 * @param knownServers the servers whose connections are kept
 	 */
 	public void evictIdle(Set<ServerName> knownServers) {
@@ -216,7 +217,8 @@
 			Map.Entry<ServerName, ArrayDeque<BackendConnection>> entry = it.next();
 			boolean gone = !knownServers.contains(entry.getKey());
 			entry.getValue().removeIf((connection) -> {
-				boolean stale = gone || !connection.isUsable() || connection.idleMs(now) > connection.idleLimitMs();
+				boolean stale = gone || !connection.isUsable() || connection.idleMs(now) > connection.idleLimitMs()
+						|| this.announcements.isLeaving(connection.server());
 				if (stale) {
 					connection.channel().close();
 				}
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -13,6 +13,7 @@
 import org.lovagevale.core.message.RosterList;
 import org.lovagevale.core.message.RosterRequest;
 import org.lovagevale.core.message.RosterSummary;
+import org.lovagevale.core.message.ServerLeaving;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
 import org.lovagevale.core.message.SlotAsk;
@@ -72,7 +73,9 @@
 
 	ROSTER_SUMMARY(20, RosterSummary.class),
 
-	ROSTER_REQUEST(21, RosterRequest.class);
+	ROSTER_REQUEST(21, RosterRequest.class),
+
+	SERVER_LEAVING(22, ServerLeaving.class);
 
 	private final int code;
 
@@ -106,6 +109,7 @@
 			case SlotReturned returned -> SLOT_RETURNED;
 			case RosterSummary summary -> ROSTER_SUMMARY;
 			case RosterRequest request -> ROSTER_REQUEST;
+			case ServerLeaving leaving -> SERVER_LEAVING;
 		};
 	}
 
