Wait only for the pause of a server that may be used

Callers saw: a request was held until the end of a pause and then rejected, although the paused server could not take it.

Cause: when all servers were paused, the first pause to end was looked up among all servers of the service: also those that are leaving or draining, evacuated, or in a region that the request must not be sent to. The caller got the end of that pause as the time to come back, too.

The servers that count are now those that the dispatcher would grant.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -330,18 +330,28 @@
 	}
 
 	/**
-	 * Returns the time until the first pause of a server ends that was not tried.
+	 * Returns the time until the first pause ends of a server that the request may be
+	 * sent to.
 	 * @return the time in milliseconds, 0 if there is no such server
 	 */
 	private long firstPauseLeftMs() {
 		return pausedServers().entrySet()
 			.stream()
-			.filter((entry) -> !this.triedServers.contains(entry.getKey()))
+			.filter((entry) -> isPermitted(entry.getKey()))
 			.mapToLong(Map.Entry::getValue)
 			.min()
 			.orElse(0);
 	}
 
+	private boolean isPermitted(ServerName id) {
+		BackendInstance server = this.services.catalog().server(id);
+		return server != null && !this.triedServers.contains(id) && !server.draining()
+				&& !this.services.announcements().isLeaving(server)
+				&& !this.services.catalog().catalog().evacuated().contains(server.domain())
+				&& this.request.route().isAllowedIn(server.region())
+				&& (!isLocalOnly() || server.region().equals(this.services.roster().self().region()));
+	}
+
 	// All servers are paused. The request waits for the first one if there is time enough
 	// to run it then, and is otherwise rejected at once.
 	private void awaitPauseEnd(long pauseLeftMs, String reason) {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/AnnouncingServerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/AnnouncingServerTests.java
@@ -172,6 +172,16 @@
 		assertThat(this.first.requests()).hasSize(1);
 	}
 
+	@Test
+	void requestDoesNotWaitForThePauseOfAServerThatIsLeaving() throws Exception {
+		this.first.setHandler(
+				(request, socket) -> TestServer.write(socket, with(rejection(request, "1"), "Test-Leaving: 1")));
+		post(0);
+		long startedAt = System.nanoTime();
+		assertThat(post(1)).startsWith("HTTP/1.1 503");
+		assertThat((System.nanoTime() - startedAt) / 1_000_000).isLessThan(500);
+	}
+
 	private static void sleep(long ms) {
 		try {
 			Thread.sleep(ms);
