Read on from a server when its slow caller has left

Seen by operators: a slot of a server stayed taken after its caller had left in the middle of a response.

Cause: while a caller takes no data, reading from the server is switched off. When such a caller left during the response to a request that must not be repeated, the attempt went on without it, but nothing switched reading on again, and the end of a batch of data that was read after the end of the exchange switched it off, since a closed channel is never writable. The server was held until 500 ms after the timeout of the request.

Evidence: responseToASlowCallerThatLeavesDoesNotHoldItsServer (20 MB of response, 3 s of timeout) failed on the code before, where the server was still held 500 ms after the caller had left, and passes now.

The end of the exchange now switches reading on, so that the rest counts against the limit of unattended responses, and an exchange that has ended never switches it off.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -556,6 +556,9 @@
 	}
 
 	void responseReadComplete(SendAttempt current) {
+		if (this.done) {
+			return;
+		}
 		if (this.responseStarted) {
 			BackendConnection connection = current.connection();
 			if (connection != null && !this.caller.isWritable()) {
@@ -574,6 +577,10 @@
 	void callerWritable() {
 		// While the caller took no data, none was read from the server.
 		this.lastContentAt = now();
+		resumeReadingResponse();
+	}
+
+	private void resumeReadingResponse() {
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
@@ -782,6 +789,8 @@
 		if (!this.done) {
 			cancelPending(isRepeatable());
 			complete(0, "caller", "caller closed its connection");
+			// A response that is not cancelled is read to the limit of unattended ones.
+			resumeReadingResponse();
 		}
 	}
 
