Close the connection of a caller whose request fails internally

Callers saw: no answer and no close, until the idle timeout.

Cause: FrontendConnection marks itself as processing while it handles what was received, and did not reset the mark when the handling threw. A request that had been sent ahead is handled when the response before it ends, on the event of the server's connection, so the exception closed that connection and not the caller's. From then on nothing that the caller sent was handled.

Evidence: callerOfAPipelinedRequestThatFailsInternallyIsNotLeftWaiting timed out after 1 s on the code before, and passes now.

The mark is reset in any case, and a failure is logged with its cause as request.broken and closes the caller's connection, which ends the request in progress.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -151,10 +151,28 @@
 			return;
 		}
 		this.processing = true;
-		while (!this.queued.isEmpty() && processNext()) {
-			// Each call consumes one object.
+		try {
+			while (!this.queued.isEmpty() && processNext()) {
+				// Each call consumes one object.
+			}
+		}
+		catch (RuntimeException ex) {
+			closeAfterFailure(ex);
+		}
+		finally {
+			this.processing = false;
 		}
-		this.processing = false;
+	}
+
+	// The request in progress ends when the channel becomes inactive.
+	private void closeAfterFailure(RuntimeException cause) {
+		LOGGER.error("{}",
+				LogLine.event("request.broken").with("caller", remoteHost()).with("why", String.valueOf(cause)), cause);
+		this.closing = true;
+		this.discarding = false;
+		releaseQueued();
+		context().flush();
+		context().close();
 	}
 
 	private boolean processNext() {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RequestEndTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RequestEndTests.java
@@ -59,4 +59,16 @@
 		assertThat(released.await(MAX_END_DELAY_MS, TimeUnit.MILLISECONDS)).isTrue();
 	}
 
+	// The test protocol throws an exception for a time that is not a number.
+	@Test
+	void callerOfAPipelinedRequestThatFailsInternallyIsNotLeftWaiting() throws Exception {
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.getRequest("/read/1", "first")
+					+ TestGateway.getRequest("/read/2", "second").replace("3000", "soon"));
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200");
+			socket.setSoTimeout(1_000);
+			assertThat(socket.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
 }
