Bound the pauses of servers, and look them up by service

Seen by reading: ServerAnnouncements promises to remember a limited number of runs, but kept any number of pauses, each for up to an hour. Each slot request looked through the pauses of all services, and each new pause through all known ones.

The pauses are kept in the order in which they were recorded, beside an index by service; the eldest gives way, and those that have ended are dropped when the service is looked up.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
@@ -1,8 +1,11 @@
 package org.lovagevale.core.placing;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -20,8 +23,8 @@
  * <p>
  * Invariants: an announcement holds for one run of a server, whatever the catalog or
  * another process says, and never for a later run; a run that is leaving stays so; the
- * end of a pause never moves to an earlier time. At most {@link #MAX_RUNS} runs are
- * remembered, the latest ones. Not thread-safe.
+ * end of a pause never moves to an earlier time. At most {@link #MAX_RUNS} runs that are
+ * leaving and as many pauses are remembered, the latest ones. Not thread-safe.
  */
 public final class ServerAnnouncements {
 
@@ -35,7 +38,11 @@
 
 	private final Set<Run> leaving = Collections.newSetFromMap(new BoundedMap());
 
-	private final Map<Run, Pause> pauses = new HashMap<>();
+	/** The pauses in the order in which they were last recorded. */
+	private final Map<Run, Pause> pauses = new LinkedHashMap<>();
+
+	/** The keys of {@link #pauses} by service. */
+	private final Map<ServiceName, Set<Run>> pausedRuns = new HashMap<>();
 
 	/**
 	 * Creates an instance without announcements.
@@ -84,10 +91,29 @@
 		if (pauseMs < 0) {
 			throw new IllegalArgumentException("pause of " + pauseMs + " ms");
 		}
-		long now = this.clock.millis();
-		this.pauses.values().removeIf((pause) -> pause.endsAt() <= now);
-		Pause next = new Pause(server.service(), now + Math.min(MAX_PAUSE_MS, pauseMs));
-		this.pauses.merge(Run.of(server), next, Pause::later);
+		Run run = Run.of(server);
+		Pause next = new Pause(server.service(), this.clock.millis() + Math.min(MAX_PAUSE_MS, pauseMs));
+		Pause known = removePause(run);
+		put(run, (known != null) ? known.later(next) : next);
+		if (this.pauses.size() > MAX_RUNS) {
+			removePause(this.pauses.keySet().iterator().next());
+		}
+	}
+
+	private void put(Run run, Pause pause) {
+		this.pauses.put(run, pause);
+		this.pausedRuns.computeIfAbsent(pause.service(), (service) -> new HashSet<>()).add(run);
+	}
+
+	private @Nullable Pause removePause(Run run) {
+		Pause removed = this.pauses.remove(run);
+		if (removed != null) {
+			this.pausedRuns.computeIfPresent(removed.service(), (service, runs) -> {
+				runs.remove(run);
+				return runs.isEmpty() ? null : runs;
+			});
+		}
+		return removed;
 	}
 
 	/**
@@ -110,22 +136,28 @@
 	}
 
 	/**
-	 * Returns the listed servers of a service that are paused.
+	 * Returns the listed servers of a service that are paused, and forgets the pauses of
+	 * the service that have ended.
 	 * @param service the service
 	 * @param listed provides the current run of a server, {@code null} if there is none
 	 * @return the time left of each pause, in milliseconds
 	 */
 	public Map<ServerName, Long> paused(ServiceName service, Function<ServerName, @Nullable BackendInstance> listed) {
 		Map<ServerName, Long> paused = new HashMap<>();
+		List<Run> ended = new ArrayList<>();
 		long now = this.clock.millis();
-		this.pauses.forEach((run, pause) -> {
-			if (pause.service().equals(service) && pause.endsAt() > now) {
-				BackendInstance current = listed.apply(run.server());
-				if (current != null && Run.of(current).equals(run)) {
-					paused.put(run.server(), pause.endsAt() - now);
-				}
+		for (Run run : this.pausedRuns.getOrDefault(service, Set.of())) {
+			Pause pause = this.pauses.get(run);
+			if (pause == null || pause.endsAt() <= now) {
+				ended.add(run);
+				continue;
 			}
-		});
+			BackendInstance current = listed.apply(run.server());
+			if (current != null && Run.of(current).equals(run)) {
+				paused.put(run.server(), pause.endsAt() - now);
+			}
+		}
+		ended.forEach(this::removePause);
 		return paused;
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/ServerAnnouncementsTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/ServerAnnouncementsTests.java
@@ -97,6 +97,16 @@
 		assertThat(this.announcements.isLeaving(server("s-1", 5))).isTrue();
 	}
 
+	@Test
+	void oldestPausesAreForgotten() {
+		for (int i = 0; i <= ServerAnnouncements.MAX_RUNS; i++) {
+			this.announcements.recordPause(server("s-" + i, 5), ServerAnnouncements.MAX_PAUSE_MS);
+		}
+		assertThat(this.announcements.isAvailable(server("s-0", 5))).isTrue();
+		assertThat(this.announcements.isAvailable(server("s-1", 5))).isFalse();
+		assertThat(paused(5)).hasSize(ServerAnnouncements.MAX_RUNS);
+	}
+
 	// Each number is one event: its last digits choose the server and the kind of event.
 	@Property(seed = "20261205", tries = 300)
 	void nothingIsGrantedToAServerThatIsLeaving(
