Name the peer address that is in use

An operator saw "cannot listen for connections of peers" without the address, which only the cause had.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -204,7 +204,7 @@
 			this.transport.listen(address.host(), address.port());
 		}
 		catch (PeerException ex) {
-			throw new GatewayException("cannot listen for connections of peers", ex);
+			throw new GatewayException("cannot listen for connections of peers on " + address, ex);
 		}
 	}
 
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -102,6 +102,10 @@
 		return this;
 	}
 
+	HostPort callerAddress() {
+		return this.callerAddress;
+	}
+
 	HostPort peerAddress() {
 		return this.peerAddress;
 	}
