Count a relayed request that reached a server as a retry

What callers saw: nothing; the servers of a service got more arrivals beyond the first of each request than the limit.

Cause: an entry VM that relays a request did not know whether a server of the other region had received it before that region rejected it. It relayed the request to the next region, where it counted as a first send: the arrival used no budget and even added to it.

Why the fix works: a relayed request and its rejection state the number of servers that received the request, in a header between entry VMs that neither servers nor callers get. A request that reached a server is a retry for every dispatcher.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/AttemptPolicy.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/AttemptPolicy.java
@@ -26,6 +26,8 @@
 
 	private int sends;
 
+	private int sendsByOthers;
+
 	private int unreachableServers;
 
 	private boolean mayHaveRun;
@@ -41,7 +43,7 @@
 	}
 
 	/**
-	 * Returns the number of servers that the request was sent to.
+	 * Returns the number of servers that this process sent the request to.
 	 * @return the number
 	 */
 	public int sends() {
@@ -63,6 +65,31 @@
 		this.sends++;
 	}
 
+	/**
+	 * Records to how many servers other entry VMs have sent the request.
+	 * @param count the number of servers, added to those recorded before
+	 */
+	public void recordSendsByOthers(int count) {
+		this.sendsByOthers += count;
+	}
+
+	/**
+	 * Returns the number of servers that the request was sent to by this and other entry
+	 * VMs.
+	 * @return the number
+	 */
+	public int totalSends() {
+		return this.sends + this.sendsByOthers;
+	}
+
+	/**
+	 * Returns the purpose of the next send.
+	 * @return the purpose
+	 */
+	public SendPurpose nextPurpose() {
+		return (totalSends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY;
+	}
+
 	/**
 	 * Decides what to do after an attempt without a usable response.
 	 * @param outcome the outcome of the attempt
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/RepeatLimitTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/RepeatLimitTests.java
@@ -1,5 +1,7 @@
 package org.lovagevale.core.placing;
 
+import java.util.Set;
+
 import org.junit.jupiter.api.Test;
 import org.lovagevale.base.Region;
 
@@ -56,4 +58,16 @@
 		}
 	}
 
+	@Test
+	void relayAfterARejectionByAServerCountsAsRepeat() {
+		for (int seed = 1; seed <= SEEDS; seed++) {
+			SimulatedFleet fleet = fleet(seed, 30);
+			fleet.serveOnlyIn(Set.of(SimulatedFleet.REGIONS.get(0), SimulatedFleet.REGIONS.get(1)));
+			SimulatedFleet.REGIONS.forEach((region) -> fleet.fail(region, 0.6, 0));
+			RepeatLedger ledger = fleet.run(DURATION_MS);
+			report("relayed-after-rejection", fleet, ledger);
+			assertThat(ledger.worstShareOfLimit()).as("seed %s", seed).isLessThanOrEqualTo(1);
+		}
+	}
+
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedFleet.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedFleet.java
@@ -264,6 +264,9 @@
 			this.region = region;
 			this.relaying = relaying;
 			this.timeoutAt = timeoutAt;
+			if (relaying != null) {
+				this.policy.recordSendsByOthers(relaying.policy.totalSends());
+			}
 		}
 
 		private boolean isAllowedIn(Region other) {
@@ -297,11 +300,10 @@
 			SlotId id = new SlotId(new VmName(this.region.value()), SimulatedFleet.this.lastNumber++);
 			this.dispatcher = SimulatedFleet.this.owners.get(this.region);
 			SimulatedFleet.this.asking.put(id, this);
-			SendPurpose purpose = (this.policy.sends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY;
 			this.dispatcher.dispatcher.requestSlot(
 					new SlotRequest(id, DispatcherFixture.SERVICE, new FailureDomain(this.region.value() + "-1"),
-							SimulatedFleet.this.homeRegions, true, 1, false, purpose, WORK_MS, TARGET_LATENCY_MS,
-							(int) (this.timeoutAt - now()), this.triedServers, this.request));
+							SimulatedFleet.this.homeRegions, true, 1, false, this.policy.nextPurpose(), WORK_MS,
+							TARGET_LATENCY_MS, (int) (this.timeoutAt - now()), this.triedServers, this.request));
 		}
 
 		private void granted(SlotId id, ServerName server) {
@@ -347,6 +349,7 @@
 
 		private void rejected() {
 			if (this.relaying != null) {
+				this.relaying.policy.recordSendsByOthers(this.policy.sends());
 				this.relaying.tryRelay();
 			}
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
@@ -135,4 +135,20 @@
 	 */
 	@Nullable String relayedCaller(HttpHeaders headers);
 
+	/**
+	 * Sets the number of servers that a request was sent to before. It is set for
+	 * requests that are relayed to another entry VM and for rejections of such requests.
+	 * @param headers the headers of the request or of the rejection
+	 * @param sends the number of servers
+	 */
+	void setEarlierSends(HttpHeaders headers, int sends);
+
+	/**
+	 * Returns the number of servers that a relayed request was sent to before, or that
+	 * the entry VM which rejects it has sent it to.
+	 * @param headers the headers of the request or of the rejection
+	 * @return the number of servers, 0 if it is not stated
+	 */
+	int earlierSends(HttpHeaders headers);
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -29,7 +29,6 @@
 import org.lovagevale.core.placing.AttemptPolicy;
 import org.lovagevale.core.placing.NextStep;
 import org.lovagevale.core.placing.RefusalCause;
-import org.lovagevale.core.placing.SendPurpose;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
@@ -155,6 +154,9 @@
 		this.request = request;
 		this.policy = new AttemptPolicy(request.route().kind(), request.route().maxAttempts());
 		HttpRequest head = request.head();
+		if (request.relayed()) {
+			this.policy.recordSendsByOthers(services.protocol().earlierSends(head.headers()));
+		}
 		this.content.updateHash(
 				head.method() + " " + head.headers().get(HttpHeaderNames.HOST) + head.uri() + " " + request.caller());
 	}
@@ -262,8 +264,7 @@
 		this.services.slots()
 			.requestSlot(new SlotRequest(id, this.request.service(), this.services.settings().domain(),
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
-					this.request.route().kind() == RequestKind.DOWNLOAD,
-					(this.policy.sends() == 0) ? SendPurpose.FIRST : SendPurpose.RETRY, workMs,
+					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
 					this.content.fingerprint()), this);
 	}
@@ -459,6 +460,7 @@
 		}
 		if (current.isRelay()) {
 			this.services.protocol().setRelayHeaders(headers, leftMs, this.request.caller());
+			this.services.protocol().setEarlierSends(headers, this.policy.totalSends());
 		}
 		else {
 			this.services.protocol().setServerHeaders(headers, leftMs, current.server().id());
@@ -677,6 +679,7 @@
 			return;
 		}
 		current.releaseBuffered();
+		this.policy.recordSendsByOthers(this.services.protocol().earlierSends(response.headers()));
 		this.relayAttempts.rejected(this.services.protocol().retryAfterMs(response.headers()));
 		this.services.relay().rejected(current.server().region());
 		this.lastFailure = reason;
@@ -813,6 +816,9 @@
 		if (status == SERVICE_UNAVAILABLE) {
 			this.services.protocol().setRetryAfter(headers, Math.max(DEFAULT_RETRY_AFTER_MS / 2, retryAfterMs));
 		}
+		if (this.request.relayed()) {
+			this.services.protocol().setEarlierSends(headers, this.policy.sends());
+		}
 		this.caller.reply(status, reason, headers);
 		complete(status, "entry", reason);
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
@@ -104,6 +104,27 @@
 			.containsExactly("first");
 	}
 
+	// Guards against requests that the servers of several regions reject in turn without
+	// a limit.
+	@Test
+	void relayedRequestThatReachedAServerBeforeCountsAsRetry() throws Exception {
+		this.server.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
+				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+		String first = this.homeGateway.exchange(relayed("/write/1", "first", 0));
+		assertThat(first).startsWith("HTTP/1.1 503").contains("Test-Earlier-Sends: 1");
+		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		int retries = 100;
+		for (int i = 0; i < retries; i++) {
+			this.homeGateway.exchange(relayed("/write/1", "retry-" + i, 1));
+		}
+		assertThat(this.server.requests()).hasSizeLessThan(retries);
+	}
+
+	private static String relayed(String path, String id, int earlierSends) {
+		return TestGateway.postRequest(path, id, "x")
+			.replace("\r\n\r\n", "\r\nTest-Caller: 127.0.0.9\r\nTest-Earlier-Sends: " + earlierSends + "\r\n\r\n");
+	}
+
 	private static void sleep(long ms) {
 		try {
 			Thread.sleep(ms);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -90,4 +90,14 @@
 		return headers.get("Test-Caller");
 	}
 
+	@Override
+	public void setEarlierSends(HttpHeaders headers, int sends) {
+		headers.set("Test-Earlier-Sends", Integer.toString(sends));
+	}
+
+	@Override
+	public int earlierSends(HttpHeaders headers) {
+		return headers.getInt("Test-Earlier-Sends", 0);
+	}
+
 }
