Decide a slot request whose refusal has an unknown cause

Callers got no response before their time ran out if the dispatcher of another release refused a slot with a cause that this release does not know: the request was removed, then the exception about the name skipped its listener.

refusalWithAnUnknownCauseReachesTheRequest failed before (No enum constant) and passes now. An unknown cause is logged and counts as overload, which tells the caller the time at which to come back.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -285,10 +285,21 @@
 		PendingRequest pendingRequest = this.pending.get(refused.number());
 		if (pendingRequest != null && from.equals(pendingRequest.dispatcherVm)) {
 			this.pending.remove(refused.number());
-			pendingRequest.listener.refused(RefusalCause.valueOf(refused.cause()), refused.retryAfterMs());
+			pendingRequest.listener.refused(causeOf(from, refused), refused.retryAfterMs());
 		}
 	}
 
+	// A process of another release may know further causes.
+	private static RefusalCause causeOf(VmName from, SlotRefused refused) {
+		for (RefusalCause cause : RefusalCause.values()) {
+			if (cause.name().equals(refused.cause())) {
+				return cause;
+			}
+		}
+		LOGGER.warn("{}", LogLine.event("dispatcher.cause-unknown").with("vm", from).with("cause", refused.cause()));
+		return RefusalCause.OVERLOAD;
+	}
+
 	/**
 	 * Handles the confirmation by another process that it has queued a request.
 	 * @param from the VM of the sender
