--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PortInUseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PortInUseTests.java
@@ -19,8 +19,7 @@
 
 	@Test
 	void errorNamesThePeerAddressThatIsInUse() throws Exception {
-		try (TestGateway gateway = new TestGateway(List.of());
-				ServerSocket other = listen(gateway.peerAddress())) {
+		try (TestGateway gateway = new TestGateway(List.of()); ServerSocket other = listen(gateway.peerAddress())) {
 			assertThatExceptionOfType(GatewayException.class).isThrownBy(() -> gateway.process().start())
 				.withMessageContaining(gateway.peerAddress().toString());
 			assertThat(other.isBound()).isTrue();
