Count the time before a request is read for its deadline

What callers saw: nothing; servers were handed more time than their callers had left.

Cause: the time of a request was counted from when its head was decoded. If the event loop had been blocked or the process had not run, the request had waited in the meantime.

Evidence: GatewayProcessTests.timeBeforeARequestIsReadCountsForItsDeadline, which blocks the event loop for 1 s, failed before: a server got 1499 ms although the caller had 504 ms left, and 0.5 s more are permitted.

Why the fix works: the event loop reads from its connections before it runs the periodic work that is due, so the time by which that work is overdue tells how long the data may have waited. A request that arrived at the end of a delay gets less time than its caller permits.

Not covered: time that a relayed request waits on the link between entry VMs.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import org.lovagevale.gateway.http.ExchangeServices;
 import org.lovagevale.gateway.http.FrontendServer;
 import org.lovagevale.gateway.http.HealthChecks;
+import org.lovagevale.gateway.http.ReadDelay;
 import org.lovagevale.gateway.http.RegionRelay;
 import org.lovagevale.gateway.http.RequestRouter;
 import org.lovagevale.gateway.http.WorkEstimates;
@@ -121,10 +122,9 @@
 
 	private volatile boolean ready;
 
-	private boolean slotTickScheduled;
+	private final ReadDelay readDelay;
 
-	/** Monotonic time in milliseconds of the last periodic work, -1 before the first. */
-	private long lastTickAt = -1;
+	private boolean slotTickScheduled;
 
 	/**
 	 * Creates a process without opening any port.
@@ -159,9 +159,10 @@
 				protocol, clock, this.metrics, announcements);
 		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalogUpdater,
 				new HomeRegionChooser(random));
+		this.readDelay = new ReadDelay(clock, TICK_INTERVAL_MS);
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
 				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
-				this.roster, this.plannedStop, announcements);
+				this.roster, this.plannedStop, announcements, this.readDelay);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
@@ -214,9 +215,8 @@
 	// arrived
 	// meanwhile was read late, and the timeouts were late as well.
 	private void recordDelay() {
-		long now = this.clock.millis();
-		long delayMs = (this.lastTickAt < 0) ? 0 : Math.max(0, now - this.lastTickAt - TICK_INTERVAL_MS);
-		this.lastTickAt = now;
+		long delayMs = this.readDelay.millis();
+		this.readDelay.recordTick();
 		this.metrics.recordLoopDelay(delayMs);
 		if (delayMs >= REPORTED_DELAY_MS) {
 			LOGGER.warn("{}",
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -30,9 +30,10 @@
  * @param roster the known entry VMs
  * @param plannedStop the planned stop of this process
  * @param announcements the announcements of servers to this process
+ * @param readDelay the delay with which received data is read
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
 		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop,
-		ServerAnnouncements announcements) {
+		ServerAnnouncements announcements, ReadDelay readDelay) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -138,14 +138,16 @@
 	}
 
 	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller) {
-		long now = now();
+		// The caller counts its time from when it sent the request.
+		long arrivedAt = now() - this.services.readDelay().millis();
 		long callerTimeMs = this.services.protocol().callerTimeoutMs(head.headers());
-		long deadline = now + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
+		long deadline = arrivedAt + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
 		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
 		String relayedFor = this.services.protocol().relayedCaller(head.headers());
 		return new CallerRequest(head, id, route, route.serviceAt(this.sharePosition), configuration.limits(),
-				configuration.version(), (relayedFor != null) ? relayedFor : caller, relayedFor != null, now, deadline);
+				configuration.version(), (relayedFor != null) ? relayedFor : caller, relayedFor != null, arrivedAt,
+				deadline);
 	}
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/GatewayProcessTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/GatewayProcessTests.java
@@ -2,6 +2,7 @@
 
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
@@ -135,6 +136,24 @@
 		}
 	}
 
+	// Guards against servers that get more time than the caller has left.
+	@Test
+	void timeBeforeARequestIsReadCountsForItsDeadline() throws Exception {
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket, TestGateway.getRequest("/read/1", "first"));
+			TestGateway.readResponse(socket);
+			this.gateway.process().loop().execute(() -> sleep(1_000));
+			sleep(100);
+			long writtenAt = System.nanoTime();
+			TestServer.write(socket,
+					"GET /read/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: second\r\nTest-Time: 1500\r\n\r\n");
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200");
+			long callerLeftMs = 1_500 - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAt);
+			long givenMs = Long.parseLong(this.server.requests().getLast().headers().get("test-time"));
+			assertThat(givenMs).isLessThanOrEqualTo(callerLeftMs + 500);
+		}
+	}
+
 	@Test
 	void idempotentRequestIsSentToAnotherServerWhenItsResponseIsTruncated() throws Exception {
 		addOtherServer();
