Log the remaining budget with each grant of a retry

The event request.sent states the reason of a grant. For a retry, it now ends with retriesLeft, the number of further retries that the dispatcher permits for the service, so that a log shows which dispatcher spent how much of the limit. No decision changes.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -110,6 +110,14 @@
 		return false;
 	}
 
+	/**
+	 * Returns the number of extra sends that are still permitted.
+	 * @return the number
+	 */
+	double left() {
+		return this.ratioCredit + (this.soleOwner ? this.constantCredit : 0);
+	}
+
 	private void limitRatioCredit(long now) {
 		long keptSince = now - (long) (this.limits.retryWindowMs() * KEPT_WINDOW_SHARE);
 		while (!this.recentFirstSends.isEmpty() && this.recentFirstSends.element() < keptSince) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -374,6 +374,9 @@
 		String why = "costMs=" + Math.round(found.costMs()) + " outstanding=" + server.outstanding(now) + "/"
 				+ server.slots() + " loadAgeMs=" + Math.min(server.loadAgeMs(now), Integer.MAX_VALUE) + " cold=" + cold
 				+ " waiting=" + pool.queue().size();
+		if (request.purpose() == SendPurpose.RETRY) {
+			why += " retriesLeft=" + (int) pool.budget().left();
+		}
 		server.grant(request.id(), now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS, server.isLastSlot(now));
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/DispatcherFixture.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/DispatcherFixture.java
@@ -55,6 +55,8 @@
 
 	final Map<Long, ServerName> granted = new LinkedHashMap<>();
 
+	final Map<Long, String> grantReasons = new HashMap<>();
+
 	final Map<Long, RefusalCause> refused = new HashMap<>();
 
 	final Map<Long, Integer> retryAfterMs = new HashMap<>();
@@ -146,6 +148,7 @@
 		if (this.granted.put(id.number(), server) != null) {
 			throw new IllegalStateException("slot request " + id + " got a second grant");
 		}
+		this.grantReasons.put(id.number(), why);
 		this.onGranted.accept(id);
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -172,6 +172,16 @@
 		assertThat(this.fixture.refused).containsValue(RefusalCause.EXTRA_BUDGET);
 	}
 
+	@Test
+	void grantOfARetryStatesTheRemainingBudget() {
+		this.fixture.addServer("a", DispatcherFixture.DOMAIN, DispatcherFixture.WEST, 500, false, 0, 1)
+			.publishCatalog();
+		long first = this.fixture.requestSlot();
+		long retry = this.fixture.requestSlot(this.fixture.slotRequest(1, false, 100, 400, 2_000));
+		assertThat(this.fixture.grantReasons.get(first)).doesNotContain("retriesLeft");
+		assertThat(this.fixture.grantReasons.get(retry)).contains("retriesLeft=0");
+	}
+
 	@Test
 	void requestWhoseConnectionIsLostRepeatedlyIsQuarantined() {
 		this.fixture.addServer("a").addServer("b").publishCatalog();
