Distinguish the slot requests of successive runs of a process

Suspected: a request is sent to a server of another service, or refused without a decision, after a restart. Not seen on a real fleet.

Cause: the numbers of slot requests began at 1 in each run of a process, and a dispatcher addresses its replies to the VM. A grant or refusal for a request of the earlier run, sent after the restart, was taken for the reply to the request of the new run with the same number.

Why the fix works: the upper bits of the numbers are random for each run.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotId.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotId.java
@@ -9,7 +9,8 @@
  * Immutable and thread-safe.
  *
  * @param vm the entry VM that holds the request
- * @param number a number that the VM uses only once in its lifetime
+ * @param number a number that no run of the process on the VM uses twice, and that
+ * differs from those of its other runs
  */
 public record SlotId(VmName vm, long number) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -57,6 +57,13 @@
 	 */
 	private static final long BYPASS_MS = 700;
 
+	/**
+	 * Bits of a request number that count the requests of one run. The bits above are
+	 * random, so that a late reply to an earlier run of this process is not taken for the
+	 * reply to a request of this one.
+	 */
+	private static final int REQUEST_COUNT_BITS = 32;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(SlotClient.class);
 
 	private final Clock clock;
@@ -93,6 +100,7 @@
 		this.roster = roster;
 		this.sender = sender;
 		this.dispatcher = dispatcherFactory.apply(this);
+		this.lastRequestNumber = (long) (roster.self().incarnation().salt() & Integer.MAX_VALUE) << REQUEST_COUNT_BITS;
 	}
 
 	/**
@@ -105,7 +113,8 @@
 
 	/**
 	 * Returns an identity for a new request.
-	 * @return an identity that this process has not used before
+	 * @return an identity that neither this run of the process nor an earlier one has
+	 * used
 	 */
 	public SlotId nextId() {
 		return new SlotId(this.roster.self().vm(), ++this.lastRequestNumber);
