Reject requests for which the process has no memory

What callers saw: during a burst of slow uploads nothing was answered any more, and after some bursts the process never became ready again.

Cause: bodies that wait for a slot were bounded per request (64 kB before a slot, 256 kB for another send) but not in sum. 650 uploads of 64 kB fill the direct memory; each failed allocation then blocks the only event loop in the JDK's Bits.reserveMemory. Heads had no bound in sum either. Besides, each part of a body kept the whole buffer it was read into.

Change: the router asks MemoryAccount before it accepts a request, and rejects it as not run with Retry-After (mean time for which bytes are held) if its head and its announced body do not fit. A body of unknown length counts as 64 kB. Heads that have arrived in part and queued requests are accounted too. If the limit is reached, callers are read no further, except for bodies that were accepted, and reading resumes in the order of the pauses. A request that is paused still ends at its timeout. Bodies are copied into buffers of their size, and callers are read into buffers of 16 kB at most. The refusals are counted with cause MEMORY.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -17,6 +17,7 @@
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.Incarnation;
 import org.lovagevale.core.catalog.CatalogDecoder;
+import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.placing.HomeRegionChooser;
 import org.lovagevale.core.placing.PlannedStop;
 import org.lovagevale.core.placing.ServerAnnouncements;
@@ -102,6 +103,8 @@
 
 	private final FrontendServer frontend;
 
+	private final MemoryAccount memory;
+
 	private final PlannedStop plannedStop = new PlannedStop();
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
@@ -135,11 +138,13 @@
 	 * @param source reads the published state from the platform
 	 * @param decoder decodes published items
 	 * @param protocol reads and writes the headers of requests and responses
+	 * @param memoryLimitBytes the limit on the bytes held for callers
 	 */
 	public GatewayProcess(GatewaySettings settings, Clock clock, RandomSource random, LoopResources loops,
-			CatalogSource source, CatalogDecoder decoder, ServerProtocol protocol) {
+			CatalogSource source, CatalogDecoder decoder, ServerProtocol protocol, long memoryLimitBytes) {
 		this.settings = settings;
 		this.clock = clock;
+		this.memory = new MemoryAccount(clock, memoryLimitBytes);
 		this.startedAt = clock.millis();
 		EventLoopGroup group = loops.onServer(true);
 		this.loop = group.next();
@@ -161,7 +166,7 @@
 				new HomeRegionChooser(random));
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
 				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
-				this.roster, this.plannedStop, announcements);
+				this.roster, this.plannedStop, announcements, this.memory);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
@@ -285,6 +290,14 @@
 		return new AddressResolver(this.roster);
 	}
 
+	/**
+	 * Returns the account of the bytes held for callers.
+	 * @return the account; must be used on the event loop
+	 */
+	public MemoryAccount memory() {
+		return this.memory;
+	}
+
 	/**
 	 * Returns the event loop.
 	 * @return the event loop
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
@@ -12,6 +12,7 @@
  * Immutable, provided that the head is not modified.
  *
  * @param head the head of the request as received
+ * @param size the bytes for which the request is accounted
  * @param id the request ID assigned by the caller
  * @param route the route of the request
  * @param service the service selected by the traffic split of the route
@@ -22,8 +23,9 @@
  * @param arrivedAt the monotonic time at which the head was received, in milliseconds
  * @param deadlineAt the monotonic time at which the caller stops waiting, in milliseconds
  */
-record CallerRequest(HttpRequest head, String id, Route route, ServiceName service, RequestLimits limits,
-		long configurationVersion, String caller, boolean relayed, long arrivedAt, long deadlineAt) {
+record CallerRequest(HttpRequest head, RequestSize size, String id, Route route, ServiceName service,
+		RequestLimits limits, long configurationVersion, String caller, boolean relayed, long arrivedAt,
+		long deadlineAt) {
 
 	/**
 	 * Returns when the request times out, by its deadline or by the timeout of its route.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -26,6 +26,8 @@
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.RequestKind;
+import org.lovagevale.core.memory.HeldKind;
+import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.core.placing.AttemptPolicy;
 import org.lovagevale.core.placing.NextStep;
 import org.lovagevale.core.placing.RefusalCause;
@@ -125,6 +127,10 @@
 
 	private final RequestContent content = new RequestContent();
 
+	private final MemoryReservation headMemory;
+
+	private final MemoryReservation bodyMemory;
+
 	private final Set<ServerName> triedServers = new HashSet<>();
 
 	private final RelayAttempts relayAttempts = new RelayAttempts();
@@ -153,6 +159,8 @@
 		this.services = services;
 		this.caller = caller;
 		this.request = request;
+		this.headMemory = services.memory().reserve(HeldKind.REQUEST_HEAD, request.size().headBytes());
+		this.bodyMemory = services.memory().reserve(HeldKind.REQUEST_BODY, request.size().bodyBytes());
 		this.policy = new AttemptPolicy(request.route().kind(), request.route().maxAttempts());
 		HttpRequest head = request.head();
 		this.content.updateHash(
@@ -191,6 +199,7 @@
 		}
 		int firstNewPart = this.content.parts().size();
 		this.content.add(part);
+		updateBodyMemory();
 		if (this.content.size() > this.request.limits().maxBodyBytes()) {
 			respondLocally(CONTENT_TOO_LARGE, "body-too-large", 0);
 			return;
@@ -208,6 +217,21 @@
 		}
 	}
 
+	private void updateBodyMemory() {
+		boolean expected = !this.content.isComplete() && this.content.isReplayable();
+		long expectedBytes = expected ? this.request.size().bodyBytes() : 0;
+		this.bodyMemory.resize(Math.max(expectedBytes, this.content.heldBytes()));
+	}
+
+	/**
+	 * Tells whether the next bytes of the body were accounted for when the request was
+	 * accepted.
+	 * @return {@code true} if they may be read although the process is full
+	 */
+	boolean isNextContentReserved() {
+		return !this.content.isComplete() && this.content.heldBytes() < this.request.size().bodyBytes();
+	}
+
 	private boolean isBodyReady() {
 		return this.content.isComplete() || this.content.size() > RequestContent.BUFFERED_BEFORE_SLOT_BYTES;
 	}
@@ -474,7 +498,9 @@
 		if (this.content.isComplete()) {
 			connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
+		this.content.seal();
 		this.content.dropIfTooLarge();
+		updateBodyMemory();
 		this.caller.setReading(this.content.isComplete() || connection.channel().isWritable());
 	}
 
@@ -850,6 +876,8 @@
 			timer.cancel(false);
 		}
 		this.content.release();
+		this.headMemory.release();
+		this.bodyMemory.release();
 		long tookMs = now() - this.request.arrivedAt();
 		this.services.metrics().countAnswer(this.request.route().name(), status, origin, tookMs);
 		if (LOGGER.isInfoEnabled()) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import org.lovagevale.base.Clock;
+import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.placing.PlannedStop;
 import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.core.roster.Roster;
@@ -30,9 +31,10 @@
  * @param roster the known entry VMs
  * @param plannedStop the planned stop of this process
  * @param announcements the announcements of servers to this process
+ * @param memory the account of the bytes held for callers
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
 		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop,
-		ServerAnnouncements announcements) {
+		ServerAnnouncements announcements, MemoryAccount memory) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -31,6 +31,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -72,6 +73,12 @@
 
 	private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
 
+	/** Memory of a request head that has arrived in part. */
+	private final MemoryReservation partialHeadMemory;
+
+	/** Memory of the queued objects. */
+	private final MemoryReservation queueMemory;
+
 	private final ChannelFutureListener writeListener = this::recordWrite;
 
 	private @Nullable ChannelHandlerContext context;
@@ -97,6 +104,9 @@
 
 	private boolean processing;
 
+	/** Whether no data is read because the process is full. */
+	private boolean pausedForMemory;
+
 	/**
 	 * Monotonic time in milliseconds at which the first bytes of a request head arrived
 	 * while no request was in progress, or -1 if there is no such head.
@@ -107,6 +117,8 @@
 
 	FrontendConnection(RequestRouter router) {
 		this.router = router;
+		this.partialHeadMemory = router.createMemoryReservation();
+		this.queueMemory = router.createMemoryReservation();
 		this.lastActivityAt = router.now();
 	}
 
@@ -124,13 +136,33 @@
 	}
 
 	/**
-	 * Records the arrival of bytes that are not decoded yet.
+	 * Records the arrival of bytes that are not decoded yet. Stops reading if the process
+	 * is full, unless they belong to a request that was accepted with its body.
+	 * @param bytes the number of bytes
 	 */
-	void bytesArrived() {
+	void bytesArrived(int bytes) {
 		this.lastActivityAt = this.router.now();
 		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
+		if (this.headStartedAt >= 0) {
+			this.partialHeadMemory.resize(this.partialHeadMemory.bytes() + bytes);
+		}
+		Exchange current = this.exchange;
+		if (this.router.isMemoryFull() && !this.closing && !this.discarding
+				&& (current == null || !current.isNextContentReserved())) {
+			this.pausedForMemory = true;
+			this.router.pauseReading(this);
+			setReading(false);
+		}
+	}
+
+	/**
+	 * Continues to read after a pause because the process was full.
+	 */
+	void resumeReading() {
+		this.pausedForMemory = false;
+		setReading(true);
 	}
 
 	@Override
@@ -139,7 +171,10 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		this.queued.add((HttpObject) message);
+		HttpObject object = (HttpObject) message;
+		this.partialHeadMemory.resize(0);
+		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
+		this.queued.add(object);
 		process();
 		if (this.queued.size() > MAX_QUEUED_OBJECTS) {
 			setReading(false);
@@ -163,10 +198,10 @@
 			if (current.isBodyComplete()) {
 				return false;
 			}
-			receiveBody(current, this.queued.remove());
+			receiveBody(current, dequeue());
 			return true;
 		}
-		HttpObject next = this.queued.remove();
+		HttpObject next = dequeue();
 		if (this.discarding) {
 			discard(next);
 		}
@@ -182,6 +217,12 @@
 		return true;
 	}
 
+	private HttpObject dequeue() {
+		HttpObject next = this.queued.remove();
+		this.queueMemory.resize(this.queueMemory.bytes() - RequestSize.bytesOf(next));
+		return next;
+	}
+
 	private void receiveBody(Exchange current, HttpObject next) {
 		if (next.decoderResult().isFailure() || !(next instanceof HttpContent content)) {
 			ReferenceCountUtil.release(next);
@@ -413,7 +454,7 @@
 	@Override
 	public void setReading(boolean reading) {
 		boolean full = this.queued.size() > MAX_QUEUED_OBJECTS;
-		context().channel().config().setAutoRead(reading && !full);
+		context().channel().config().setAutoRead(reading && !full && !this.pausedForMemory);
 	}
 
 	/**
@@ -479,6 +520,7 @@
 		this.exchange = null;
 		this.closing = true;
 		releaseQueued();
+		this.partialHeadMemory.resize(0);
 		this.router.removeConnection(this);
 		if (current != null) {
 			current.callerDisconnected();
@@ -494,6 +536,7 @@
 	private void releaseQueued() {
 		this.queued.forEach(ReferenceCountUtil::release);
 		this.queued.clear();
+		this.queueMemory.resize(0);
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -5,6 +5,8 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +31,13 @@
  */
 public final class FrontendServer {
 
+	/** Maximum size of the buffer into which data of a caller is read, in bytes. */
+	static final int MAX_READ_BYTES = 16_384;
+
+	private static final int MIN_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2_048;
+
 	private static final int ACCEPT_BACKLOG = 1_024;
 
 	/** Maximum number of connections that are accepted at a time. */
@@ -81,6 +90,8 @@
 			.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
 			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<>() {
 
 				@Override
@@ -112,10 +123,12 @@
 	}
 
 	/**
-	 * Closes the connections that are idle for too long or receive a request too slowly,
-	 * if the last check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
+	 * Resumes reading from callers if the process is no longer full. Closes the
+	 * connections that are idle for too long or receive a request too slowly, if the last
+	 * check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
 	 */
 	public void tick() {
+		this.router.resumeReading();
 		long now = this.router.now();
 		if (now - this.lastTimeoutCheckAt < TIMEOUT_CHECK_INTERVAL_MS) {
 			return;
@@ -200,7 +213,7 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) {
-			this.connection.bytesArrived();
+			this.connection.bytesArrived((message instanceof ByteBuf bytes) ? bytes.readableBytes() : 0);
 			ctx.fireChannelRead(message);
 		}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
@@ -22,6 +22,9 @@
 	/** A body up to this size can be sent again, in bytes. */
 	static final int MAX_REPLAYABLE_BYTES = 262_144;
 
+	/** Size up to which received parts are joined in one buffer, in bytes. */
+	private static final int MAX_JOINED_BYTES = 16_384;
+
 	// Parameters of the 64-bit FNV-1a hash.
 	private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
 
@@ -31,6 +34,11 @@
 
 	private long size;
 
+	private long heldBytes;
+
+	/** Whether the last buffer is already being sent, so that it must not change. */
+	private boolean sealed;
+
 	private long hash = FNV_OFFSET_BASIS;
 
 	private boolean complete;
@@ -38,22 +46,40 @@
 	private boolean dropped;
 
 	/**
-	 * Adds a part of the body.
+	 * Adds a copy of a part of the body. The part itself would keep the whole buffer that
+	 * it was read into.
 	 * @param content the part; this object releases it
 	 */
 	void add(HttpContent content) {
 		ByteBuf part = content.content();
 		this.size += part.readableBytes();
 		this.complete = content instanceof LastHttpContent;
-		if (part.isReadable()) {
-			updateHash(part);
-			this.parts.add(part);
+		try {
+			if (part.isReadable()) {
+				updateHash(part);
+				copy(part);
+			}
 		}
-		else {
+		finally {
 			content.release();
 		}
 	}
 
+	private void copy(ByteBuf part) {
+		int bytes = part.readableBytes();
+		ByteBuf last = this.parts.isEmpty() ? null : this.parts.getLast();
+		if (last == null || this.sealed || last.readableBytes() + bytes > MAX_JOINED_BYTES) {
+			last = part.alloc().directBuffer(bytes);
+			this.parts.add(last);
+			this.sealed = false;
+		}
+		else {
+			this.heldBytes -= last.capacity();
+		}
+		last.writeBytes(part);
+		this.heldBytes += last.capacity();
+	}
+
 	private void updateHash(ByteBuf part) {
 		part.forEachByte((value) -> {
 			this.hash = (this.hash ^ value) * FNV_PRIME;
@@ -87,6 +113,21 @@
 		return this.parts;
 	}
 
+	/**
+	 * Marks all parts as being sent. Later parts are added behind them.
+	 */
+	void seal() {
+		this.sealed = true;
+	}
+
+	/**
+	 * Returns the memory that the body takes.
+	 * @return the size in bytes
+	 */
+	long heldBytes() {
+		return this.heldBytes;
+	}
+
 	/**
 	 * Drops the body, which has been sent, if it is too large to be sent again.
 	 */
@@ -100,6 +141,7 @@
 	void release() {
 		this.parts.forEach(ByteBuf::release);
 		this.parts.clear();
+		this.heldBytes = 0;
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -1,6 +1,8 @@
 package org.lovagevale.gateway.http;
 
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -16,6 +18,9 @@
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.core.catalog.Route;
 import org.lovagevale.core.catalog.ServingConfiguration;
+import org.lovagevale.core.memory.HeldKind;
+import org.lovagevale.core.memory.MemoryAccount;
+import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.gateway.ServerProtocol;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -62,6 +67,9 @@
 
 	private final Set<FrontendConnection> openConnections = new HashSet<>();
 
+	/** The connections that are not read because the process is full, oldest first. */
+	private final Set<FrontendConnection> pausedConnections = new LinkedHashSet<>();
+
 	private double sharePosition;
 
 	/**
@@ -95,6 +103,34 @@
 
 	void removeConnection(FrontendConnection connection) {
 		this.openConnections.remove(connection);
+		this.pausedConnections.remove(connection);
+	}
+
+	MemoryReservation createMemoryReservation() {
+		return this.services.memory().reserve(HeldKind.REQUEST_HEAD, 0);
+	}
+
+	boolean isMemoryFull() {
+		return this.services.memory().isFull();
+	}
+
+	void pauseReading(FrontendConnection connection) {
+		this.pausedConnections.add(connection);
+	}
+
+	/**
+	 * Resumes reading from as many paused connections as can each send one more buffer,
+	 * beginning with the one that was paused first.
+	 */
+	void resumeReading() {
+		MemoryAccount memory = this.services.memory();
+		long resumable = (memory.limitBytes() - memory.heldBytes()) / FrontendServer.MAX_READ_BYTES;
+		Iterator<FrontendConnection> paused = this.pausedConnections.iterator();
+		for (long i = 0; i < resumable && paused.hasNext(); i++) {
+			FrontendConnection connection = paused.next();
+			paused.remove();
+			connection.resumeReading();
+		}
 	}
 
 	Set<FrontendConnection> connections() {
@@ -134,7 +170,16 @@
 			replyEarly(connection, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
 		}
-		connection.handle(new Exchange(this.services, connection, request(head, route, configuration, caller)));
+		CallerRequest request = request(head, route, configuration, caller);
+		MemoryAccount memory = this.services.memory();
+		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), route.priority())) {
+			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
+			HttpHeaders headers = new DefaultHttpHeaders();
+			this.services.protocol().setRetryAfter(headers, memory.retryAfterMs());
+			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", headers);
+			return;
+		}
+		connection.handle(new Exchange(this.services, connection, request));
 	}
 
 	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller) {
@@ -144,8 +189,9 @@
 		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
 		String relayedFor = this.services.protocol().relayedCaller(head.headers());
-		return new CallerRequest(head, id, route, route.serviceAt(this.sharePosition), configuration.limits(),
-				configuration.version(), (relayedFor != null) ? relayedFor : caller, relayedFor != null, now, deadline);
+		return new CallerRequest(head, RequestSize.of(head), id, route, route.serviceAt(this.sharePosition),
+				configuration.limits(), configuration.version(), (relayedFor != null) ? relayedFor : caller,
+				relayedFor != null, now, deadline);
 	}
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSize.java
@@ -0,0 +1,60 @@
+package org.lovagevale.gateway.http;
+
+import java.util.Map;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+
+/**
+ * The bytes for which a request has to be accounted when its head has arrived.
+ *
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param headBytes the size of its head, in bytes
+ * @param bodyBytes the part of its body that will be held, in bytes
+ */
+record RequestSize(long headBytes, long bodyBytes) {
+
+	/** Separators and line ends of a header, in bytes. */
+	private static final int HEADER_SEPARATOR_BYTES = 4;
+
+	/**
+	 * Returns the size of a request.
+	 * @param head the head of the request
+	 * @return its size; if the length of the body is not known, the size up to which it
+	 * is read before the request is placed
+	 */
+	static RequestSize of(HttpRequest head) {
+		long bodyBytes = 0;
+		if (HttpUtil.isTransferEncodingChunked(head)) {
+			bodyBytes = RequestContent.BUFFERED_BEFORE_SLOT_BYTES;
+		}
+		else if (head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			bodyBytes = Math.min(HttpUtil.getContentLength(head), RequestContent.MAX_REPLAYABLE_BYTES);
+		}
+		return new RequestSize(headBytes(head), bodyBytes);
+	}
+
+	/**
+	 * Returns the size of a decoded part of a request.
+	 * @param part the head or a part of the body
+	 * @return the size in bytes
+	 */
+	static long bytesOf(HttpObject part) {
+		long bytes = (part instanceof HttpRequest head) ? headBytes(head) : 0;
+		return bytes + ((part instanceof HttpContent content) ? content.content().readableBytes() : 0);
+	}
+
+	private static long headBytes(HttpRequest head) {
+		long bytes = head.uri().length();
+		for (Map.Entry<String, String> header : head.headers()) {
+			bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
+		}
+		return bytes;
+	}
+
+}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -68,14 +68,23 @@
 		this(TestAddresses.host(1), DOMAIN, REGION, seeds);
 	}
 
+	TestGateway(List<HostPort> seeds, long memoryLimitBytes) throws GatewayException {
+		this(TestAddresses.host(1), DOMAIN, REGION, seeds, memoryLimitBytes);
+	}
+
 	TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds) throws GatewayException {
+		this(host, domain, region, seeds, MemoryLimits.forThisJvm());
+	}
+
+	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long memoryLimitBytes)
+			throws GatewayException {
 		this.callerAddress = TestAddresses.next(host);
 		this.peerAddress = TestAddresses.next(host);
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
 				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), 3_000, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				() -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
-				new TestProtocol());
+				new TestProtocol(), memoryLimitBytes);
 	}
 
 	private synchronized CatalogState readCatalog() {
@@ -154,6 +163,10 @@
 		return this.process;
 	}
 
+	long heldBytes() {
+		return this.process.loop().submit(() -> this.process.memory().heldBytes()).syncUninterruptibly().getNow();
+	}
+
 	Socket connect() throws IOException {
 		Socket socket = new Socket(this.callerAddress.host(), this.callerAddress.port());
 		socket.setSoTimeout(5_000);
