Reset unfinished responses, and give pipelined requests the time they have

An HTTP/1.0 caller took half of a response without a length for the whole one if the process closed the connection in any other way than by abort(): after a failed read, at the end of a planned stop, when killed (MIXED). The connection now is set to reset from the head of such a response to its end, so that every other close resets it, that of the system included.

A request that waited behind another one on its connection was handed to its server with the time that its caller had when it sent it (BUDGET). Its arrival is now recorded when it is read.

A part of a request body that cannot be copied does not count as received. A connection whose long queue is discarded is read again.

The last two points have no test of their own.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -74,6 +74,9 @@
 
 	private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
 
+	/** Monotonic times in milliseconds at which the queued request heads arrived. */
+	private final ArrayDeque<Long> queuedArrivals = new ArrayDeque<>();
+
 	/** Memory of a request head that has arrived in part. */
 	private final MemoryReservation partialHeadMemory;
 
@@ -124,6 +127,9 @@
 	 */
 	private long headStartedAt = -1;
 
+	/** Monotonic time in milliseconds at which the current request arrived. */
+	private long arrivedAt;
+
 	private long lastActivityAt;
 
 	FrontendConnection(RequestRouter router) {
@@ -186,6 +192,9 @@
 		this.partialHeadMemory.resize(0);
 		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
 		this.queued.add(object);
+		if (object instanceof HttpRequest) {
+			this.queuedArrivals.add(this.router.arrivalTime());
+		}
 		process();
 		if (this.queued.size() > MAX_QUEUED_OBJECTS) {
 			setReading(false);
@@ -208,6 +217,10 @@
 		finally {
 			this.processing = false;
 		}
+		if (this.exchange == null && this.queued.isEmpty()) {
+			// Reading may have stopped because of a long queue that is discarded now.
+			setReading(true);
+		}
 	}
 
 	// The request in progress ends when the channel becomes inactive.
@@ -249,6 +262,9 @@
 	private HttpObject dequeue() {
 		HttpObject next = this.queued.remove();
 		this.queueMemory.resize(this.queueMemory.bytes() - RequestSize.bytesOf(next));
+		if (next instanceof HttpRequest) {
+			this.arrivedAt = this.queuedArrivals.remove();
+		}
 		return next;
 	}
 
@@ -289,7 +305,7 @@
 					Unpooled.EMPTY_BUFFER));
 			context().flush();
 		}
-		this.router.accept(head, this, remoteHost());
+		this.router.accept(head, this, remoteHost(), this.arrivedAt);
 	}
 
 	private String remoteHost() {
@@ -347,6 +363,7 @@
 		this.closeDelimited = !sized && this.http10;
 		if (this.closeDelimited) {
 			this.keepAlive = false;
+			resetOnClose(true);
 		}
 		if (this.chunked) {
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -421,6 +438,9 @@
 	@Override
 	public void finish() {
 		write(LastHttpContent.EMPTY_LAST_CONTENT);
+		if (this.closeDelimited && !this.writeFailed) {
+			resetOnClose(false);
+		}
 		responseEnded();
 	}
 
@@ -467,6 +487,7 @@
 			// Closing a connection with unread data would reset it, and the caller could
 			// lose the response.
 			this.discarding = true;
+			this.pausedForMemory = false;
 			setReading(true);
 			context().flush();
 			ChannelHandlerContext open = context();
@@ -489,14 +510,17 @@
 		this.closing = true;
 		this.discarding = false;
 		releaseQueued();
-		if (this.closeDelimited) {
-			// A regular close would mark the end of the response, so the connection is
-			// reset.
-			context().channel().config().setOption(ChannelOption.SO_LINGER, 0);
-		}
 		context().close();
 	}
 
+	// A response without a length ends with its connection. Until it is complete, every
+	// other close, also that of a process that is killed, resets the connection.
+	private void resetOnClose(boolean reset) {
+		if (context().channel().isOpen()) {
+			context().channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+		}
+	}
+
 	@Override
 	public boolean isWritable() {
 		return context().channel().isWritable();
@@ -595,6 +619,7 @@
 	private void releaseQueued() {
 		this.queued.forEach(ReferenceCountUtil::release);
 		this.queued.clear();
+		this.queuedArrivals.clear();
 		this.queueMemory.resize(0);
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
@@ -52,13 +52,15 @@
 	 */
 	void add(HttpContent content) {
 		ByteBuf part = content.content();
-		this.size += part.readableBytes();
-		this.complete = content instanceof LastHttpContent;
+		int bytes = part.readableBytes();
 		try {
 			if (part.isReadable()) {
 				updateHash(part);
 				copy(part);
 			}
+			// Without the copy, the body would be sent as a whole with a part missing.
+			this.size += bytes;
+			this.complete = content instanceof LastHttpContent;
 		}
 		finally {
 			content.release();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -86,6 +86,15 @@
 		return this.services.clock().millis();
 	}
 
+	/**
+	 * Returns when data that is read now has arrived. The caller counts its time from
+	 * when it sent the request, also if that waits behind another one.
+	 * @return the monotonic time in milliseconds
+	 */
+	long arrivalTime() {
+		return now() - this.services.readDelay().millis();
+	}
+
 	boolean isStopping() {
 		return this.services.plannedStop().isInProgress();
 	}
@@ -150,8 +159,9 @@
 	 * @param head the head
 	 * @param connection the connection on which the request arrived
 	 * @param caller the IP address of the caller
+	 * @param arrivedAt the monotonic time at which the head arrived, in milliseconds
 	 */
-	void accept(HttpRequest head, FrontendConnection connection, String caller) {
+	void accept(HttpRequest head, FrontendConnection connection, String caller, long arrivedAt) {
 		Rejection rejection = validate(head);
 		if (rejection != null) {
 			connection.rejectAndClose(rejection.status(), rejection.reason());
@@ -170,7 +180,7 @@
 			replyEarly(connection, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
 		}
-		CallerRequest request = request(head, route, configuration, caller);
+		CallerRequest request = request(head, route, configuration, caller, arrivedAt);
 		MemoryAccount memory = this.services.memory();
 		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), route.priority())) {
 			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
@@ -182,9 +192,8 @@
 		connection.handle(new Exchange(this.services, connection, request));
 	}
 
-	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller) {
-		// The caller counts its time from when it sent the request.
-		long arrivedAt = now() - this.services.readDelay().millis();
+	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller,
+			long arrivedAt) {
 		long callerTimeMs = this.services.protocol().callerTimeoutMs(head.headers());
 		long deadline = arrivedAt + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
 		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/EarlyResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/EarlyResponseTests.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
+import io.netty.channel.Channel;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -86,6 +87,19 @@
 		}
 	}
 
+	@Test
+	void responseThatEndsWithItsConnectionIsResetIfTheProcessClosesIt() throws Exception {
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket,
+					"POST /write/unsized HTTP/1.0\r\nHost: a.example\r\nTest-Id: x\r\nTest-Time: 9000\r\n"
+							+ "Content-Length: 100000\r\n\r\n" + "c".repeat(100_000));
+			assertThat(socket.getInputStream().readNBytes(SENT_BYTES)).hasSize(SENT_BYTES);
+			this.gateway.loops().channelsTo(socket.getLocalPort()).forEach(Channel::close);
+			assertThatIOException().isThrownBy(() -> socket.getInputStream().readAllBytes())
+				.withMessageContaining("reset");
+		}
+	}
+
 	private void assertOneBrokenResponse(String rest) throws Exception {
 		try (Socket socket = this.gateway.connect()) {
 			TestServer.write(socket, head("/write/early") + chunk(100_000));
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/GatewayProcessTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/GatewayProcessTests.java
@@ -154,6 +154,24 @@
 		}
 	}
 
+	@Test
+	void pipelinedRequestIsPassedOnWithTheTimeItHasLeft() throws Exception {
+		this.server.setHandler((request, socket) -> {
+			if (request.requestLine().contains("/read/1")) {
+				sleep(1_200);
+			}
+			TestServer.write(socket, TestServer.ok(request, "hello"));
+		});
+		try (Socket socket = this.gateway.connect()) {
+			TestServer.write(socket,
+					TestGateway.getRequest("/read/1", "one") + TestGateway.getRequest("/read/2", "two"));
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200");
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200");
+		}
+		String timeMs = this.server.requests().getLast().headers().get("test-time");
+		assertThat(Long.parseLong(timeMs)).isLessThanOrEqualTo(1_850);
+	}
+
 	@Test
 	void idempotentRequestIsSentToAnotherServerWhenItsResponseIsTruncated() throws Exception {
 		addOtherServer();
