Count sends of other entry VMs, and only extra sends that were made

A request that others had sent could still use all of its attempts here; an extra send that was refused, or whose server could not be reached, kept its part of the budget; a first send to an unreachable server counted once more when it was placed again (BUDGET). A 400 or 413 of an entry VM for a request that a server has was taken for "not run" by the VM that had relayed it (REFUSED).

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/AttemptPolicy.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/AttemptPolicy.java
@@ -105,7 +105,7 @@
 			}
 		}
 		boolean safe = !this.mayHaveRun || this.kind.isRepeatable();
-		boolean attemptsLeft = this.sends < this.maxSends && this.unreachableServers <= MAX_UNREACHABLE_SERVERS;
+		boolean attemptsLeft = totalSends() < this.maxSends && this.unreachableServers <= MAX_UNREACHABLE_SERVERS;
 		if (safe && attemptsLeft && replayable && timeLeftMs > MIN_TIME_LEFT_MS) {
 			return NextStep.SEND_AGAIN;
 		}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -152,6 +152,9 @@
 			this.replies.queued(request.id());
 			return;
 		}
+		if (request.purpose() == SendPurpose.RETRY) {
+			pool.budget().recordUnused(SendPurpose.RETRY, now);
+		}
 		this.replies.refused(request.id(), verdict.cause(), verdict.retryAfterMs());
 	}
 
@@ -212,17 +215,24 @@
 					server.recordRejection(now);
 				}
 			}
-			case REPLACED, UNREACHABLE -> server.ejection().recordUnreachable(now);
-			case UNUSED -> {
-				if (grant != null) {
-					pool.budget().recordUnused(grant.purpose(), grant.requestedAt());
-				}
+			case REPLACED -> server.ejection().recordUnreachable(now);
+			case UNREACHABLE -> {
+				server.ejection().recordUnreachable(now);
+				recordUnused(pool, grant);
 			}
+			case UNUSED -> recordUnused(pool, grant);
 			case ABANDONED -> {
 			}
 		}
 	}
 
+	// The request did not reach the server and may be placed again.
+	private static void recordUnused(ServicePool pool, PooledServer.@Nullable Grant grant) {
+		if (grant != null) {
+			pool.budget().recordUnused(grant.purpose(), grant.requestedAt());
+		}
+	}
+
 	/**
 	 * Records a successful health check.
 	 * @param id the server
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -453,7 +453,9 @@
 			complete(0, "caller", reason);
 			return;
 		}
-		respondLocally((mayHaveRun && status == REQUEST_TIMEOUT) ? GATEWAY_TIMEOUT : status, reason, 0);
+		// Another entry VM takes 400 and 413 for a statement that it was not run, too.
+		boolean promise = status == REQUEST_TIMEOUT || this.request.relayed();
+		respondLocally((mayHaveRun && promise) ? GATEWAY_TIMEOUT : status, reason, 0);
 	}
 
 	private void respondRefused(String reason, int retryAfterMs) {
