--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -205,6 +205,8 @@
 	 * @throws GatewayException if a port cannot be opened
 	 */
 	public void start() throws GatewayException {
+		// The time since this object was created is no delay.
+		this.loop.execute(this.readDelay::recordTick);
 		synchronized (this.portLock) {
 			if (this.stopping) {
 				return;
@@ -239,9 +241,8 @@
 		this.callerPortOpen = true;
 	}
 
-	// A delay means that the event loop was blocked or the process did not run: what
-	// arrived
-	// meanwhile was read late, and the timeouts were late as well.
+	// A delay means that the event loop was blocked or the process did not run. What
+	// arrived meanwhile was read late, and the timeouts were late as well.
 	private void recordDelay() {
 		long delayMs = this.readDelay.millis();
 		this.readDelay.recordTick();
