--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -96,7 +96,7 @@
 		this.coldUntil = Math.max(this.coldUntil, untilMs);
 	}
 
-	void setWarmupLeft(long leftMs, long now) {
+	void setRemainingWarmup(long leftMs, long now) {
 		this.coldUntil = now + leftMs;
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -250,7 +250,7 @@
 			pool.budget().observeOwnership(this.isSoleOwner.test(server.instance().service()), now);
 			server.ejection().recordReachable();
 			if (warmupLeftMs >= 0) {
-				server.setWarmupLeft(warmupLeftMs, now);
+				server.setRemainingWarmup(warmupLeftMs, now);
 			}
 			serveQueue(pool, now);
 		}
