--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -58,6 +58,11 @@
 		.description("Rejections by backend servers that want no requests for some time")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> unexpectedData = Counter
+		.builder("lovagevale.gateway.responses.unexpected")
+		.description("Data from servers that is no part of the expected response by kind")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Timer> durations = Timer.builder("lovagevale.gateway.duration")
 		.description("Time from the head of a request to the end of its response")
 		.serviceLevelObjectives(LATENCY_BUCKETS)
@@ -181,6 +186,16 @@
 		this.pauses.withTags(SERVICE_TAG, service).increment();
 	}
 
+	/**
+	 * Counts data from a backend server or an entry VM that is no part of the expected
+	 * response.
+	 * @param service the name of the service
+	 * @param kind what the data is
+	 */
+	public void countUnexpectedData(String service, String kind) {
+		this.unexpectedData.withTags(SERVICE_TAG, service, "kind", kind).increment();
+	}
+
 	/**
 	 * Counts a read of the platform.
 	 * @param succeeded whether the read returned the published state
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -125,6 +125,9 @@
 
 	private int informationalCount;
 
+	/** Number of requests that this connection was used for. */
+	private int requestCount;
+
 	private long idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
 
 	private long idleSinceMs;
@@ -215,6 +218,11 @@
 		this.skipped = 0;
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
+		this.requestCount++;
+		int undecodedBytes = this.decoder.undecodedBytes();
+		if (undecodedBytes > 0) {
+			reportUnexpected(UnexpectedData.INCOMPLETE, undecodedBytes + " bytes before the request");
+		}
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
 		writePart(request);
 	}
@@ -277,6 +285,9 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		if (this.listener == null) {
+			if (ctx.channel().isActive()) {
+				reportUnexpected(UnexpectedData.NO_REQUEST, describe(message));
+			}
 			ReferenceCountUtil.release(message);
 			ctx.close();
 			return;
@@ -293,6 +304,7 @@
 			return;
 		}
 		if (object.decoderResult().isFailure()) {
+			reportUnexpected(UnexpectedData.MALFORMED, describe(message));
 			ReferenceCountUtil.release(message);
 			fail("malformed response: " + object.decoderResult().cause().getMessage());
 			return;
@@ -305,6 +317,26 @@
 		}
 	}
 
+	private void reportUnexpected(UnexpectedData kind, String data) {
+		this.metrics.countUnexpectedData(this.server.service().value(), kind.name());
+		LOGGER.info("{}",
+				LogLine.event("response.unexpected")
+					.with("kind", kind)
+					.with("server", this.server.id())
+					.with("id", this.expectedRequestId)
+					.with("requests", this.requestCount)
+					.with("data", data));
+	}
+
+	private String describe(Object message) {
+		if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+			return String.valueOf(object.decoderResult().cause().getMessage());
+		}
+		return (message instanceof HttpResponse response)
+				? "status " + response.status().code() + ", id " + this.protocol.requestId(response.headers())
+				: "content";
+	}
+
 	private void readHead(HttpResponse response) {
 		this.observer.received(this.server, response);
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -326,6 +358,7 @@
 		this.skipping = id != null && !id.equals(this.expectedRequestId);
 		if (this.skipping) {
 			this.reusable = false;
+			reportUnexpected(UnexpectedData.OTHER_REQUEST, describe(response));
 			if (++this.skipped > MAX_SKIPPED_RESPONSES) {
 				fail("only responses to other requests");
 			}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -34,6 +34,14 @@
 		this.responseToHead = isHeadRequest;
 	}
 
+	/**
+	 * Returns the number of received bytes that are not decoded yet.
+	 * @return the number of bytes
+	 */
+	int undecodedBytes() {
+		return actualReadableBytes();
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.responseToHead || super.isContentAlwaysEmpty(message);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -700,6 +700,9 @@
 		HttpResponse response = current.response();
 		ServerLoad load = (response != null) ? this.services.protocol().load(response.headers()) : ServerLoad.UNKNOWN;
 		endAttempt(current, outcome, load);
+		if (outcome != SlotOutcome.SERVED) {
+			logUnsuccessful(current, outcome);
+		}
 		if (this.done) {
 			current.releaseBuffered();
 			return;
@@ -732,6 +735,21 @@
 		apply(step, reason);
 	}
 
+	private void logUnsuccessful(SendAttempt current, SlotOutcome outcome) {
+		if (!LOGGER.isInfoEnabled()) {
+			return;
+		}
+		HttpResponse response = current.response();
+		LOGGER.info("{}",
+				LogLine.event("request.unsuccessful")
+					.with("id", this.request.id())
+					.with("send", this.policy.sends())
+					.with("server", current.server().id())
+					.with("outcome", outcome)
+					.with("status", (response != null) ? response.status().code() : 0)
+					.with("tookMs", now() - current.startedAt()));
+	}
+
 	// The other entry VM has already made all attempts that are allowed, so the
 	// request is not sent again after a failure.
 	private void relayEnded(SendAttempt current, SlotOutcome outcome, HttpResponse response) {
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/UnexpectedData.java
@@ -0,0 +1,20 @@
+package org.lovagevale.gateway.http;
+
+/**
+ * Data from a backend server or an entry VM that is no part of the expected response.
+ */
+enum UnexpectedData {
+
+	/** A response that carries the ID of another request. */
+	OTHER_REQUEST,
+
+	/** Data while no request is in progress. */
+	NO_REQUEST,
+
+	/** A part of a response that was not completed before the next request. */
+	INCOMPLETE,
+
+	/** Data that cannot be decoded, or a head that has another one inside. */
+	MALFORMED
+
+}
