Never combine bytes of an earlier response with the next one

Cause: the decoder of a kept connection keeps bytes that are no whole line, and emits no message for them. A second response that breaks off in its head, such as "HTTP/1.1 200 ", therefore stays there while the connection is idle, and the next response completes it: "HTTP/1.1 200 HTTP/1.1 500 Internal Server Error" with the ID and the signature of that response. The ID matches, so a signed 500 or 504 was passed on as a success. If the next response is a success, its caller gets the right one, so only failures show.

Every byte that arrives while no request is in progress now closes the connection before it is decoded, undecoded bytes behind a response close it, and a head with a status line in its reason phrase or in the value of a header is malformed. The last one covers a part that arrives after the next request was sent.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -33,10 +33,11 @@
  * <p>
  * Invariants: a response to a request that must be identified is passed on only if it
  * carries the ID of that request; nothing is passed on after a failed write; responses
- * with other IDs are skipped, and the connection is then not reused. Data that arrives
- * while no request is in progress closes the connection, and so does a response that
- * changes the protocol. A server that sends only data that is no part of the expected
- * response is read to a limit. Confined to the event loop.
+ * with other IDs are skipped, and the connection is then not reused. Each byte that
+ * arrives while no request is in progress closes the connection, and so do a response
+ * that changes the protocol and a head that continues one that was broken off. A server
+ * that sends only data that is no part of the expected response is read to a limit.
+ * Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -219,10 +220,6 @@
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
 		this.requestCount++;
-		int undecodedBytes = this.decoder.undecodedBytes();
-		if (undecodedBytes > 0) {
-			reportUnexpected(UnexpectedData.INCOMPLETE, undecodedBytes + " bytes before the request");
-		}
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
 		writePart(request);
 	}
@@ -277,6 +274,30 @@
 		context().close();
 	}
 
+	/**
+	 * Tells whether a request is in progress on this connection.
+	 * @return {@code false} if all data that arrives is unexpected
+	 */
+	boolean isResponseExpected() {
+		return this.listener != null;
+	}
+
+	/**
+	 * Closes the connection because bytes arrived while no request was in progress. They
+	 * may be a part of a response, which the response to the next request would complete.
+	 * @param count the number of bytes
+	 */
+	void closeAfterUnexpectedBytes(int count) {
+		closeAfterUnexpected(UnexpectedData.NO_REQUEST, count + " bytes");
+	}
+
+	private void closeAfterUnexpected(UnexpectedData kind, String data) {
+		if (channel().isActive()) {
+			reportUnexpected(kind, data);
+		}
+		context().close();
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
@@ -285,11 +306,8 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		if (this.listener == null) {
-			if (ctx.channel().isActive()) {
-				reportUnexpected(UnexpectedData.NO_REQUEST, describe(message));
-			}
 			ReferenceCountUtil.release(message);
-			ctx.close();
+			closeAfterUnexpected(UnexpectedData.NO_REQUEST, describe(message));
 			return;
 		}
 		if (!(message instanceof HttpObject object)) {
@@ -338,6 +356,11 @@
 	}
 
 	private void readHead(HttpResponse response) {
+		if (BackendResponseDecoder.hasInnerStatusLine(response)) {
+			reportUnexpected(UnexpectedData.MALFORMED, describe(response));
+			fail("head with the status line of another one inside");
+			return;
+		}
 		this.observer.received(this.server, response);
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
@@ -423,8 +446,12 @@
 	private void completeResponse() {
 		BackendListener completed = currentListener();
 		this.listener = null;
-		boolean keep = this.reusable && this.requestComplete && channel().isActive();
-		if (!keep) {
+		int undecodedBytes = this.decoder.undecodedBytes();
+		boolean keep = this.reusable && this.requestComplete && undecodedBytes == 0 && channel().isActive();
+		if (undecodedBytes > 0) {
+			closeAfterUnexpected(UnexpectedData.AFTER_RESPONSE, undecodedBytes + " bytes after the response");
+		}
+		else if (!keep) {
 			context().close();
 		}
 		completed.ended();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -131,8 +131,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new WriteFailureHandler(connection::writeFailed), new HttpRequestEncoder(), decoder,
-								connection);
+						.addLast(new ExpectedDataHandler(connection), new WriteFailureHandler(connection::writeFailed),
+								new HttpRequestEncoder(), decoder, connection);
 				}
 
 			});
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -1,11 +1,17 @@
 package org.lovagevale.gateway.http;
 
+import java.util.Iterator;
+import java.util.Map;
+import java.util.regex.Pattern;
+
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
- * Decodes the responses of backend servers and rejects those with ambiguous framing.
+ * Decodes the responses of backend servers and rejects those with ambiguous framing and
+ * those whose head begins with a part of another one.
  *
  * <p>
  * Not thread-safe.
@@ -16,6 +22,8 @@
 
 	private static final int MAX_CHUNK_BYTES = 32_768;
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+
 	private boolean responseToHead;
 
 	BackendResponseDecoder() {
@@ -42,6 +50,26 @@
 		return actualReadableBytes();
 	}
 
+	/**
+	 * Tells whether a head has the status line of another one inside, which is the case
+	 * if it continues a head that was broken off.
+	 * @param response the head
+	 * @return {@code true} if the reason phrase or the value of a header contains a
+	 * status line
+	 */
+	static boolean hasInnerStatusLine(HttpResponse response) {
+		if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
+			return true;
+		}
+		Iterator<Map.Entry<CharSequence, CharSequence>> headers = response.headers().iteratorCharSequence();
+		while (headers.hasNext()) {
+			if (STATUS_LINE.matcher(headers.next().getValue()).find()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.responseToHead || super.isContentAlwaysEmpty(message);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/UnexpectedData.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/UnexpectedData.java
@@ -11,10 +11,13 @@
 	/** Data while no request is in progress. */
 	NO_REQUEST,
 
-	/** A part of a response that was not completed before the next request. */
-	INCOMPLETE,
+	/** Data directly behind the end of a response. */
+	AFTER_RESPONSE,
 
-	/** Data that cannot be decoded, or a head that has another one inside. */
+	/**
+	 * Data that cannot be decoded, or a head that has the status line of another one
+	 * inside.
+	 */
 	MALFORMED
 
 }
