Close connections to servers that receive bytes of no response

What callers of an entry process saw: a 200 where the server had answered with a 500, and a 502 where the server would have answered.

Cause: a part of a second response stayed in the decoder of a kept connection, since the decoder emits no message for it and the connection counts as idle. The next response completed it. Responses of servers do not identify their request.

Evidence: SurplusResponseTests sends each length of a second response on an idle connection, in the segment of the first response, and directly before a failure.

Why this works: the decoder accepts bytes only while a response is due. Other bytes close the connection before the pool can assign it. A response with bytes after it on a reused connection does not look complete, since it may consist of an earlier response and a part of its own. A head that contains a second status line is rejected.

What remains: a whole second response that arrives alone, after the next request was written and before its response, is taken for that response, because the protocol of these servers has no identity in responses.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/BackendHttpClients.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/BackendHttpClients.java
@@ -9,6 +9,7 @@
 import org.lovagevale.settings.model.BackendServer;
 import org.lovagevale.settings.model.ServiceSettings;
 import org.lovagevale.settings.model.Settings;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -113,7 +114,9 @@
 			.followRedirect(false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
-			.httpResponseDecoder((spec) -> spec.maxHeaderSize(MAX_RESPONSE_HEAD_BYTES))
+			.doOnChannelInit((observer, channel, address) -> channel.pipeline()
+				.replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec,
+						new SingleResponseCodec(MAX_RESPONSE_HEAD_BYTES)))
 			.headers((headers) -> headers.remove("User-Agent"))
 			.baseUrl("http://" + server.host() + ":" + server.port());
 		return new Pool(server.host(), server.port(), share, provider, client);
