Ignore the messages of a peer behind a malformed one

What an entry process would see: a peer reported as connected over a link that was already closed, and messages of that link.

Cause: the frame decoder passes on all frames of a segment, also after the handling of one of them closed the channel.

Evidence: messagesBehindAMalformedOneAreNotHandled failed on the former code (1 hello message handled, expected 0) and passes now, with the other tests of PeerLinkTests and PeerTransportTests. Frames of different links cannot be combined: each link has its own decoder and a failed write closes it.

--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
@@ -136,7 +136,8 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
 		int length = frame.readableBytes();
-		if (length == 0) {
+		// The decoder also passes on the frames that were received with a malformed one.
+		if (length == 0 || !this.channel.isActive()) {
 			return;
 		}
 		byte[] bytes = new byte[length];
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerLinkTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerLinkTests.java
@@ -1,6 +1,7 @@
 package org.lovagevale.peer;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -23,7 +24,7 @@
 	@Test
 	void linkIsClosedAfterAFrameThatWasWrittenInPart() {
 		EmbeddedChannel channel = new EmbeddedChannel();
-		PeerLink link = new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), new IgnoringListener());
+		PeerLink link = new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), new CountingListener());
 		link.open(Connection.from(channel), HELLO);
 		channel.releaseOutbound();
 		channel.pipeline().addFirst(new BodyFailure());
@@ -33,6 +34,20 @@
 		assertThat(link.send(HELLO)).isFalse();
 	}
 
+	@Test
+	void messagesBehindAMalformedOneAreNotHandled() throws PeerException {
+		EmbeddedChannel channel = new EmbeddedChannel();
+		CountingListener listener = new CountingListener();
+		new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), listener).open(Connection.from(channel),
+				HELLO);
+		channel.releaseOutbound();
+		byte[] hello = new PeerCodec().encode(HELLO);
+		ByteBuf received = Unpooled.buffer().writeInt(1).writeByte(0).writeInt(hello.length).writeBytes(hello);
+		channel.writeInbound(received);
+		assertThat(channel.isOpen()).isFalse();
+		assertThat(listener.hellos).isZero();
+	}
+
 	/**
 	 * Fails the writes of all buffers that are longer than the length field of a frame.
 	 *
@@ -54,16 +69,18 @@
 	}
 
 	/**
-	 * Ignores all events.
+	 * Counts the hello messages and ignores all other events.
 	 *
 	 * <p>
-	 * Thread-safe.
+	 * Confined to the event loop.
 	 */
-	private static final class IgnoringListener implements PeerLinkListener {
+	private static final class CountingListener implements PeerLinkListener {
+
+		private int hellos;
 
 		@Override
 		public void helloReceived(PeerLink link, Hello hello) {
-			// Not used here.
+			this.hellos++;
 		}
 
 		@Override
