Report leaving servers to the whole region, also during a bypass

Seen: LeavingServerInRegionTests fails in both orders under load. A second entry VM sends a request to a server that has announced its leaving to the first one.

Cause: the announcement went only to the dispatcher that had granted the slot, with the release of the slot. A VM that placed a request by itself, because the dispatcher did not confirm within 60 ms, told nobody. What the dispatcher knew reached no other VM, so that a VM that bypassed it placed requests at the leaving server.

Change: the announcement goes to the dispatcher of the service when it is first read, whoever granted the slot, and the dispatcher passes it on to the other VMs of its region. LeavingReports, in the core, decides which reports are due: each VM gets a run once, before the next message about a slot at the latest, and again after its connection was lost or it granted a slot of that run. Only listed runs are reported, and a report holds for one run. Announcements in responses to health checks are reported as well, which only those in responses to requests were.

The test leaves a gap that the code cannot close: a VM whose transport is delayed for longer than the confirmation timeout may place a request before the report arrives.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerAnnouncements.java
@@ -36,13 +36,15 @@
 
 	private final Clock clock;
 
-	private final Set<Run> leaving = Collections.newSetFromMap(new BoundedMap());
+	private final Set<ServerRun> leaving = Collections.newSetFromMap(new BoundedMap());
 
 	/** The pauses in the order in which they were last recorded. */
-	private final Map<Run, Pause> pauses = new LinkedHashMap<>();
+	private final Map<ServerRun, Pause> pauses = new LinkedHashMap<>();
 
 	/** The keys of {@link #pauses} by service. */
-	private final Map<ServiceName, Set<Run>> pausedRuns = new HashMap<>();
+	private final Map<ServiceName, Set<ServerRun>> pausedRuns = new HashMap<>();
+
+	private long leavingVersion;
 
 	/**
 	 * Creates an instance without announcements.
@@ -58,18 +60,18 @@
 	 * @return {@code true} if this was not known
 	 */
 	public boolean recordLeaving(BackendInstance server) {
-		return this.leaving.add(Run.of(server));
+		return recordLeaving(ServerRun.of(server));
 	}
 
 	/**
-	 * Records that a server has announced its leaving to another process.
-	 * @param server the server
-	 * @param startedAtEpochMs the start of the run that is leaving, in milliseconds since
-	 * the epoch
+	 * Records that a server has announced its leaving to this or another process.
+	 * @param run the run that is leaving
 	 * @return {@code true} if this was not known
 	 */
-	public boolean recordLeaving(ServerName server, long startedAtEpochMs) {
-		return this.leaving.add(new Run(server, startedAtEpochMs));
+	public boolean recordLeaving(ServerRun run) {
+		boolean added = this.leaving.add(run);
+		this.leavingVersion += added ? 1 : 0;
+		return added;
 	}
 
 	/**
@@ -78,7 +80,15 @@
 	 * @return {@code true} if nothing may be sent to it any more
 	 */
 	public boolean isLeaving(BackendInstance server) {
-		return this.leaving.contains(Run.of(server));
+		return this.leaving.contains(ServerRun.of(server));
+	}
+
+	/**
+	 * Returns a number that changes when the first announcement of a run is recorded.
+	 * @return the number
+	 */
+	long leavingVersion() {
+		return this.leavingVersion;
 	}
 
 	/**
@@ -91,7 +101,7 @@
 		if (pauseMs < 0) {
 			throw new IllegalArgumentException("pause of " + pauseMs + " ms");
 		}
-		Run run = Run.of(server);
+		ServerRun run = ServerRun.of(server);
 		Pause next = new Pause(server.service(), this.clock.millis() + Math.min(MAX_PAUSE_MS, pauseMs));
 		Pause known = removePause(run);
 		put(run, (known != null) ? known.later(next) : next);
@@ -100,12 +110,12 @@
 		}
 	}
 
-	private void put(Run run, Pause pause) {
+	private void put(ServerRun run, Pause pause) {
 		this.pauses.put(run, pause);
 		this.pausedRuns.computeIfAbsent(pause.service(), (service) -> new HashSet<>()).add(run);
 	}
 
-	private @Nullable Pause removePause(Run run) {
+	private @Nullable Pause removePause(ServerRun run) {
 		Pause removed = this.pauses.remove(run);
 		if (removed != null) {
 			this.pausedRuns.computeIfPresent(removed.service(), (service, runs) -> {
@@ -122,7 +132,7 @@
 	 * @return the time left in milliseconds, 0 if the server is not paused
 	 */
 	public long pauseLeftMs(BackendInstance server) {
-		Pause pause = this.pauses.get(Run.of(server));
+		Pause pause = this.pauses.get(ServerRun.of(server));
 		return (pause != null) ? Math.max(0, pause.endsAt() - this.clock.millis()) : 0;
 	}
 
@@ -144,16 +154,16 @@
 	 */
 	public Map<ServerName, Long> paused(ServiceName service, Function<ServerName, @Nullable BackendInstance> listed) {
 		Map<ServerName, Long> paused = new HashMap<>();
-		List<Run> ended = new ArrayList<>();
+		List<ServerRun> ended = new ArrayList<>();
 		long now = this.clock.millis();
-		for (Run run : this.pausedRuns.getOrDefault(service, Set.of())) {
+		for (ServerRun run : this.pausedRuns.getOrDefault(service, Set.of())) {
 			Pause pause = this.pauses.get(run);
 			if (pause == null || pause.endsAt() <= now) {
 				ended.add(run);
 				continue;
 			}
 			BackendInstance current = listed.apply(run.server());
-			if (current != null && Run.of(current).equals(run)) {
+			if (current != null && ServerRun.of(current).equals(run)) {
 				paused.put(run.server(), pause.endsAt() - now);
 			}
 		}
@@ -161,20 +171,6 @@
 		return paused;
 	}
 
-	/**
-	 * One run of a server.
-	 *
-	 * @param server the server
-	 * @param startedAtEpochMs the start of the run, in milliseconds since the epoch
-	 */
-	private record Run(ServerName server, long startedAtEpochMs) {
-
-		private static Run of(BackendInstance instance) {
-			return new Run(instance.id(), instance.startedAtEpochMs());
-		}
-
-	}
-
 	/**
 	 * A time in which a server wants no requests from this process.
 	 *
@@ -192,12 +188,12 @@
 	/**
 	 * Forgets the oldest of more than {@link #MAX_RUNS} entries. Not thread-safe.
 	 */
-	private static final class BoundedMap extends LinkedHashMap<Run, Boolean> {
+	private static final class BoundedMap extends LinkedHashMap<ServerRun, Boolean> {
 
 		private static final long serialVersionUID = 1L;
 
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<Run, Boolean> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<ServerRun, Boolean> eldest) {
 			return size() > MAX_RUNS;
 		}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -53,6 +53,8 @@
 
 	private final ServerAnnouncements announcements;
 
+	private final LeavingReports leavingReports;
+
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
 
 	private final CrashSuspects suspects = new CrashSuspects();
@@ -79,6 +81,7 @@
 		this.isSoleOwner = isSoleOwner;
 		this.replies = replies;
 		this.announcements = announcements;
+		this.leavingReports = new LeavingReports(announcements);
 		this.selector = new ServerSelector(region, random, announcements);
 	}
 
@@ -89,6 +92,7 @@
 	public void update(Catalog catalog) {
 		long now = this.clock.millis();
 		Map<ServerName, BackendInstance> listed = catalog.servers();
+		this.leavingReports.update(listed);
 		this.pools.values().forEach((pool) -> pool.retainListed(listed));
 		for (BackendInstance instance : listed.values()) {
 			pool(instance.service()).put(instance, now);
@@ -270,14 +274,22 @@
 	}
 
 	/**
-	 * Records that a server has announced its leaving to another process.
-	 * @param id the server
-	 * @param startedAtEpochMs the start of the run that is leaving, in milliseconds since
-	 * the epoch
+	 * Records that another entry VM has reported that a server is leaving.
+	 * @param from the entry VM
+	 * @param run the run that is leaving
 	 * @return {@code true} if this was not known
 	 */
-	public boolean recordLeaving(ServerName id, long startedAtEpochMs) {
-		return this.announcements.recordLeaving(id, startedAtEpochMs);
+	public boolean recordLeaving(VmName from, ServerRun run) {
+		this.leavingReports.recordKnown(from, run);
+		return this.announcements.recordLeaving(run);
+	}
+
+	/**
+	 * Returns the reports about leaving servers to other entry VMs.
+	 * @return the reports
+	 */
+	public LeavingReports leavingReports() {
+		return this.leavingReports;
 	}
 
 	/**
@@ -296,6 +308,7 @@
 	 * @param vm the entry VM
 	 */
 	public void removeVm(VmName vm) {
+		this.leavingReports.forget(vm);
 		for (ServicePool pool : this.pools.values()) {
 			pool.servers().forEach((server) -> server.releaseAllOf(vm));
 			pool.queue().removeIf((queued) -> queued.request().id().vm().equals(vm));
@@ -347,6 +360,16 @@
 		return (server != null) ? server.loadAgeMs(this.clock.millis()) : Long.MAX_VALUE;
 	}
 
+	/**
+	 * Returns the service of a listed server.
+	 * @param id the server
+	 * @return the service, or {@code null} if the server is not listed
+	 */
+	public @Nullable ServiceName serviceOf(ServerName id) {
+		PooledServer server = server(id);
+		return (server != null) ? server.instance().service() : null;
+	}
+
 	private @Nullable ServicePool poolOf(ServerName id) {
 		return this.pools.values().stream().filter((pool) -> pool.find(id) != null).findFirst().orElse(null);
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/AnnouncementModel.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/AnnouncementModel.java
@@ -250,7 +250,7 @@
 					.isTrue();
 				AnnouncementModel.this.withheld++;
 				if (this.announcements.isLeaving(server)) {
-					granter.dispatcher.recordLeaving(server.id(), server.startedAtEpochMs());
+					granter.dispatcher.recordLeaving(id.vm(), ServerRun.of(server));
 					granter.toldLeaving.add(run(server));
 				}
 			}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -170,7 +170,7 @@
 		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
 				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
 		this.connectionPool = new BackendConnectionPool(this.loop, () -> loops.onChannel(SocketChannel.class, group),
-				protocol, clock, this.metrics, announcements);
+				protocol, clock, this.metrics, announcements, this.slotClient::reportLeaving);
 		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalogUpdater,
 				new HomeRegionChooser(random));
 		this.readDelay = new ReadDelay(clock, TICK_INTERVAL_MS);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -373,8 +373,7 @@
 		logIfRosterChanged();
 		SlotClient client = this.slotClient;
 		if (client != null) {
-			// Decides the requests sent to this VM at once, instead of at the next tick.
-			client.tick();
+			client.handleConnectionLost(vm);
 		}
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -11,8 +11,10 @@
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.ServerName;
+import org.lovagevale.base.ServiceName;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.message.RegionMessage;
 import org.lovagevale.core.message.ServerLeaving;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
@@ -22,6 +24,7 @@
 import org.lovagevale.core.message.SlotReturned;
 import org.lovagevale.core.placing.RefusalCause;
 import org.lovagevale.core.placing.ServerLoad;
+import org.lovagevale.core.placing.ServerRun;
 import org.lovagevale.core.placing.SlotDispatcher;
 import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
@@ -138,7 +141,7 @@
 			return;
 		}
 		pendingRequest.dispatcherVm = target.vm();
-		this.sender.send(target.vm(), SlotMessages.toMessage(request));
+		send(target.vm(), SlotMessages.toMessage(request));
 		this.waitingListener.run();
 	}
 
@@ -177,7 +180,7 @@
 			this.dispatcher.cancel(id);
 		}
 		else if (pendingRequest.dispatcherVm != null) {
-			this.sender.send(pendingRequest.dispatcherVm, new SlotCancelled(id.number()));
+			send(pendingRequest.dispatcherVm, new SlotCancelled(id.number()));
 		}
 	}
 
@@ -192,38 +195,80 @@
 			return;
 		}
 		this.dispatcher.recordLoad(release.server(), release.load());
-		this.sender.send(grant.dispatcher(), SlotMessages.toMessage(release));
+		send(grant.dispatcher(), SlotMessages.toMessage(release));
 	}
 
 	/**
-	 * Reports a server that has announced its leaving to the dispatcher that granted a
-	 * slot of it. To be called before the slot is released, so that no other request gets
-	 * it.
-	 * @param grant the slot
+	 * Reports a server that has announced its leaving in a response to this process. The
+	 * report goes to the dispatcher of the service at once, also while that is bypassed,
+	 * and from there to the other entry VMs of the region.
 	 * @param server the run of the server
 	 */
-	public void reportLeaving(SlotGrant grant, BackendInstance server) {
-		if (!isSelf(grant.dispatcher())) {
-			this.sender.send(grant.dispatcher(), new ServerLeaving(server.id().value(), server.startedAtEpochMs()));
+	public void reportLeaving(BackendInstance server) {
+		VmName target = this.roster.dispatcher(server.service()).vm();
+		if (isSelf(target)) {
+			reportToRegion();
+		}
+		else {
+			sendLeavingReports(target);
+		}
+	}
+
+	// Each VM may place requests by itself while it bypasses this one.
+	private void reportToRegion() {
+		for (RosterMember member : this.roster.alive()) {
+			if (!isSelf(member.vm())) {
+				sendLeavingReports(member.vm());
+			}
+		}
+	}
+
+	private void sendLeavingReports(VmName to) {
+		for (ServerRun run : this.dispatcher.leavingReports().takeDue(to)) {
+			this.sender.send(to, new ServerLeaving(run.server().value(), run.startedAtEpochMs()));
 		}
 	}
 
+	// Reports precede each message about a slot, so that the receiver decides with what
+	// is known here.
+	private void send(VmName to, RegionMessage message) {
+		sendLeavingReports(to);
+		this.sender.send(to, message);
+	}
+
 	/**
-	 * Handles the report by another process that a server is leaving.
+	 * Handles the report by another process that a server is leaving. The dispatcher of
+	 * its service passes it on to the other entry VMs of the region.
 	 * @param from the VM of the sender
 	 * @param leaving the server and its run
 	 */
 	public void handleServerLeaving(VmName from, ServerLeaving leaving) {
 		ServerName server = new ServerName(leaving.server());
-		if (this.dispatcher.recordLeaving(server, leaving.startedAtEpochMs())) {
-			LOGGER.info("{}",
-					LogLine.event("server.leaving")
-						.with("server", server)
-						.with("startedAt", leaving.startedAtEpochMs())
-						.with("from", from));
+		if (!this.dispatcher.recordLeaving(from, new ServerRun(server, leaving.startedAtEpochMs()))) {
+			return;
+		}
+		LOGGER.info("{}",
+				LogLine.event("server.leaving")
+					.with("server", server)
+					.with("startedAt", leaving.startedAtEpochMs())
+					.with("from", from));
+		ServiceName service = this.dispatcher.serviceOf(server);
+		if (service != null && isSelf(this.roster.dispatcher(service).vm())) {
+			reportToRegion();
 		}
 	}
 
+	/**
+	 * Handles the loss of the connection to another process, with which messages to it
+	 * may have been lost.
+	 * @param vm the VM of the other process
+	 */
+	public void handleConnectionLost(VmName vm) {
+		this.dispatcher.leavingReports().forget(vm);
+		// Decides the requests sent to this VM at once, instead of at the next tick.
+		tick();
+	}
+
 	/**
 	 * Lets the dispatcher of this process decide the requests whose dispatcher has not
 	 * confirmed them in time, is no longer alive or is leaving.
@@ -303,8 +348,9 @@
 	public void handleGrant(VmName from, SlotGranted granted) {
 		PendingRequest pendingRequest = this.pending.get(granted.number());
 		ServerName server = new ServerName(granted.server());
+		this.dispatcher.leavingReports().recordGrant(from, server);
 		if (pendingRequest == null || !from.equals(pendingRequest.dispatcherVm)) {
-			this.sender.send(from, SlotMessages.toMessage(unusedRelease(granted.number(), server)));
+			send(from, SlotMessages.toMessage(unusedRelease(granted.number(), server)));
 			return;
 		}
 		this.pending.remove(granted.number());
@@ -355,7 +401,7 @@
 	@Override
 	public void granted(SlotId id, ServerName server, String why) {
 		if (!isSelf(id.vm())) {
-			this.sender.send(id.vm(), new SlotGranted(id.number(), server.value(), why));
+			send(id.vm(), new SlotGranted(id.number(), server.value(), why));
 			return;
 		}
 		PendingRequest pendingRequest = this.pending.remove(id.number());
@@ -367,14 +413,14 @@
 	@Override
 	public void queued(SlotId id) {
 		if (!isSelf(id.vm())) {
-			this.sender.send(id.vm(), new SlotQueued(id.number()));
+			send(id.vm(), new SlotQueued(id.number()));
 		}
 	}
 
 	@Override
 	public void refused(SlotId id, RefusalCause cause, int retryAfterMs) {
 		if (!isSelf(id.vm())) {
-			this.sender.send(id.vm(), new SlotRefused(id.number(), cause.name(), retryAfterMs));
+			send(id.vm(), new SlotRefused(id.number(), cause.name(), retryAfterMs));
 			return;
 		}
 		PendingRequest pendingRequest = this.pending.remove(id.number());
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
@@ -55,6 +56,8 @@
 
 	private final ServerAnnouncements announcements;
 
+	private final Consumer<BackendInstance> leavingListener;
+
 	private final Map<ServerName, ArrayDeque<BackendConnection>> idle = new HashMap<>();
 
 	/**
@@ -65,15 +68,18 @@
 	 * @param clock the clock
 	 * @param metrics counts the opened connections
 	 * @param announcements receives what servers announce in their responses
+	 * @param leavingListener receives a run of a server when it is first known to leave,
+	 * called on the event loop
 	 */
 	public BackendConnectionPool(EventLoop loop, Supplier<Channel> channelFactory, ServerProtocol protocol, Clock clock,
-			GatewayMetrics metrics, ServerAnnouncements announcements) {
+			GatewayMetrics metrics, ServerAnnouncements announcements, Consumer<BackendInstance> leavingListener) {
 		this.loop = loop;
 		this.channelFactory = channelFactory;
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
 		this.announcements = announcements;
+		this.leavingListener = leavingListener;
 	}
 
 	/**
@@ -158,6 +164,7 @@
 						.with("server", server.id())
 						.with("startedAt", server.startedAtEpochMs()));
 			closeIdle(server.id());
+			this.leavingListener.accept(server);
 		}
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -317,7 +317,6 @@
 		BackendInstance server = this.services.catalog().server(grant.server());
 		if (server == null || server.draining() || this.services.announcements().isLeaving(server)) {
 			this.triedServers.add(grant.server());
-			reportLeaving(grant, server);
 			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
 			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is not listed here or leaving");
 			return;
@@ -900,7 +899,6 @@
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
-			reportLeaving(grant, current.server());
 			release(grant, outcome, load, (int) (now() - current.startedAt()));
 			return;
 		}
@@ -913,12 +911,6 @@
 		}
 	}
 
-	private void reportLeaving(SlotGrant grant, @Nullable BackendInstance server) {
-		if (server != null && this.services.announcements().isLeaving(server)) {
-			this.services.slots().reportLeaving(grant, server);
-		}
-	}
-
 	private void release(SlotGrant grant, SlotOutcome outcome, ServerLoad load, int tookMs) {
 		this.services.slots()
 			.release(grant, new SlotRelease(grant.request().id(), grant.server(), outcome, tookMs,
