--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/log/BoundedLogAppender.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/log/BoundedLogAppender.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -40,6 +41,8 @@
 	/** Delay after a failed write, in milliseconds. */
 	private static final long RETRY_DELAY_MS = 200;
 
+	private static final long POLL_INTERVAL_MS = 2;
+
 	private final AtomicInteger queuedChars = new AtomicInteger();
 
 	private final ArrayBlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
@@ -81,6 +84,24 @@
 		}
 	}
 
+	/**
+	 * Waits until all queued lines have been written or dropped, but no longer than a
+	 * timeout.
+	 * @param timeoutMs the timeout in milliseconds
+	 * @return whether no line is left
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean awaitWritten(long timeoutMs) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+		while (this.queuedChars.get() > 0) {
+			if (System.nanoTime() - deadlineNanos >= 0) {
+				return false;
+			}
+			Thread.sleep(POLL_INTERVAL_MS);
+		}
+		return true;
+	}
+
 	/**
 	 * Returns the number of dropped lines whose number has not been written yet.
 	 * @return the number of lines
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/log/BoundedLogAppenderTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/log/BoundedLogAppenderTests.java
@@ -72,6 +72,17 @@
 		assertThat(written()).contains("event=log.dropped lines=1").doesNotContain("event=first");
 	}
 
+	@Test
+	void waitForQueuedLinesEndsWhenTheyAreWritten() throws Exception {
+		CountDownLatch readable = new CountDownLatch(1);
+		BoundedLogAppender appender = start(blockedUntil(readable));
+		log(appender, "event=last");
+		assertThat(appender.awaitWritten(20)).isFalse();
+		readable.countDown();
+		assertThat(appender.awaitWritten(TIMEOUT_MS)).isTrue();
+		assertThat(written()).contains("event=last");
+	}
+
 	private OutputStream blockedUntil(CountDownLatch readable) {
 		return new OutputStream() {
 
