--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -33,10 +33,11 @@
  * <p>
  * Invariants: a response to a request that must be identified is passed on only if it
  * carries the ID of that request; nothing is passed on after a failed write; responses
- * with other IDs are skipped, and the connection is then not reused. Data that arrives
- * while no request is in progress closes the connection, and so does a response that
- * changes the protocol. A server that sends only data that is no part of the expected
- * response is read to a limit. Confined to the event loop.
+ * with other IDs are skipped, and the connection is then not reused. Each byte that
+ * arrives while no request is in progress closes the connection, and so do a response
+ * that changes the protocol and a head that continues one that was broken off. A server
+ * that sends only data that is no part of the expected response is read to a limit.
+ * Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -125,6 +126,9 @@
 
 	private int informationalCount;
 
+	/** Number of requests that this connection was used for. */
+	private int requestCount;
+
 	private long idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
 
 	private long idleSinceMs;
@@ -215,6 +219,7 @@
 		this.skipped = 0;
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
+		this.requestCount++;
 		this.decoder.expectResponseTo(request.method().equals(HttpMethod.HEAD));
 		writePart(request);
 	}
@@ -269,6 +274,30 @@
 		context().close();
 	}
 
+	/**
+	 * Tells whether a request is in progress on this connection.
+	 * @return {@code false} if all data that arrives is unexpected
+	 */
+	boolean isResponseExpected() {
+		return this.listener != null;
+	}
+
+	/**
+	 * Closes the connection because bytes arrived while no request was in progress. They
+	 * may be a part of a response, which the response to the next request would complete.
+	 * @param count the number of bytes
+	 */
+	void closeAfterUnexpectedBytes(int count) {
+		closeAfterUnexpected(UnexpectedData.NO_REQUEST, count + " bytes");
+	}
+
+	private void closeAfterUnexpected(UnexpectedData kind, String data) {
+		if (channel().isActive()) {
+			reportUnexpected(kind, data);
+		}
+		context().close();
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
@@ -278,7 +307,7 @@
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		if (this.listener == null) {
 			ReferenceCountUtil.release(message);
-			ctx.close();
+			closeAfterUnexpected(UnexpectedData.NO_REQUEST, describe(message));
 			return;
 		}
 		if (!(message instanceof HttpObject object)) {
@@ -293,6 +322,7 @@
 			return;
 		}
 		if (object.decoderResult().isFailure()) {
+			reportUnexpected(UnexpectedData.MALFORMED, describe(message));
 			ReferenceCountUtil.release(message);
 			fail("malformed response: " + object.decoderResult().cause().getMessage());
 			return;
@@ -305,7 +335,32 @@
 		}
 	}
 
+	private void reportUnexpected(UnexpectedData kind, String data) {
+		this.metrics.countUnexpectedData(this.server.service().value(), kind.name());
+		LOGGER.info("{}",
+				LogLine.event("response.unexpected")
+					.with("kind", kind)
+					.with("server", this.server.id())
+					.with("id", this.expectedRequestId)
+					.with("requests", this.requestCount)
+					.with("data", data));
+	}
+
+	private String describe(Object message) {
+		if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+			return String.valueOf(object.decoderResult().cause().getMessage());
+		}
+		return (message instanceof HttpResponse response)
+				? "status " + response.status().code() + ", id " + this.protocol.requestId(response.headers())
+				: "content";
+	}
+
 	private void readHead(HttpResponse response) {
+		if (BackendResponseDecoder.hasInnerStatusLine(response)) {
+			reportUnexpected(UnexpectedData.MALFORMED, describe(response));
+			fail("head with the status line of another one inside");
+			return;
+		}
 		this.observer.received(this.server, response);
 		this.informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
@@ -326,6 +381,7 @@
 		this.skipping = id != null && !id.equals(this.expectedRequestId);
 		if (this.skipping) {
 			this.reusable = false;
+			reportUnexpected(UnexpectedData.OTHER_REQUEST, describe(response));
 			if (++this.skipped > MAX_SKIPPED_RESPONSES) {
 				fail("only responses to other requests");
 			}
@@ -390,8 +446,12 @@
 	private void completeResponse() {
 		BackendListener completed = currentListener();
 		this.listener = null;
-		boolean keep = this.reusable && this.requestComplete && channel().isActive();
-		if (!keep) {
+		int undecodedBytes = this.decoder.undecodedBytes();
+		boolean keep = this.reusable && this.requestComplete && undecodedBytes == 0 && channel().isActive();
+		if (undecodedBytes > 0) {
+			closeAfterUnexpected(UnexpectedData.AFTER_RESPONSE, undecodedBytes + " bytes after the response");
+		}
+		else if (!keep) {
 			context().close();
 		}
 		completed.ended();
