Do not pass on an interim response of a server as the final one

What callers of an entry process saw: a 103 or a 101 as the response to their request. The response itself then arrived on a connection that counted as idle.

Cause: the HTTP client takes every interim response but 100 for the final one. The decoder now drops them and rejects a 101, since no change of protocols is requested.

SurplusResponseTests also waits now until the surplus bytes have closed their connection.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -36,6 +37,9 @@
 
 	private boolean interim;
 
+	// Reactor Netty takes every interim response but 100 for the final one.
+	private boolean dropping;
+
 	private boolean reused;
 
 	SingleResponseDecoder(int maxHeadBytes) {
@@ -56,15 +60,22 @@
 			closeOnSurplusBytes(context, in);
 			return;
 		}
-		int decoded = out.size();
+		int index = out.size();
 		super.decode(context, in, out);
-		for (int i = decoded; i < out.size(); i++) {
-			if (out.get(i) instanceof HttpResponse response) {
+		while (index < out.size()) {
+			Object decoded = out.get(index);
+			if (decoded instanceof HttpResponse response) {
 				this.interim = isInterim(response);
+				this.dropping = this.interim && !response.status().equals(HttpResponseStatus.CONTINUE);
+			}
+			if (this.dropping) {
+				ReferenceCountUtil.release(out.remove(index));
+				continue;
 			}
-			if (out.get(i) instanceof LastHttpContent && !this.interim) {
+			if (decoded instanceof LastHttpContent && !this.interim) {
 				endResponse(context, in, out);
 			}
+			index++;
 		}
 	}
 
@@ -104,6 +115,9 @@
 		if (!isKnown || initialLine[1].length() != 3 || containsStatusLine(initialLine[2])) {
 			throw new IllegalArgumentException("malformed status line");
 		}
+		if (initialLine[1].equals("101")) {
+			throw new IllegalArgumentException("change of protocols that was not requested");
+		}
 		return super.createMessage(initialLine);
 	}
 
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/SurplusResponseTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/SurplusResponseTests.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,6 +31,10 @@
 
 	private static final int IDLE_TIME_MS = 5;
 
+	private final CountDownLatch firstHandled = new CountDownLatch(1);
+
+	private volatile boolean closeExpected;
+
 	private volatile boolean firstRequestEnded;
 
 	static IntStream lengths() {
@@ -36,6 +44,7 @@
 	@ParameterizedTest
 	@MethodSource("lengths")
 	void partOfASecondResponseOnAnIdleConnectionDoesNotTurnAFailureIntoASuccess(int length) throws Exception {
+		this.closeExpected = true;
 		String part = OK_RESPONSE.substring(0, length);
 		assertThat(secondResponse((connection) -> {
 			write(connection, OK_RESPONSE);
@@ -47,6 +56,7 @@
 	@ParameterizedTest
 	@MethodSource("lengths")
 	void partOfASecondResponseInTheSegmentOfTheFirstDoesNotTurnAFailureIntoASuccess(int length) throws Exception {
+		this.closeExpected = true;
 		String part = OK_RESPONSE.substring(0, length);
 		assertThat(secondResponse((connection) -> write(connection, OK_RESPONSE + part), FAILURE))
 			.startsWith("HTTP/1.1 500 ");
@@ -62,6 +72,38 @@
 		assertThat(isSuccess).as(response).isFalse();
 	}
 
+	// Guards against a response that is dropped because an earlier one looked like its
+	// end.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" })
+	void responseBehindAnInterimOneIsPassedOn(String interim) throws Exception {
+		assertThat(secondResponse((connection) -> write(connection, interim + OK_RESPONSE), interim + FAILURE))
+			.startsWith("HTTP/1.1 500 ");
+	}
+
+	@Test
+	void unrequestedChangeOfProtocolsIsNotPassedOn() throws Exception {
+		assertThat(secondResponse((connection) -> write(connection, OK_RESPONSE),
+				"HTTP/1.1 101 Switching Protocols\r\n\r\n" + OK_RESPONSE))
+			.startsWith("HTTP/1.1 502 ");
+	}
+
+	// Guards against the body length of a HEAD response being taken for a body.
+	@Test
+	void headResponseDoesNotConsumeTheNextResponse() throws Exception {
+		RawServer.RequestHandler handler = (head, in, connection) -> write(connection,
+				head.startsWith("HEAD") ? "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" : FAILURE);
+		try (RawServer server = new RawServer(handler);
+				HttpFixture fixture = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(fixture.callerPort)) {
+			caller.send(GET_REQUEST.replace("GET", "HEAD"));
+			assertThat(RawCaller.readHead(caller.in)).startsWith("HTTP/1.1 200 ");
+			caller.send(GET_REQUEST);
+			assertThat(caller.readResponse()).startsWith("HTTP/1.1 500 ");
+			assertThat(server.connectionCount).hasValue(1);
+		}
+	}
+
 	private String secondResponse(FirstHandler first, String second) throws Exception {
 		RawServer.RequestHandler handler = (head, in, connection) -> {
 			if (this.firstRequestEnded) {
@@ -69,6 +111,10 @@
 			}
 			else {
 				first.write(connection);
+				if (this.closeExpected) {
+					assertThat(in.read()).isEqualTo(-1);
+				}
+				this.firstHandled.countDown();
 			}
 		};
 		try (RawServer server = new RawServer(handler); HttpFixture fixture = new HttpFixture(server.port())) {
@@ -76,7 +122,8 @@
 				caller.send(GET_REQUEST);
 				assertThat(caller.readResponse()).startsWith("HTTP/1.1 200 ").endsWith("hello world!");
 			}
-			pause(4 * IDLE_TIME_MS);
+			assertThat(this.firstHandled.await(10, TimeUnit.SECONDS)).as("connection with surplus bytes is closed")
+				.isTrue();
 			this.firstRequestEnded = true;
 			try (RawCaller caller = new RawCaller(fixture.callerPort)) {
 				caller.send(GET_REQUEST);
