Reset no connection that arrives just before the port is closed

The port was closed after the accept queue was found empty. A connection that arrives between the two is established for its caller, and closing the port resets it. On a busy machine, the thread may wait for a processor there.

Change: 50 ms before the port is closed, the minimum time to live of the listening socket is raised to 255. Linux then drops new SYNs, completes the handshakes in progress and leaves the connections in the queue open. With a transport other than epoll the port is closed as before.

Weighed: with the port open until the process ends, the connections of the last moments are reset all the same. What callers get now: an attempt to connect in these 50 ms is refused when the system of the caller repeats it, after 1 s, instead of at once. Nothing was sent on it.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -44,10 +44,10 @@
 	private static final int MAX_ACCEPTED_AT_ONCE = 256;
 
 	/**
-	 * Time after which the server stops accepting even if no further connection arrives,
-	 * in milliseconds.
+	 * Time for the handshakes in progress when the server stops accepting, in
+	 * milliseconds. It is many times the round-trip time of a region.
 	 */
-	private static final long STOP_WITHOUT_CONNECTION_MS = 50;
+	private static final long HANDSHAKE_MS = 50;
 
 	private static final long TIMEOUT_CHECK_INTERVAL_MS = 250;
 
@@ -59,7 +59,8 @@
 
 	private @Nullable Channel listening;
 
-	private boolean stopping;
+	/** Whether connections may arrive until the port is closed. */
+	private boolean closeAfterAccept;
 
 	// Far in the past, so that it can be subtracted from any time without overflow.
 	private long lastTimeoutCheckAt = Long.MIN_VALUE / 2;
@@ -165,11 +166,15 @@
 
 	/**
 	 * Stops accepting connections. Those that callers have opened already are accepted
-	 * first, since closing the port would reset them.
+	 * first, since closing the port would reset them. The operating system ignores new
+	 * ones meanwhile, if it can, so that none arrives between the last accept and the
+	 * close of the port; their callers learn that the port is closed when they repeat the
+	 * attempt.
 	 */
 	public void stopAccepting() {
-		this.stopping = true;
-		this.loop.schedule(this::closePort, STOP_WITHOUT_CONNECTION_MS, TimeUnit.MILLISECONDS);
+		Channel channel = this.listening;
+		this.closeAfterAccept = channel != null && !HandshakeFilter.ignoreNewConnections(channel);
+		this.loop.schedule(this::closePort, HANDSHAKE_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void closePort() {
@@ -180,7 +185,8 @@
 	}
 
 	/**
-	 * Closes the port directly after all waiting connections were accepted.
+	 * Closes the port directly after all waiting connections were accepted, if further
+	 * ones may arrive.
 	 *
 	 * <p>
 	 * Confined to the event loop.
@@ -189,7 +195,7 @@
 
 		@Override
 		public void channelReadComplete(ChannelHandlerContext ctx) {
-			if (FrontendServer.this.stopping) {
+			if (FrontendServer.this.closeAfterAccept) {
 				closePort();
 			}
 			ctx.fireChannelReadComplete();
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ObservedLoops.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ObservedLoops.java
@@ -41,6 +41,17 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the open channel that accepts the connections of callers.
+	 * @return the listening channel
+	 */
+	Channel listening() {
+		return this.channels.stream()
+			.filter((channel) -> channel.isActive() && channel instanceof ServerChannel)
+			.findFirst()
+			.orElseThrow();
+	}
+
 	@Override
 	public EventLoopGroup onServer(boolean useNative) {
 		return this.loops.onServer(useNative);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -5,9 +5,15 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -52,6 +58,22 @@
 		assertThat(this.cutOff.get()).as("requests without an answer").isZero();
 	}
 
+	// On a busy machine, the thread may wait for a processor between the last accept and
+	// the close of the port.
+	@Test
+	void connectionThatArrivesJustBeforeThePortIsClosedIsNotCutOff() throws Exception {
+		try (TestServer server = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000)
+					.publishServer("a", server.port())
+					.start()) {
+			CallerBeforeClose caller = new CallerBeforeClose(gateway);
+			gateway.loops().listening().pipeline().addFirst(caller);
+			gateway.process().stop();
+			assertThat(caller.outcome.get(10, TimeUnit.SECONDS)).matches("(?s)not connected|HTTP/1.1 200.*");
+		}
+	}
+
 	// Guards against callers that keep using a connection until the process ends.
 	@Test
 	void connectionOpenedDuringTheStopIsClosedAfterItsResponse() throws Exception {
@@ -154,4 +176,51 @@
 		}
 	}
 
+	/**
+	 * Calls the entry process when the event loop is about to close the channel, and
+	 * blocks the loop meanwhile.
+	 *
+	 * <p>
+	 * Confined to the event loop, except for the outcome.
+	 */
+	private static final class CallerBeforeClose extends ChannelOutboundHandlerAdapter {
+
+		private final TestGateway gateway;
+
+		private final CompletableFuture<String> outcome = new CompletableFuture<>();
+
+		private final CountDownLatch sent = new CountDownLatch(1);
+
+		private boolean called;
+
+		private CallerBeforeClose(TestGateway gateway) {
+			this.gateway = gateway;
+		}
+
+		@Override
+		public void close(ChannelHandlerContext ctx, ChannelPromise promise) throws Exception {
+			if (!this.called) {
+				this.called = true;
+				Thread.ofPlatform().start(() -> this.outcome.complete(call()));
+				this.sent.await(200, TimeUnit.MILLISECONDS);
+			}
+			ctx.close(promise);
+		}
+
+		private String call() {
+			try (Socket socket = this.gateway.connect()) {
+				TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+				this.sent.countDown();
+				return TestGateway.readResponse(socket);
+			}
+			catch (ConnectException ex) {
+				return "not connected";
+			}
+			catch (IOException ex) {
+				return "cut off: " + ex.getMessage();
+			}
+		}
+
+	}
+
 }
