Read what arrived before closing a connection as idle

Seen: in a planned stop, up to 22 of 24 callers that had just connected got a reset and no answer (PlannedStopTests#noRequestOnANewConnectionIsCutOff).

Cause: a connection counts as idle from its accept on. When the event loop is blocked after the accept, the request arrives unread, and the check for idle connections runs before the next read.

Change: a connection that is found idle is closed one turn of the event loop later, and only if nothing was read from it meanwhile. This holds for the idle timeout as well.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -62,6 +62,12 @@
 	 */
 	private static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
 
+	/**
+	 * Time between the decision to close an idle connection and the close, in
+	 * milliseconds.
+	 */
+	private static final long READ_BEFORE_CLOSE_MS = 1;
+
 	private static final int BAD_REQUEST = 400;
 
 	private static final int HEADERS_TOO_LARGE = 431;
@@ -579,16 +585,30 @@
 
 	/**
 	 * Closes the connection if no request is in progress and none is likely to be on its
-	 * way.
+	 * way. What arrived during a delay of the event loop is read first, since closing the
+	 * connection would discard it.
 	 */
 	void closeIfIdle() {
-		boolean busy = this.exchange != null || this.headStartedAt >= 0 || this.discarding;
-		if (!busy && this.router.now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS) {
+		if (isIdle()) {
+			long idleSince = this.lastActivityAt;
+			// The event loop reads before it runs what was scheduled meanwhile.
+			context().executor()
+				.schedule(() -> closeIfIdleSince(idleSince), READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void closeIfIdleSince(long idleSince) {
+		if (isIdle() && this.lastActivityAt == idleSince) {
 			this.closing = true;
 			context().close();
 		}
 	}
 
+	private boolean isIdle() {
+		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding;
+		return !busy && this.router.now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		Exchange current = this.exchange;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import org.junit.jupiter.api.Test;
@@ -74,6 +75,29 @@
 		}
 	}
 
+	// The connection is accepted before the event loop is blocked, and its request
+	// arrives
+	// meanwhile.
+	@Test
+	void requestThatArrivesDuringADelayIsNotCutOffAsIdle() throws Exception {
+		try (TestServer server = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000)
+					.publishServer("a", server.port())
+					.start()) {
+			gateway.loops().listening().pipeline().addFirst(new DelayAfterAccept());
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			// The process closes idle connections from 1,650 ms on.
+			Thread.sleep(1_400);
+			try (Socket socket = gateway.connect()) {
+				Thread.sleep(50);
+				TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+				assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 ");
+			}
+			stop.join();
+		}
+	}
+
 	// Guards against callers that keep using a connection until the process ends.
 	@Test
 	void connectionOpenedDuringTheStopIsClosedAfterItsResponse() throws Exception {
@@ -176,6 +200,23 @@
 		}
 	}
 
+	/**
+	 * Blocks the event loop after connections were accepted and before their data is
+	 * read.
+	 *
+	 * <p>
+	 * Confined to the event loop.
+	 */
+	private static final class DelayAfterAccept extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+			Thread.sleep(500);
+			ctx.fireChannelReadComplete();
+		}
+
+	}
+
 	/**
 	 * Calls the entry process when the event loop is about to close the channel, and
 	 * blocks the loop meanwhile.
