End a planned stop only after the port is closed

Seen: in a planned stop under load, the process was about to end while callers could still connect, and their requests got no answer (PlannedStopTests#noRequestOnANewConnectionIsCutOff: 2 of 12 runs before this commit, without busy loops of our own; one of them was this fault).

Cause: the time for which connections are accepted was counted from the moment at which the event loop began the stop, and the end of the stop was decided by the time since the stop was requested. In that run the loop began 312 ms late, so that the stop ended at 1,826 ms, when no connection was open for a moment, while the port would have been closed at 1,962 ms.

Change: both times count from the request, and the stop ends only after the port is closed.

Tests: portIsClosedAtTheEndOfAStopThatBeganLate failed in 3 of 3 runs before, passes in 3 of 3 now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -401,13 +401,15 @@
 		this.peers.sendHeartbeat();
 		this.plannedStop.begin(stopStartedAt, stopTimeMs());
 		long acceptingMs = (long) (this.settings.stopMs() * ACCEPTING_SHARE);
+		// The event loop may have run this late.
+		long acceptingLeftMs = Math.max(0, stopStartedAt + acceptingMs - this.clock.millis());
 		this.loop.schedule(() -> {
 			this.frontend.stopAccepting();
 			this.frontend.closeIdle();
-		}, acceptingMs, TimeUnit.MILLISECONDS);
+		}, acceptingLeftMs, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
 			this.frontend.rejectUnfinishable();
-			if (this.clock.millis() - stopStartedAt < acceptingMs + TICK_INTERVAL_MS) {
+			if (this.frontend.isAccepting()) {
 				return;
 			}
 			this.frontend.closeIdle();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -184,6 +184,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether callers can still open connections.
+	 * @return {@code true} until the port is closed
+	 */
+	public boolean isAccepting() {
+		Channel channel = this.listening;
+		return channel != null && channel.isOpen();
+	}
+
 	/**
 	 * Closes the port directly after all waiting connections were accepted, if further
 	 * ones may arrive.
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards against a planned stop that cuts off requests: those which callers have just
@@ -75,6 +76,16 @@
 		}
 	}
 
+	// Guards against a process that ends while callers can still connect to it.
+	@Test
+	void portIsClosedAtTheEndOfAStopThatBeganLate() throws Exception {
+		try (TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000).start()) {
+			gateway.process().loop().execute(() -> sleep(400));
+			gateway.process().stop();
+			assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
+		}
+	}
+
 	// The connection is accepted before the event loop is blocked, and its request
 	// arrives
 	// meanwhile.
@@ -157,13 +168,17 @@
 	}
 
 	private static void answerSlowly(TestServer.Request request, Socket socket) throws IOException {
+		sleep(1_500);
+		TestServer.write(socket, TestServer.ok(request, "hello"));
+	}
+
+	private static void sleep(long ms) {
 		try {
-			Thread.sleep(1_500);
+			Thread.sleep(ms);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		TestServer.write(socket, TestServer.ok(request, "hello"));
 	}
 
 	private static String exchangeOrFail(TestGateway gateway, String request) {
