--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -5,13 +5,21 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards against a planned stop that cuts off requests: those which callers have just
@@ -52,6 +60,55 @@
 		assertThat(this.cutOff.get()).as("requests without an answer").isZero();
 	}
 
+	// On a busy machine, the thread may wait for a processor between the last accept and
+	// the close of the port.
+	@Test
+	void connectionThatArrivesJustBeforeThePortIsClosedIsNotCutOff() throws Exception {
+		try (TestServer server = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000)
+					.publishServer("a", server.port())
+					.start()) {
+			CallerBeforeClose caller = new CallerBeforeClose(gateway);
+			gateway.loops().listening().pipeline().addFirst(caller);
+			gateway.process().stop();
+			assertThat(caller.outcome.get(10, TimeUnit.SECONDS)).matches("(?s)not connected|HTTP/1.1 200.*");
+		}
+	}
+
+	// Guards against a process that ends while callers can still connect to it.
+	@Test
+	void portIsClosedAtTheEndOfAStopThatBeganLate() throws Exception {
+		try (TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000).start()) {
+			gateway.process().loop().execute(() -> sleep(400));
+			gateway.process().stop();
+			assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
+		}
+	}
+
+	// The connection is accepted before the event loop is blocked, and its request
+	// arrives
+	// meanwhile.
+	@Test
+	void requestThatArrivesDuringADelayIsNotCutOffAsIdle() throws Exception {
+		try (TestServer server = new TestServer(
+				(request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000)
+					.publishServer("a", server.port())
+					.start()) {
+			gateway.loops().listening().pipeline().addFirst(new DelayAfterAccept());
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			// The process closes idle connections from 1,650 ms on.
+			Thread.sleep(1_400);
+			try (Socket socket = gateway.connect()) {
+				Thread.sleep(50);
+				TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+				assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 ");
+			}
+			stop.join();
+		}
+	}
+
 	// Guards against callers that keep using a connection until the process ends.
 	@Test
 	void connectionOpenedDuringTheStopIsClosedAfterItsResponse() throws Exception {
@@ -111,13 +168,17 @@
 	}
 
 	private static void answerSlowly(TestServer.Request request, Socket socket) throws IOException {
+		sleep(1_500);
+		TestServer.write(socket, TestServer.ok(request, "hello"));
+	}
+
+	private static void sleep(long ms) {
 		try {
-			Thread.sleep(1_500);
+			Thread.sleep(ms);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		TestServer.write(socket, TestServer.ok(request, "hello"));
 	}
 
 	private static String exchangeOrFail(TestGateway gateway, String request) {
@@ -154,4 +215,68 @@
 		}
 	}
 
+	/**
+	 * Blocks the event loop after connections were accepted and before their data is
+	 * read.
+	 *
+	 * <p>
+	 * Confined to the event loop.
+	 */
+	private static final class DelayAfterAccept extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+			Thread.sleep(500);
+			ctx.fireChannelReadComplete();
+		}
+
+	}
+
+	/**
+	 * Calls the entry process when the event loop is about to close the channel, and
+	 * blocks the loop meanwhile.
+	 *
+	 * <p>
+	 * Confined to the event loop, except for the outcome.
+	 */
+	private static final class CallerBeforeClose extends ChannelOutboundHandlerAdapter {
+
+		private final TestGateway gateway;
+
+		private final CompletableFuture<String> outcome = new CompletableFuture<>();
+
+		private final CountDownLatch sent = new CountDownLatch(1);
+
+		private boolean called;
+
+		private CallerBeforeClose(TestGateway gateway) {
+			this.gateway = gateway;
+		}
+
+		@Override
+		public void close(ChannelHandlerContext ctx, ChannelPromise promise) throws Exception {
+			if (!this.called) {
+				this.called = true;
+				Thread.ofPlatform().start(() -> this.outcome.complete(call()));
+				this.sent.await(200, TimeUnit.MILLISECONDS);
+			}
+			ctx.close(promise);
+		}
+
+		private String call() {
+			try (Socket socket = this.gateway.connect()) {
+				TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x"));
+				this.sent.countDown();
+				return TestGateway.readResponse(socket);
+			}
+			catch (ConnectException ex) {
+				return "not connected";
+			}
+			catch (IOException ex) {
+				return "cut off: " + ex.getMessage();
+			}
+		}
+
+	}
+
 }
