Reject further heads that continue one that was broken off

A line without a colon is now malformed, and the search for an inner status line allows for both forms. A sound response with a status line in the value of a header is rejected as well; it cannot be told from a combination.

Log lines and responses quote at most 200 characters of malformed data; one of 60,000 was seen.

SecondResponseTests: the idle connection is checked more strictly, for the end of the connection before any other data, since the former check also passed on the code before the fix. Failures after an idle part may be the 500 of the server or a 502, because the part may arrive after the next request was sent; the strict form is idleConnectionOnWhichAPartOfASecondResponseArrivesIsNotUsedAgain.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -32,12 +32,13 @@
  *
  * <p>
  * Invariants: a response to a request that must be identified is passed on only if it
- * carries the ID of that request; nothing is passed on after a failed write; responses
- * with other IDs are skipped, and the connection is then not reused. Each byte that
- * arrives while no request is in progress closes the connection, and so do a response
- * that changes the protocol and a head that continues one that was broken off. A server
- * that sends only data that is no part of the expected response is read to a limit.
- * Confined to the event loop.
+ * carries the ID of that request; nothing is passed on after a failed write; responses to
+ * earlier requests are skipped, and the connection is then not reused; a response with an
+ * ID that was not sent on this connection is a failure. Each byte that arrives while no
+ * request is in progress closes the connection, and so do a response that changes the
+ * protocol and a head that continues one that was broken off. A server that sends only
+ * data that is no part of the expected response is read to a limit. Confined to the event
+ * loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -47,11 +48,14 @@
 	 */
 	static final long DEFAULT_IDLE_LIMIT_MS = 4_000;
 
+	/** Maximum size of the bodies of such responses, in bytes. */
+	private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
 	/** Maximum number of responses to other requests before the expected one. */
 	private static final int MAX_SKIPPED_RESPONSES = 3;
 
-	/** Maximum size of the bodies of such responses, in bytes. */
-	private static final long MAX_SKIPPED_BYTES = 1_048_576;
+	/** Maximum length of a description of unexpected data, in characters. */
+	private static final int MAX_DESCRIPTION_CHARS = 200;
 
 	/** Maximum number of interim responses before the final one. */
 	private static final int MAX_INFORMATIONAL_RESPONSES = 20;
@@ -324,7 +328,7 @@
 		if (object.decoderResult().isFailure()) {
 			reportUnexpected(UnexpectedData.MALFORMED, describe(message));
 			ReferenceCountUtil.release(message);
-			fail("malformed response: " + object.decoderResult().cause().getMessage());
+			fail("malformed response: " + abbreviate(object.decoderResult().cause().getMessage()));
 			return;
 		}
 		if (message instanceof HttpResponse response) {
@@ -343,7 +347,12 @@
 					.with("server", this.server.id())
 					.with("id", this.expectedRequestId)
 					.with("requests", this.requestCount)
-					.with("data", data));
+					.with("data", abbreviate(data)));
+	}
+
+	private static String abbreviate(@Nullable String text) {
+		String known = String.valueOf(text);
+		return (known.length() <= MAX_DESCRIPTION_CHARS) ? known : known.substring(0, MAX_DESCRIPTION_CHARS) + "...";
 	}
 
 	private String describe(Object message) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 
 /**
  * Decodes the responses of backend servers and rejects those with ambiguous framing and
@@ -22,7 +23,8 @@
 
 	private static final int MAX_CHUNK_BYTES = 32_768;
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+[1-5][0-9]{2}",
+			Pattern.CASE_INSENSITIVE);
 
 	private boolean responseToHead;
 
@@ -70,6 +72,20 @@
 		return false;
 	}
 
+	// Without this check, a line that has no colon behind its first word is a header with
+	// that name and an empty value.
+	@Override
+	protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+		int end = start + length;
+		while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+			end++;
+		}
+		if (end < line.length && line[end] != ':') {
+			throw new IllegalArgumentException("header without a colon behind its name");
+		}
+		return super.splitHeaderName(line, start, length);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.responseToHead || super.isContentAlwaysEmpty(message);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SecondResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SecondResponseTests.java
@@ -2,14 +2,20 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.LoggerFactory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -21,7 +27,7 @@
 class SecondResponseTests {
 
 	private static final String SECOND_RESPONSE = "HTTP/1.1 200 OK\r\nServer: test\r\nTest-Signature: first\r\n"
-			+ "Test-Id: first\r\nContent-Length: 2\r\n\r\nok";
+			+ "Test-Id: first-whole\r\nContent-Length: 2\r\n\r\nok";
 
 	private TestServer server;
 
@@ -51,18 +57,16 @@
 	}
 
 	@Test
-	void idleConnectionOnWhichAPartOfASecondResponseArrivesIsClosed() throws Exception {
-		CountDownLatch closed = new CountDownLatch(1);
+	void idleConnectionOnWhichAPartOfASecondResponseArrivesIsNotUsedAgain() throws Exception {
+		CompletableFuture<Integer> next = new CompletableFuture<>();
 		this.server.setHandler((request, socket) -> {
 			TestServer.write(socket, TestServer.ok(request, "hello"));
-			sleep(20);
+			sleep(5);
 			TestServer.write(socket, "H");
-			if (socket.getInputStream().read() < 0) {
-				closed.countDown();
-			}
+			next.complete(socket.getInputStream().read());
 		});
 		assertThat(exchange("idle")).startsWith("HTTP/1.1 200");
-		assertThat(closed.await(3, TimeUnit.SECONDS)).as("closed by the gateway").isTrue();
+		assertThat(next.get(3, TimeUnit.SECONDS)).as("end of the connection instead of a request").isEqualTo(-1);
 	}
 
 	@Test
@@ -79,6 +83,38 @@
 		assertThat(responseToFailedRequest("whole", "", SECOND_RESPONSE)).startsWith("HTTP/1.1 500");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nServer ", "HTTP/1.1 200 OK\r\nServer \t",
+			"HTTP/1.1 200 OK\r\nServer: ", "HTTP/1.1 200 OK\r\nServer: a\r\n b" })
+	void failureBehindAPartThatEndsInAHeaderIsNotASuccess(String part) throws Exception {
+		assertThat(responseToFailedRequest("header", "", part)).startsWith("HTTP/1.1 50");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1  500", "http/1.1 500", "HTTP/1.0 500" })
+	void failureWithAnUnusualStatusLineBehindAPartIsNotASuccess(String statusLine) throws Exception {
+		this.server.setHandler((request, socket) -> TestServer.write(socket,
+				"HTTP/1.1 200 " + failure(request.headers().get("test-id")).replace("HTTP/1.1 500", statusLine)));
+		assertThat(exchange("unusual")).startsWith("HTTP/1.1 50");
+	}
+
+	@Test
+	void logLinesDoNotHoldTheWholeHeadOfAMalformedResponse() throws Exception {
+		Logger logger = (Logger) LoggerFactory.getLogger("org.lovagevale.gateway");
+		ListAppender<ILoggingEvent> appender = new ListAppender<>();
+		appender.start();
+		logger.addAppender(appender);
+		try {
+			this.server.setHandler((request, socket) -> TestServer.write(socket,
+					"HTTP/1.1 " + "9".repeat(60_000) + " OK\r\nTest-Id: x\r\n\r\n"));
+			exchange("log");
+		}
+		finally {
+			logger.detachAppender(appender);
+		}
+		assertThat(List.copyOf(appender.list)).allMatch((event) -> event.getFormattedMessage().length() < 2_000);
+	}
+
 	/**
 	 * Sends two requests, of which the server serves the first one and fails the second.
 	 * @param name distinguishes the requests, since failing ones are quarantined
