Skip only responses to earlier requests of the connection, up to 16

A response with an ID that was never sent on the connection was skipped like a late second response, and a second response behind it was passed on: a success in place of a failure, if the server gave the failure a wrong or an empty ID. Such a response now fails the request.

The limit of 3 skipped responses was too low: a connection that has served more requests gets as many second responses at once when they are held up, and the request in progress got 502 although its response followed.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
+import java.util.ArrayDeque;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -51,8 +52,11 @@
 	/** Maximum size of the bodies of such responses, in bytes. */
 	private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
-	/** Maximum number of responses to other requests before the expected one. */
-	private static final int MAX_SKIPPED_RESPONSES = 3;
+	/**
+	 * Maximum number of earlier requests whose IDs are known, and of responses to them
+	 * before the expected one.
+	 */
+	private static final int MAX_EARLIER_IDS = 16;
 
 	/** Maximum length of a description of unexpected data, in characters. */
 	private static final int MAX_DESCRIPTION_CHARS = 200;
@@ -108,6 +112,9 @@
 
 	private @Nullable BackendListener listener;
 
+	/** The IDs of the last requests before the current one. */
+	private final ArrayDeque<String> earlierRequestIds = new ArrayDeque<>();
+
 	private String expectedRequestId = "";
 
 	private boolean idRequired;
@@ -213,6 +220,9 @@
 	 */
 	void beginRequest(BackendListener newListener, HttpRequest request, String requestId, boolean responseIdRequired) {
 		this.listener = newListener;
+		if (!this.expectedRequestId.isEmpty()) {
+			rememberRequestId(this.expectedRequestId);
+		}
 		this.expectedRequestId = requestId;
 		this.idRequired = responseIdRequired;
 		this.requestComplete = false;
@@ -228,6 +238,13 @@
 		writePart(request);
 	}
 
+	private void rememberRequestId(String requestId) {
+		this.earlierRequestIds.add(requestId);
+		if (this.earlierRequestIds.size() > MAX_EARLIER_IDS) {
+			this.earlierRequestIds.remove();
+		}
+	}
+
 	void write(HttpContent content) {
 		if (content instanceof LastHttpContent) {
 			this.requestComplete = true;
@@ -391,7 +408,11 @@
 		if (this.skipping) {
 			this.reusable = false;
 			reportUnexpected(UnexpectedData.OTHER_REQUEST, describe(response));
-			if (++this.skipped > MAX_SKIPPED_RESPONSES) {
+			if (!this.earlierRequestIds.contains(id)) {
+				fail("response to a request that was not sent on this connection");
+				return;
+			}
+			if (++this.skipped > MAX_EARLIER_IDS) {
 				fail("only responses to other requests");
 			}
 			return;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SecondResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SecondResponseTests.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -98,6 +99,33 @@
 		assertThat(exchange("unusual")).startsWith("HTTP/1.1 50");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "never-sent", "" })
+	void responseBehindAFailureWithAnIdThatWasNotSentIsNotPassedOn(String id) throws Exception {
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket, failure(id));
+			sleep(10);
+			TestServer.write(socket, TestServer.ok(request, "ok"));
+		});
+		assertThat(exchange("unknown")).startsWith("HTTP/1.1 50");
+	}
+
+	// The copies of several responses may be held up and arrive together.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 3, 4, 8 })
+	void secondResponsesThatArriveTogetherDoNotFailTheNextRequest(int earlier) throws Exception {
+		List<String> copies = new ArrayList<>();
+		this.server.setHandler((request, socket) -> {
+			String response = TestServer.ok(request, "answer");
+			TestServer.write(socket, (copies.size() < earlier) ? response : String.join("", copies) + response);
+			copies.add(response);
+		});
+		for (int i = 0; i < earlier; i++) {
+			assertThat(exchange("id-" + i)).startsWith("HTTP/1.1 200");
+		}
+		assertThat(exchange("last")).startsWith("HTTP/1.1 200").contains("Test-Id: last");
+	}
+
 	@Test
 	void logLinesDoNotHoldTheWholeHeadOfAMalformedResponse() throws Exception {
 		Logger logger = (Logger) LoggerFactory.getLogger("org.lovagevale.gateway");
