--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -86,8 +86,7 @@
 		}
 	}
 
-	// The connection is accepted before the event loop is blocked, and its request
-	// arrives
+	// The connection is accepted before the event loop is blocked; its request arrives
 	// meanwhile.
 	@Test
 	void requestThatArrivesDuringADelayIsNotCutOffAsIdle() throws Exception {
