Put the limit on skipped responses before the one that refers to it

Reading the change again: "such responses" in the comment of MAX_SKIPPED_BYTES referred to a constant that had removed, and a final field stood among the mutable ones. Only the order of two constants and one field changes; build, formatter and linter passed for lovagevale-gateway and the modules it needs.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -49,15 +49,15 @@
 	 */
 	static final long DEFAULT_IDLE_LIMIT_MS = 4_000;
 
-	/** Maximum size of the bodies of such responses, in bytes. */
-	private static final long MAX_SKIPPED_BYTES = 1_048_576;
-
 	/**
 	 * Maximum number of earlier requests whose IDs are known, and of responses to them
 	 * before the expected one.
 	 */
 	private static final int MAX_EARLIER_IDS = 16;
 
+	/** Maximum size of the bodies of such responses, in bytes. */
+	private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
 	/** Maximum length of a description of unexpected data, in characters. */
 	private static final int MAX_DESCRIPTION_CHARS = 200;
 
@@ -98,6 +98,9 @@
 
 	private final GatewayMetrics metrics;
 
+	/** The IDs of the last requests before the current one. */
+	private final ArrayDeque<String> earlierRequestIds = new ArrayDeque<>();
+
 	private final ChannelFutureListener writeListener = (write) -> {
 		Throwable cause = write.cause();
 		if (cause != null) {
@@ -112,9 +115,6 @@
 
 	private @Nullable BackendListener listener;
 
-	/** The IDs of the last requests before the current one. */
-	private final ArrayDeque<String> earlierRequestIds = new ArrayDeque<>();
-
 	private String expectedRequestId = "";
 
 	private boolean idRequired;
