Report the connections that a planned stop cuts off

At the end of a planned stop with open connections, the log had their number only. A request without a response, a connection on which nothing arrived (deaf or unused) and an event loop that does not run could not be told apart.

Change: the warning process.stopped has withRequest and silent, or connections=unknown if the event loop does not answer within 100 ms. The thread of the stop no longer reads the connections of the event loop.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -3,7 +3,10 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -30,6 +33,7 @@
 import org.lovagevale.gateway.fleet.RegionPeers;
 import org.lovagevale.gateway.fleet.SlotClient;
 import org.lovagevale.gateway.http.BackendConnectionPool;
+import org.lovagevale.gateway.http.ConnectionCounts;
 import org.lovagevale.gateway.http.ExchangeServices;
 import org.lovagevale.gateway.http.FrontendServer;
 import org.lovagevale.gateway.http.HealthChecks;
@@ -82,6 +86,12 @@
 	 */
 	private static final long STOP_MARGIN_MS = 700;
 
+	/**
+	 * Time at the end of a planned stop within which the event loop reports the open
+	 * connections, in milliseconds.
+	 */
+	private static final long REPORT_TIMEOUT_MS = 100;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(GatewayProcess.class);
 
 	private final Clock clock;
@@ -378,10 +388,7 @@
 		this.loop.execute(() -> leave(stopStartedAt, stopped));
 		try {
 			if (!stopped.await(stopTimeMs(), TimeUnit.MILLISECONDS)) {
-				LOGGER.warn("{}",
-						LogLine.event("process.stopped")
-							.with("afterMs", this.clock.millis() - stopStartedAt)
-							.with("connections", this.frontend.connectionCount()));
+				reportOpenConnections(stopStartedAt);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -389,6 +396,23 @@
 		}
 	}
 
+	// Callers whose connections are still open get no response. An event loop that does
+	// not run is one of the causes.
+	private void reportOpenConnections(long stopStartedAt) throws InterruptedException {
+		LogLine line = LogLine.event("process.stopped").with("afterMs", this.clock.millis() - stopStartedAt);
+		try {
+			ConnectionCounts counts = this.loop.submit(this.frontend::connectionCounts)
+				.get(REPORT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			line.with("connections", counts.open())
+				.with("withRequest", counts.withRequest())
+				.with("silent", counts.silent());
+		}
+		catch (TimeoutException | ExecutionException | RejectedExecutionException ex) {
+			line.with("connections", "unknown").with("why", "the event loop does not run: " + ex);
+		}
+		LOGGER.warn("{}", line);
+	}
+
 	private long stopTimeMs() {
 		return Math.max(0, this.settings.stopMs() - STOP_MARGIN_MS);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -124,6 +124,8 @@
 
 	private boolean processing;
 
+	private boolean dataReceived;
+
 	/** Whether no data is read because the process is full. */
 	private boolean pausedForMemory;
 
@@ -164,6 +166,7 @@
 	 * @param bytes the number of bytes
 	 */
 	void bytesArrived(int bytes) {
+		this.dataReceived = true;
 		this.lastActivityAt = this.router.now();
 		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
@@ -180,6 +183,22 @@
 		}
 	}
 
+	/**
+	 * Tells whether a request is in progress or has arrived in part.
+	 * @return {@code true} if the caller waits for a response
+	 */
+	boolean hasRequest() {
+		return this.exchange != null || this.headStartedAt >= 0;
+	}
+
+	/**
+	 * Tells whether no data has arrived since the connection was accepted.
+	 * @return {@code true} if nothing was read from the caller
+	 */
+	boolean isSilent() {
+		return !this.dataReceived;
+	}
+
 	/**
 	 * Continues to read after a pause because the process was full.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -164,6 +164,20 @@
 		return this.router.connections().size();
 	}
 
+	/**
+	 * Counts the open connections by what has arrived on them.
+	 * @return the numbers of connections
+	 */
+	public ConnectionCounts connectionCounts() {
+		int withRequest = 0;
+		int silent = 0;
+		for (FrontendConnection connection : this.router.connections()) {
+			withRequest += connection.hasRequest() ? 1 : 0;
+			silent += connection.isSilent() ? 1 : 0;
+		}
+		return new ConnectionCounts(connectionCount(), withRequest, silent);
+	}
+
 	/**
 	 * Stops accepting connections. Those that callers have opened already are accepted
 	 * first, since closing the port would reset them. The operating system ignores new
