Refuse new connections at the end of a planned stop, lose none in progress

Seen by callers: during a planned stop, a connection is established, its request gets no response, and it ends when the process does. An attempt to connect in the 50 ms before the port is closed gets no answer until it is repeated after 1 s, where it was refused at once before.

Cause: raised IP_MINTTL of the listening socket so that no new connection arrives between the last accept and the close of the port. A connection whose handshake ends after that has the option of the listening socket itself. All packets of its caller are then discarded: no request, no acknowledgement, no FIN. Class of fault: an option of a listening socket, set for its own packets, is taken over by the connections it accepts.

Change: ConnectionRefusal in place of HandshakeFilter binds the listening socket to a network interface that does not exist. Linux then finds no listener for a SYN and resets the attempt, as for a closed port, while handshakes in progress go on by their own entries. A connection takes the interface that the listening socket had at the begin of its handshake, so it stays unbound. Since nobody waits for an answer meanwhile, the port can stay open for 1.2 s, which covers one repeated packet of a handshake, in place of 50 ms. Where the system or the transport cannot do it, the port is closed directly after the waiting connections were accepted, as before.

Why it works: checked on Linux 6.18, with and without root: a new attempt is refused within 2 ms; a connection in the accept queue and one whose handshake ends 0.8 s later exchange data and a FIN, with interface and IP_MINTTL 0.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -80,6 +80,9 @@
 	 */
 	private static final double ACCEPTING_SHARE = 0.55;
 
+	/** Ticks of the periodic work between the close of the port and the end of a stop. */
+	private static final int CLOSING_TICKS = 3;
+
 	/**
 	 * Part at the end of the stop time that is left for the exit of the process, which
 	 * would otherwise be killed, in milliseconds.
@@ -428,16 +431,18 @@
 		// The event loop may have run this late.
 		long acceptingLeftMs = Math.max(0, stopStartedAt + acceptingMs - this.clock.millis());
 		this.loop.schedule(() -> {
-			this.frontend.stopAccepting();
+			// The last connections are closed in the ticks after the port.
+			long timeLeftMs = this.plannedStop.timeLeftMs(this.clock.millis()) - CLOSING_TICKS * TICK_INTERVAL_MS;
+			this.frontend.stopAccepting(Math.max(0, timeLeftMs));
 			this.frontend.closeIdle();
 		}, acceptingLeftMs, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
 			this.frontend.rejectUnfinishable();
-			if (this.frontend.isAccepting()) {
+			if (!this.frontend.isStopping()) {
 				return;
 			}
 			this.frontend.closeIdle();
-			if (this.frontend.connectionCount() == 0 && stopped.getCount() > 0) {
+			if (!this.frontend.isAccepting() && this.frontend.connectionCount() == 0 && stopped.getCount() > 0) {
 				LOGGER.info("{}",
 						LogLine.event("process.stopped").with("afterMs", this.clock.millis() - stopStartedAt));
 				stopped.countDown();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -19,9 +19,12 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.gateway.GatewayException;
 import org.lovagevale.gateway.HostPort;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Accepts connections from callers.
@@ -45,12 +48,20 @@
 
 	/**
 	 * Time for the handshakes in progress when the server stops accepting, in
-	 * milliseconds. It is many times the round-trip time of a region.
+	 * milliseconds. A lost packet of a handshake is repeated after 1 s.
 	 */
-	private static final long HANDSHAKE_MS = 50;
+	private static final long HANDSHAKE_MS = 1_200;
+
+	/**
+	 * Time after which the port is closed even if no further connection arrives, if new
+	 * connections cannot be refused, in milliseconds.
+	 */
+	private static final long CLOSE_WITHOUT_CONNECTION_MS = 50;
 
 	private static final long TIMEOUT_CHECK_INTERVAL_MS = 250;
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(FrontendServer.class);
+
 	private final EventLoop loop;
 
 	private final Supplier<? extends ServerChannel> channelFactory;
@@ -59,9 +70,14 @@
 
 	private @Nullable Channel listening;
 
-	/** Whether connections may arrive until the port is closed. */
+	private boolean stopping;
+
+	/** Whether new connections may arrive until the port is closed. */
 	private boolean closeAfterAccept;
 
+	/** Number of connections that were accepted after the server began to stop. */
+	private int acceptedWhileStopping;
+
 	// Far in the past, so that it can be subtracted from any time without overflow.
 	private long lastTimeoutCheckAt = Long.MIN_VALUE / 2;
 
@@ -117,6 +133,7 @@
 	}
 
 	private void accept(Channel channel) {
+		this.acceptedWhileStopping += this.stopping ? 1 : 0;
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
 			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router.limits()),
@@ -179,27 +196,45 @@
 	}
 
 	/**
-	 * Stops accepting connections. Those that callers have opened already are accepted
-	 * first, since closing the port would reset them. The operating system ignores new
-	 * ones meanwhile, if it can, so that none arrives between the last accept and the
-	 * close of the port; their callers learn that the port is closed when they repeat the
-	 * attempt.
+	 * Stops accepting connections. New ones are refused at once. Those that callers have
+	 * opened already, or whose handshakes are in progress, are accepted before the port
+	 * is closed, since closing it would reset them.
+	 * @param maxHandshakeMs the maximum time for handshakes in progress, in milliseconds
 	 */
-	public void stopAccepting() {
+	public void stopAccepting(long maxHandshakeMs) {
+		this.stopping = true;
 		Channel channel = this.listening;
-		this.closeAfterAccept = channel != null && !HandshakeFilter.ignoreNewConnections(channel);
-		this.loop.schedule(this::closePort, HANDSHAKE_MS, TimeUnit.MILLISECONDS);
+		if (channel == null) {
+			return;
+		}
+		boolean refusing = ConnectionRefusal.refuseNewConnections(channel);
+		this.closeAfterAccept = !refusing;
+		long closeInMs = refusing ? Math.min(HANDSHAKE_MS, maxHandshakeMs) : CLOSE_WITHOUT_CONNECTION_MS;
+		this.loop.schedule(this::closePort, closeInMs, TimeUnit.MILLISECONDS);
 	}
 
 	private void closePort() {
 		Channel channel = this.listening;
-		if (channel != null) {
-			channel.close();
+		if (channel == null || !channel.isOpen()) {
+			return;
 		}
+		channel.close();
+		LOGGER.info("{}",
+				LogLine.event("port.closed")
+					.with("refused", !this.closeAfterAccept)
+					.with("accepted", this.acceptedWhileStopping));
+	}
+
+	/**
+	 * Returns whether the server has begun to stop accepting connections.
+	 * @return {@code true} once new connections are refused or about to be
+	 */
+	public boolean isStopping() {
+		return this.stopping;
 	}
 
 	/**
-	 * Returns whether callers can still open connections.
+	 * Returns whether connections can still be accepted.
 	 * @return {@code true} until the port is closed
 	 */
 	public boolean isAccepting() {
@@ -208,8 +243,8 @@
 	}
 
 	/**
-	 * Closes the port directly after all waiting connections were accepted, if further
-	 * ones may arrive.
+	 * Closes the port directly after all waiting connections were accepted, if new ones
+	 * cannot be refused.
 	 *
 	 * <p>
 	 * Confined to the event loop.
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,6 +77,28 @@
 		}
 	}
 
+	// Guards against an attempt to connect that gets no answer until it is repeated after
+	// 1 s.
+	@Test
+	void newConnectionIsAcceptedOrRefusedAtOnceThroughoutTheStop() throws Exception {
+		try (TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000).start()) {
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			InetSocketAddress address = new InetSocketAddress(gateway.callerAddress().host(),
+					gateway.callerAddress().port());
+			int refused = 0;
+			while (stop.isAlive()) {
+				try (Socket socket = new Socket()) {
+					socket.connect(address, 500);
+				}
+				catch (ConnectException ex) {
+					refused++;
+				}
+				Thread.sleep(10);
+			}
+			assertThat(refused).isPositive();
+		}
+	}
+
 	// Guards against a process that ends while callers can still connect to it.
 	@Test
 	void portIsClosedAtTheEndOfAStopThatBeganLate() throws Exception {
