Log and count each close of a connection of a caller by its reason

Callers saw connections that ended without a response, and the log could not say why: of the places at which FrontendConnection closes a connection, two wrote a line, and a reset or a failed read was logged at debug without the request. Each connection now ends with one line caller.closed with the reason, the progress of the request, what was discarded, whether a planned stop was in progress and the time since the last activity, and is counted by reason in lovagevale_gateway_callers_closed_total. A close that cannot have lost a request is logged at debug only.

No change of logic: the closes and their order are as before. There is no limit on accepted connections that closes any; MAX_ACCEPTED_AT_ONCE only limits how many are accepted in one turn of the event loop.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -85,6 +85,10 @@
 		.description("Parts of requests and responses that could not be written to an open connection")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> callerCloses = Counter.builder("lovagevale.gateway.callers.closed")
+		.description("Connections of callers that were closed, by reason")
+		.withRegistry(this.registry);
+
 	private final Timer loopDelays = Timer.builder("lovagevale.gateway.loop.delay")
 		.description("Delay of the periodic work of the event loop")
 		.serviceLevelObjectives(LATENCY_BUCKETS)
@@ -216,6 +220,15 @@
 		this.failedWrites.withTags("receiver", receiver).increment();
 	}
 
+	/**
+	 * Counts a connection of a caller that was closed.
+	 * @param reason the reason
+	 * @param requestCut whether a request on it was unanswered or had arrived in part
+	 */
+	public void countCallerClose(String reason, boolean requestCut) {
+		this.callerCloses.withTags("reason", reason, "cut", Boolean.toString(requestCut)).increment();
+	}
+
 	/**
 	 * Records by how much the periodic work of the event loop was late.
 	 * @param delayMs the delay in milliseconds
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -188,6 +188,24 @@
 		return this.done;
 	}
 
+	String requestId() {
+		return this.request.id();
+	}
+
+	int sends() {
+		return this.policy.sends();
+	}
+
+	/**
+	 * Returns how far the request has come before its response.
+	 * @return {@code SENT} if a server or another entry VM has a part of it, otherwise
+	 * {@code WAITING}
+	 */
+	RequestProgress progress() {
+		SendAttempt current = this.attempt;
+		return (current != null && current.connection() != null) ? RequestProgress.SENT : RequestProgress.WAITING;
+	}
+
 	boolean isBodyComplete() {
 		return this.content.isComplete();
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -34,6 +36,7 @@
 import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * A connection from a caller.
@@ -92,6 +95,7 @@
 	private final ChannelFutureListener writeListener = (write) -> {
 		Throwable cause = write.cause();
 		if (cause != null) {
+			this.unwrittenParts++;
 			writeFailed(cause);
 		}
 	};
@@ -126,6 +130,21 @@
 
 	private boolean dataReceived;
 
+	/** Whether the head of a request was read whose response has not ended. */
+	private boolean requestOpen;
+
+	/** The first close of this connection by this process, or its first failure. */
+	private @Nullable CallerClose close;
+
+	/** Number of parts of responses that were not passed to the operating system. */
+	private int unwrittenParts;
+
+	/** Number of requests that were read and discarded. */
+	private int discardedRequests;
+
+	/** Size of the parts of requests that were read and discarded, in bytes. */
+	private long discardedBytes;
+
 	/** Whether no data is read because the process is full. */
 	private boolean pausedForMemory;
 
@@ -209,11 +228,14 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		HttpObject object = (HttpObject) message;
+		if (object.decoderResult().cause() instanceof PrematureChannelClosureException) {
+			recordCloseByOthers("head not complete");
+		}
 		if (this.closing && !this.discarding) {
-			ReferenceCountUtil.release(message);
+			releaseUnhandled(object);
 			return;
 		}
-		HttpObject object = (HttpObject) message;
 		this.partialHeadMemory.resize(0);
 		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
 		this.queued.add(object);
@@ -252,6 +274,7 @@
 	private void closeAfterFailure(RuntimeException cause) {
 		LOGGER.error("{}",
 				LogLine.event("request.broken").with("caller", remoteHost()).with("why", String.valueOf(cause)), cause);
+		recordClose(CallerCloseReason.ERROR, String.valueOf(cause));
 		this.closing = true;
 		this.discarding = false;
 		releaseQueued();
@@ -273,7 +296,7 @@
 			discard(next);
 		}
 		else if (this.closing) {
-			ReferenceCountUtil.release(next);
+			releaseUnhandled(next);
 		}
 		else if (next instanceof HttpRequest head) {
 			beginRequest(head);
@@ -308,6 +331,7 @@
 		if (last) {
 			this.discarding = false;
 			if (this.closing) {
+				recordClose(CallerCloseReason.EARLY_RESPONSE, "the rest of the body was read");
 				context().close();
 			}
 		}
@@ -315,6 +339,7 @@
 
 	private void beginRequest(HttpRequest head) {
 		this.headStartedAt = -1;
+		this.requestOpen = true;
 		this.keepAlive = HttpUtil.isKeepAlive(head) && !this.router.isStopping();
 		this.http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
 		this.isHeadRequest = head.method().name().equals("HEAD");
@@ -333,6 +358,11 @@
 		this.router.accept(head, this, remoteHost(), this.arrivedAt);
 	}
 
+	private String remoteAddress() {
+		return (context().channel().remoteAddress() instanceof InetSocketAddress address)
+				? address.getHostString() + ":" + address.getPort() : "";
+	}
+
 	private String remoteHost() {
 		return (context().channel().remoteAddress() instanceof InetSocketAddress address) ? address.getHostString()
 				: "";
@@ -453,6 +483,7 @@
 					.with("caller", remoteHost())
 					.with("directBytes", GatewayMetrics.directMemoryBytes())
 					.with("why", String.valueOf(cause)));
+		recordClose(CallerCloseReason.WRITE_FAILED, String.valueOf(cause));
 		closeBrokenOff();
 	}
 
@@ -495,6 +526,7 @@
 	private void responseEnded() {
 		Exchange current = this.exchange;
 		this.exchange = null;
+		this.requestOpen = false;
 		this.responseStarted = false;
 		this.lastActivityAt = this.router.now();
 		if (this.writeFailed) {
@@ -516,17 +548,27 @@
 			setReading(true);
 			context().flush();
 			ChannelHandlerContext open = context();
-			open.executor().schedule(() -> open.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+			open.executor().schedule(() -> {
+				recordClose(CallerCloseReason.EARLY_RESPONSE, "the rest of the body was not read in time");
+				open.close();
+			}, LINGER_MS, TimeUnit.MILLISECONDS);
 			process();
 			return;
 		}
 		releaseQueued();
-		context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (write) -> {
+			if (write.isSuccess()) {
+				recordClose(CallerCloseReason.LAST_RESPONSE, "");
+			}
+			write.channel().close();
+		});
 	}
 
 	@Override
 	public void abort(String reason) {
+		recordClose(CallerCloseReason.RESPONSE_ABORTED, reason);
 		this.exchange = null;
+		this.requestOpen = false;
 		context().flush();
 		closeBrokenOff();
 	}
@@ -618,6 +660,7 @@
 
 	private void closeIfIdleSince(long idleSince) {
 		if (isIdle() && this.lastActivityAt == idleSince) {
+			recordClose(CallerCloseReason.IDLE, "");
 			this.closing = true;
 			context().close();
 		}
@@ -638,10 +681,12 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
+		recordCloseByOthers("");
 		Exchange current = this.exchange;
 		this.exchange = null;
 		this.closing = true;
 		releaseQueued();
+		reportClose();
 		this.partialHeadMemory.resize(0);
 		this.router.removeConnection(this);
 		if (current != null) {
@@ -651,12 +696,68 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		LOGGER.debug("event=caller.lost reason=\"{}\"", cause.getMessage());
+		recordClose((cause instanceof IOException) ? CallerCloseReason.CONNECTION_FAILED : CallerCloseReason.ERROR,
+				String.valueOf(cause));
 		ctx.close();
 	}
 
+	/**
+	 * Records the state of the connection at its close. Only the first call has an
+	 * effect, since the ones that follow are its consequences.
+	 * @param reason the reason
+	 * @param why details of the reason, empty if there are none
+	 */
+	private void recordClose(CallerCloseReason reason, String why) {
+		if (this.close == null) {
+			Exchange current = this.exchange;
+			this.close = new CallerClose(reason, why, remoteAddress(), progress(current),
+					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
+					this.partialHeadMemory.bytes(), this.discarding, this.router.isStopping(),
+					this.router.now() - this.lastActivityAt);
+		}
+	}
+
+	private void recordCloseByOthers(String why) {
+		recordClose(context().executor().isShuttingDown() ? CallerCloseReason.PROCESS_ENDED : CallerCloseReason.CALLER,
+				why);
+	}
+
+	private RequestProgress progress(@Nullable Exchange current) {
+		if (!this.requestOpen) {
+			return RequestProgress.NONE;
+		}
+		if (this.responseStarted) {
+			return RequestProgress.RESPONDING;
+		}
+		return (current != null) ? current.progress() : RequestProgress.READ;
+	}
+
+	private void reportClose() {
+		CallerClose known = this.close;
+		if (known == null) {
+			return;
+		}
+		this.router.countCallerClose(known);
+		boolean notable = known.isNotable() || this.discardedRequests > 0 || this.unwrittenParts > 0;
+		if (notable ? LOGGER.isInfoEnabled() : LOGGER.isDebugEnabled()) {
+			LogLine line = known.toLogLine()
+				.with("discardedRequests", this.discardedRequests)
+				.with("discardedBytes", this.discardedBytes)
+				.with("unwrittenParts", this.unwrittenParts);
+			LOGGER.atLevel(notable ? Level.INFO : Level.DEBUG).log("{}", line);
+		}
+	}
+
+	private void releaseUnhandled(HttpObject object) {
+		this.discardedBytes += RequestSize.bytesOf(object);
+		if (object instanceof HttpRequest) {
+			this.discardedRequests++;
+		}
+		ReferenceCountUtil.release(object);
+	}
+
 	private void releaseQueued() {
-		this.queued.forEach(ReferenceCountUtil::release);
+		this.queued.forEach(this::releaseUnhandled);
 		this.queued.clear();
 		this.queuedArrivals.clear();
 		this.queueMemory.resize(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -150,6 +150,10 @@
 		this.services.metrics().countAnswer("", status, "entry", 0);
 	}
 
+	void countCallerClose(CallerClose close) {
+		this.services.metrics().countCallerClose(close.reason().name(), close.isRequestCut());
+	}
+
 	void countFailedWrite() {
 		this.services.metrics().countFailedWrite("caller");
 	}
