Log and count each connection of the entry process reset without a response

Callers saw resets for which the log and the metrics of lovagevale-node had nothing: only those that the decision logic asked for were counted, and none was logged. A stalled upload, a body that cannot be read and a response that breaks off are now counted where the connection is reset, once each, with a line event=response.aborted and its reason.

The new test failed before (count 0 after the first reset).

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/EntryExchange.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/EntryExchange.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.LogLine;
 import org.lovagevale.core.FailureKind;
 import org.lovagevale.core.LoadReport;
 import org.lovagevale.core.Outcome;
@@ -37,6 +38,8 @@
 import org.lovagevale.core.event.CallerGone;
 import org.lovagevale.core.event.HeadArrived;
 import org.lovagevale.core.event.PrefixArrived;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.SignalType;
@@ -55,6 +58,8 @@
  */
 final class EntryExchange implements HttpAttempt.Listener, RequestBody.Listener {
 
+	private static final Logger LOG = LoggerFactory.getLogger(EntryExchange.class);
+
 	// Enough for a caller to send what its send buffer held when the request was refused.
 	private static final long MAX_DRAIN_BYTES = 1_048_576;
 
@@ -178,7 +183,7 @@
 			case Replay d -> {
 				// As for Refuse.
 			}
-			case AbortAnswer d -> abort();
+			case AbortAnswer d -> abort("the response cannot be completed");
 			default -> throw new IllegalStateException("decision does not belong to a request: " + decision);
 		}
 		finishIfDisconnected();
@@ -224,7 +229,7 @@
 
 	@Override
 	public void connectionFailed() {
-		abort();
+		abort("the request body cannot be read");
 	}
 
 	@Override
@@ -287,7 +292,7 @@
 		this.context.metrics().countAttemptFailure(attempt.dispatch().server(), kind);
 		this.context.engine().apply(new AttemptFailed(this.id, attempt.number(), kind));
 		if (attempt == this.forwardedAttempt) {
-			abort();
+			abort("the server's response ended with " + kind);
 		}
 		finishIfDisconnected();
 	}
@@ -382,7 +387,7 @@
 
 	private void refuse(Refusal refusal) {
 		if (this.responseStarted) {
-			abort();
+			abort("another response was started");
 			return;
 		}
 		startResponse(ResponseWriter.writeRefusal(this.out, this.request.method(), refusal));
@@ -390,7 +395,7 @@
 
 	private void replay(StoredAnswer stored) {
 		if (this.responseStarted) {
-			abort();
+			abort("another response was started");
 			return;
 		}
 		startResponse(ResponseWriter.writeReplay(this.out, this.request.method(), stored));
@@ -416,8 +421,19 @@
 		return this.drained.asMono();
 	}
 
-	private void abort() {
+	private void abort(String reason) {
+		if (this.connectionReset) {
+			return;
+		}
 		this.connectionReset = true;
+		if (this.channel.isOpen()) {
+			this.context.metrics().countAbortedResponse();
+			LOG.warn("{}",
+					LogLine.event("response.aborted")
+						.with("id", this.id)
+						.with("started", this.responseStarted)
+						.with("reason", reason));
+		}
 		// Deferred: closing a channel while its decoder runs would release the decoder's
 		// buffer.
 		this.loop.execute(this::resetChannel);
@@ -448,7 +464,7 @@
 		boolean callerStalled = this.body.isAwaitingCaller() || (attempt != null && !this.channel.isWritable());
 		if (callerStalled || this.responseReceived) {
 			abandonRequest();
-			abort();
+			abort(callerStalled ? "the caller is stalled" : "the response is stalled");
 		}
 		else if (attempt != null) {
 			attempt.fail(FailureKind.LOST_IN_BODY);
--- a/lovagevale-node/src/main/java/org/lovagevale/node/metrics/NodeMetrics.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/metrics/NodeMetrics.java
@@ -11,7 +11,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.lovagevale.core.FailureKind;
-import org.lovagevale.core.decision.AbortAnswer;
 import org.lovagevale.core.decision.Decision;
 import org.lovagevale.core.decision.Dispatch;
 import org.lovagevale.core.decision.Refuse;
@@ -90,6 +89,13 @@
 		this.callersGone.increment();
 	}
 
+	/**
+	 * Counts a connection that is reset because a response cannot be completed.
+	 */
+	public void countAbortedResponse() {
+		this.abortedResponses.increment();
+	}
+
 	/**
 	 * Counts a decision if a metric covers its kind.
 	 * @param decision the decision
@@ -99,7 +105,6 @@
 			case Dispatch d -> countDispatch(d);
 			case Refuse d -> countRefusal(d.refusal().reason().toHeader(), d.refusal().outcome().toHeader());
 			case Replay d -> this.replays.increment();
-			case AbortAnswer d -> this.abortedResponses.increment();
 			default -> {
 			}
 		}
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -538,6 +538,27 @@
 		}
 	}
 
+	// Guards against connections that are reset without any trace.
+	@Test
+	void eachResetIsCounted() throws Exception {
+		RawServer.RequestHandler handler = (head, in, connection) -> {
+			connection.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello"));
+			connection.close();
+		};
+		try (RawServer server = new RawServer(handler);
+				HttpFixture fixture = new HttpFixture(server.port());
+				RawCaller stalledSender = new RawCaller(fixture.callerPort);
+				RawCaller receiver = new RawCaller(fixture.callerPort)) {
+			fixture.logic.idleTimeoutMs = 300;
+			stalledSender.send("POST /t HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhello");
+			assertThat(readUntilClosed(stalledSender)).isEmpty();
+			assertThat(fixture.metrics.scrape()).contains("lovagevale_aborted_responses_total 1.0");
+			receiver.send(GET_REQUEST);
+			assertThat(readUntilClosed(receiver)).endsWith("hello");
+			assertThat(fixture.metrics.scrape()).contains("lovagevale_aborted_responses_total 2.0");
+		}
+	}
+
 	// Guards against malformed requests that reach the decision logic or affect other
 	// requests.
 	@Test
