Accept the waiting connections before the entry process closes its port

Callers whose connection waited in the accept queue when lovagevale-node got a StopAccepting were reset: the port was closed at once, one connection was accepted at a time, and the queue was not read after a delay of the event loops.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -6,10 +6,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.jspecify.annotations.Nullable;
@@ -54,6 +58,20 @@
 	/** Longest idle time of a connection between two requests. */
 	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
+	private static final int ACCEPT_BACKLOG = 1_024;
+
+	/**
+	 * Maximum number of connections that are accepted at a time. It is larger than the
+	 * accept queue, so that the queue is empty afterwards.
+	 */
+	private static final int MAX_ACCEPTED_AT_ONCE = 2 * ACCEPT_BACKLOG;
+
+	/**
+	 * Time between the decision to close the port and the close, in milliseconds. The
+	 * event loop accepts the waiting connections in between.
+	 */
+	private static final long ACCEPT_BEFORE_CLOSE_MS = 1;
+
 	private static final int BAD_REQUEST = 400;
 
 	private static final int NOT_FOUND = 404;
@@ -98,6 +116,8 @@
 				.compress(false)
 				.idleTimeout(IDLE_TIMEOUT)
 				.maxConnections(MAX_CONNECTIONS)
+				.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+				.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 					.maxHeaderSize(MAX_REQUEST_HEADERS_BYTES))
@@ -112,12 +132,16 @@
 	}
 
 	/**
-	 * Stops accepting connections. Open connections are not affected.
+	 * Stops accepting connections. Those that callers have opened already are accepted
+	 * first, since closing the port would reset them. Open connections are not affected.
 	 */
 	public synchronized void stopAccepting() {
-		if (this.server != null) {
-			this.server.dispose();
+		DisposableServer listening = this.server;
+		if (listening != null) {
 			this.server = null;
+			EventLoop loop = listening.channel().eventLoop();
+			// A delay that begins on another thread may end before the loop has run.
+			loop.execute(() -> loop.schedule(listening::dispose, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS));
 		}
 	}
 
@@ -182,6 +206,12 @@
 		return ResponseWriter.writeProblem(out, method, status, reason, "not-run", String.valueOf(message));
 	}
 
+	// By default, one connection is accepted each time.
+	private static RecvByteBufAllocator acceptAllWaiting() {
+		return new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
+			.maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE);
+	}
+
 	private static Channel channelOf(HttpServerRequest request) {
 		Channel[] result = new Channel[1];
 		request.withConnection((connection) -> result[0] = connection.channel());
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/HttpFixture.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/HttpFixture.java
@@ -2,8 +2,10 @@
 
 import java.io.Closeable;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 
+import io.netty.channel.EventLoopGroup;
 import org.lovagevale.base.SystemClock;
 import org.lovagevale.base.VmName;
 import org.lovagevale.core.decision.Decision;
@@ -18,17 +20,21 @@
  */
 final class HttpFixture implements Closeable {
 
+	private static final int LOOPS = 2;
+
 	final ScriptedLogic logic;
 
 	final NodeMetrics metrics = new NodeMetrics();
 
 	final int callerPort;
 
-	private final LoopResources loops = LoopResources.create("test", 2, true);
+	volatile boolean leaving;
+
+	private final LoopResources loops = LoopResources.create("test", LOOPS, true);
 
 	private final BackendHttpClients backendClients = new BackendHttpClients(this.loops);
 
-	private final CallerServer callerServer;
+	final CallerServer callerServer;
 
 	final Engine engine;
 
@@ -49,11 +55,36 @@
 		this.engine = new Engine(this.logic, this.metrics::countDecision, (decision) -> {
 		});
 		EntryExchangeContext context = new EntryExchangeContext(new VmName("entry-01"), new SystemClock(), this.engine,
-				this.backendClients, this.metrics, () -> false);
+				this.backendClients, this.metrics, () -> this.leaving);
 		this.callerServer = new CallerServer(context, this.loops, 0);
 		this.callerPort = this.callerServer.listen("127.0.0.1", 0);
 	}
 
+	/**
+	 * Blocks all event loops.
+	 * @param until the time at which they continue
+	 */
+	void blockLoops(CountDownLatch until) throws InterruptedException {
+		EventLoopGroup group = this.loops.onServer(true);
+		CountDownLatch blocked = new CountDownLatch(LOOPS);
+		for (int i = 0; i < LOOPS; i++) {
+			group.next().execute(() -> {
+				blocked.countDown();
+				awaitUninterruptibly(until);
+			});
+		}
+		blocked.await();
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.callerServer.stopAccepting();
