Close the connections of callers before the entry process ends

At the end of a planned stop, lovagevale-node waited for the requests that it had read. Requests that had arrived while the event loops were delayed were not among them, and all kept connections were closed by the end of the process, which resets those with unread data; nothing was logged.

The process now closes idle connections after reading what has arrived, waits until all connections are closed, at most as long as before, and logs how many remain.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -91,7 +91,7 @@
 
 	private static final int MAX_RECORDED_REQUESTS = 10_000;
 
-	/** Longest wait for open responses to callers at the end of a planned stop. */
+	/** Longest wait for open connections of callers at the end of a planned stop. */
 	private static final long MAX_DRAIN_MS = 5_000;
 
 	/** Time for sending the last messages to peers before shutdown. */
@@ -401,14 +401,13 @@
 	}
 
 	private void shutDown() {
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_DRAIN_MS);
 		sleep(PEER_FLUSH_MS);
-		while (this.engine.openRequestCount() > 0 && System.nanoTime() < deadline) {
-			sleep(TICK_MS);
-		}
-		LOG.info("{}", LogLine.event("process.ended").with("interrupted", this.engine.openRequestCount()));
+		int connections = this.callerServer.closeConnections(MAX_DRAIN_MS);
+		LOG.info("{}",
+				LogLine.event("process.ended")
+					.with("interrupted", this.engine.openRequestCount())
+					.with("connections", connections));
 		this.ticker.shutdown();
-		this.callerServer.stopAccepting();
 		this.adminServer.close();
 		this.peerTransport.close();
 		this.backendClients.close();
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -72,6 +74,9 @@
 	 */
 	private static final long ACCEPT_BEFORE_CLOSE_MS = 1;
 
+	/** Interval at which open connections are checked before the end, in milliseconds. */
+	private static final long CLOSE_CHECK_INTERVAL_MS = 20;
+
 	private static final int BAD_REQUEST = 400;
 
 	private static final int NOT_FOUND = 404;
@@ -84,6 +89,8 @@
 
 	private final AtomicLong lastRequestId;
 
+	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+
 	private @Nullable DisposableServer server;
 
 	/**
@@ -118,6 +125,7 @@
 				.maxConnections(MAX_CONNECTIONS)
 				.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 				.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
+				.doOnChannelInit((observer, channel, address) -> connectionOpened(channel))
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 					.maxHeaderSize(MAX_REQUEST_HEADERS_BYTES))
@@ -145,7 +153,41 @@
 		}
 	}
 
+	private void connectionOpened(Channel channel) {
+		CallerConnection connection = new CallerConnection(channel);
+		this.connections.add(connection);
+		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
+		channel.pipeline().addFirst(connection);
+	}
+
+	/**
+	 * Closes the connections without a request in progress, and waits until the others
+	 * are closed as well. Each response closes its connection during a planned stop.
+	 * @param timeoutMs the maximum time to wait, in milliseconds
+	 * @return the number of connections that are still open
+	 */
+	public int closeConnections(long timeoutMs) {
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+		try {
+			while (!this.connections.isEmpty() && System.nanoTime() < deadline) {
+				this.connections.forEach(CallerConnection::closeIfIdle);
+				Thread.sleep(CLOSE_CHECK_INTERVAL_MS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return this.connections.size();
+	}
+
 	private Mono<Void> handle(HttpServerRequest request, HttpServerResponse out) {
+		CallerConnection connection = CallerConnection.of(channelOf(request));
+		connection.requestStarted();
+		return respond(request, out)
+			.doFinally((signal) -> channelOf(request).eventLoop().execute(connection::requestEnded));
+	}
+
+	private Mono<Void> respond(HttpServerRequest request, HttpServerResponse out) {
 		RequestId id = new RequestId(this.lastRequestId.incrementAndGet());
 		try {
 			RequestHead head = RequestHeadParser.read(request, addressOf(request));
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
@@ -16,7 +16,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a planned stop that ends requests without a response.
+ * Guards against a planned stop that ends requests without a response: those on
+ * connections that wait to be accepted, and those that arrive on open connections while the
+ * event loops are delayed.
  */
 @Timeout(60)
 class CallerServerStopTests {
@@ -27,6 +29,8 @@
 
 	private static final int WAITING_CALLERS = 40;
 
+	private static final long CLOSE_TIMEOUT_MS = 5_000;
+
 	// Guards against a port that is closed, which resets the connections in its accept
 	// queue.
 	@Test
@@ -55,6 +59,50 @@
 		}
 	}
 
+	// Guards against a process that ends before it has read a request.
+	@Test
+	void requestThatArrivesDuringADelayIsAnsweredBeforeTheConnectionsAreClosed() throws Exception {
+		try (RawServer server = new RawServer(CallerServerStopTests::respond);
+				HttpFixture fixture = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(fixture.callerPort)) {
+			caller.send(GET_REQUEST);
+			assertThat(caller.readResponse()).startsWith("HTTP/1.1 200");
+			fixture.leaving = true;
+			fixture.callerServer.stopAccepting();
+			CountDownLatch resumed = new CountDownLatch(1);
+			fixture.blockLoops(resumed);
+			CompletableFuture<Integer> closed = CompletableFuture
+				.supplyAsync(() -> fixture.callerServer.closeConnections(CLOSE_TIMEOUT_MS));
+			caller.send(GET_REQUEST);
+			pause(200);
+			assertThat(closed).isNotDone();
+			resumed.countDown();
+			assertThat(responseOrFailure(caller)).startsWith("HTTP/1.1 200").containsIgnoringCase("connection: close");
+			assertThat(closed.get(10, TimeUnit.SECONDS)).isZero();
+		}
+	}
+
+	// Guards against a process that waits until the deadline for callers that send
+	// nothing.
+	@Test
+	void idleConnectionsAreClosedAtOnce() throws Exception {
+		try (RawServer server = new RawServer(CallerServerStopTests::respond);
+				HttpFixture fixture = new HttpFixture(server.port());
+				RawCaller used = new RawCaller(fixture.callerPort);
+				RawCaller unused = new RawCaller(fixture.callerPort)) {
+			used.send(GET_REQUEST);
+			assertThat(used.readResponse()).startsWith("HTTP/1.1 200");
+			fixture.callerServer.stopAccepting();
+			CompletableFuture<Integer> closed = CompletableFuture
+				.supplyAsync(() -> fixture.callerServer.closeConnections(CLOSE_TIMEOUT_MS));
+			assertThat(used.in.read()).isNegative();
+			assertThat(unused.in.read()).isNegative();
+			used.close();
+			unused.close();
+			assertThat(closed.get(2, TimeUnit.SECONDS)).isZero();
+		}
+	}
+
 	private static String responseOrFailure(RawCaller caller) {
 		try {
 			return caller.readResponse();
