--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
@@ -17,8 +17,8 @@
 
 /**
  * Guards against a planned stop that ends requests without a response: those on
- * connections that wait to be accepted, and those that arrive on open connections while the
- * event loops are delayed.
+ * connections that wait to be accepted, and those that arrive on open connections while
+ * the event loops are delayed.
  */
 @Timeout(60)
 class CallerServerStopTests {
