Keep the end of a last response when its caller still sends

Callers of lovagevale-node that sent requests behind one whose response closed the connection, as every response during a planned stop does, got a reset in the middle of a large response: the connection was closed as soon as the operating system had taken the response, the next request arrived on a closed connection, and the reset discarded what the caller had not received.

LingeringCloseHandler closes the output first and reads until the caller has closed, at most 1 s.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -26,6 +26,7 @@
 import org.lovagevale.core.event.AddressesAsked;
 import org.lovagevale.core.event.Event;
 import org.lovagevale.core.event.OutcomeAsked;
+import org.lovagevale.gateway.http.LingeringCloseHandler;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.HttpProtocol;
@@ -157,7 +158,7 @@
 		CallerConnection connection = new CallerConnection(channel);
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
-		channel.pipeline().addFirst(connection);
+		channel.pipeline().addFirst(new LingeringCloseHandler(), connection);
 	}
 
 	/**
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerStopTests.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,8 +19,8 @@
 
 /**
  * Guards against a planned stop that ends requests without a response: those on
- * connections that wait to be accepted, and those that arrive on open connections while the
- * event loops are delayed.
+ * connections that wait to be accepted, those that arrive on open connections while the
+ * event loops are delayed, and those whose response is still being sent.
  */
 @Timeout(60)
 class CallerServerStopTests {
@@ -29,6 +31,8 @@
 
 	private static final int WAITING_CALLERS = 40;
 
+	private static final int LARGE_BODY_BYTES = 4 * 1024 * 1024;
+
 	private static final long CLOSE_TIMEOUT_MS = 5_000;
 
 	// Guards against a port that is closed, which resets the connections in its accept
@@ -103,6 +107,39 @@
 		}
 	}
 
+	// Data that arrives on a closed connection resets it, which discards the part of the
+	// response that the caller has not received yet.
+	@Test
+	void pipelinedRequestsDoNotCutOffTheLastResponse() throws Exception {
+		try (RawServer server = new RawServer(CallerServerStopTests::respondLarge);
+				HttpFixture fixture = new HttpFixture(server.port());
+				Socket caller = new Socket()) {
+			fixture.leaving = true;
+			caller.setReceiveBufferSize(16_384);
+			caller.setSoTimeout(20_000);
+			caller.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), fixture.callerPort));
+			caller.getOutputStream().write(GET_REQUEST.getBytes(StandardCharsets.US_ASCII));
+			assertThat(RawCaller.readHead(caller.getInputStream())).containsIgnoringCase("connection: close");
+			assertThat(readAndSendRequests(caller)).isEqualTo(LARGE_BODY_BYTES);
+		}
+	}
+
+	private static int readAndSendRequests(Socket caller) {
+		byte[] buffer = new byte[65_536];
+		int total = 0;
+		try {
+			for (int count = 0; count >= 0; count = caller.getInputStream().read(buffer)) {
+				total += count;
+				pause(2);
+				caller.getOutputStream().write(GET_REQUEST.getBytes(StandardCharsets.US_ASCII));
+			}
+		}
+		catch (IOException ex) {
+			// The number of bytes shows that the connection was reset.
+		}
+		return total;
+	}
+
 	private static String responseOrFailure(RawCaller caller) {
 		try {
 			return caller.readResponse();
@@ -116,6 +153,12 @@
 		connection.getOutputStream().write(OK_RESPONSE.getBytes(StandardCharsets.US_ASCII));
 	}
 
+	private static void respondLarge(String head, InputStream in, Socket connection) throws IOException {
+		String responseHead = "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE_BODY_BYTES + "\r\n\r\n";
+		connection.getOutputStream().write(responseHead.getBytes(StandardCharsets.US_ASCII));
+		connection.getOutputStream().write(new byte[LARGE_BODY_BYTES]);
+	}
+
 	private static void pause(long millis) {
 		try {
 			Thread.sleep(millis);
