Count the time of a request from its arrival, not from the begin of a delay

Seen by callers: after a delay of the event loop, a 504 long before the route's timeout, at a request that its server works on. With a timeout of 800 ms and 400 ms of work, a request that arrived 30 ms before the end of a delay of 700 ms got 504 after 240 ms.

Class of fault: a bound of a time is used in place of the time.

Change: after a delay of more than 50 ms, the time since the last data of the connection (TCP_INFO) bounds the time that the data has waited. Without it, as before. The system tells when data arrived, so a request that did wait still has no more time than its caller: timeBeforeARequestIsReadCountsForItsDeadline holds.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -240,7 +240,7 @@
 		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
 		this.queued.add(object);
 		if (object instanceof HttpRequest) {
-			this.queuedArrivals.add(this.router.arrivalTime());
+			this.queuedArrivals.add(this.router.arrivalTime(ctx.channel()));
 		}
 		process();
 		if (this.queued.size() > MAX_QUEUED_OBJECTS) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ReadDelay.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ReadDelay.java
@@ -1,5 +1,8 @@
 package org.lovagevale.gateway.http;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.epoll.EpollSocketChannel;
 import org.lovagevale.base.Clock;
 
 /**
@@ -10,10 +13,17 @@
  * The event loop reads from its connections before it runs the periodic work that is due,
  * so data that is read after a delay is read while the last tick is overdue. The time by
  * which it is overdue is an upper bound of the time that the data has waited, except for
- * one interval. Confined to the event loop.
+ * one interval. Data may also have arrived at the end of the delay; Linux tells for each
+ * connection when that was. Confined to the event loop.
  */
 public final class ReadDelay {
 
+	/**
+	 * Delay in milliseconds up to which all data counts as received at its begin, which
+	 * saves a system call for each request.
+	 */
+	private static final long NEGLIGIBLE_DELAY_MS = 50;
+
 	private final Clock clock;
 
 	private final long tickIntervalMs;
@@ -46,4 +56,24 @@
 		return Math.max(0, this.clock.millis() - this.lastTickAt - this.tickIntervalMs);
 	}
 
+	/**
+	 * Returns for how long the data that is read now from a connection has waited.
+	 * @param channel the channel of the connection
+	 * @return the time in milliseconds, at most {@link #millis()}
+	 */
+	long millisOf(Channel channel) {
+		long maxMs = millis();
+		if (maxMs <= NEGLIGIBLE_DELAY_MS || !(channel instanceof EpollSocketChannel socket)) {
+			return maxMs;
+		}
+		try {
+			return Math.min(maxMs, socket.tcpInfo().lastDataRecv());
+		}
+		catch (ChannelException ex) {
+			// Without the time of the system, the data counts as received at the begin
+			// of the delay.
+			return maxMs;
+		}
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -87,12 +88,14 @@
 	}
 
 	/**
-	 * Returns when data that is read now has arrived. The caller counts its time from
-	 * when it sent the request, also if that waits behind another one.
+	 * Returns when the data that is read now from a connection has arrived. The caller
+	 * counts its time from when it sent the request, also if that waits behind another
+	 * one.
+	 * @param channel the channel of the connection
 	 * @return the monotonic time in milliseconds
 	 */
-	long arrivalTime() {
-		return now() - this.services.readDelay().millis();
+	long arrivalTime(Channel channel) {
+		return now() - this.services.readDelay().millisOf(channel);
 	}
 
 	boolean isStopping() {
