Use the time of the last data only where the system records it

After a freeze, requests would have counted as just received, and servers would have been handed more time than their callers had left.

Change: if all three times are 0, they are taken as not recorded, and the data counts as received at the begin of the delay.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ReadDelay.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ReadDelay.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.epoll.EpollTcpInfo;
 import org.lovagevale.base.Clock;
 
 /**
@@ -67,7 +68,7 @@
 			return maxMs;
 		}
 		try {
-			return Math.min(maxMs, socket.tcpInfo().lastDataRecv());
+			return waitedMs(maxMs, socket.tcpInfo());
 		}
 		catch (ChannelException ex) {
 			// Without the time of the system, the data counts as received at the begin
@@ -76,4 +77,16 @@
 		}
 	}
 
+	/**
+	 * Returns for how long the last received data of a connection has waited.
+	 * @param maxMs the upper bound, in milliseconds
+	 * @param info what the system tells of the connection
+	 * @return the time in milliseconds
+	 */
+	static long waitedMs(long maxMs, EpollTcpInfo info) {
+		// A system that does not record these times reports 0 for all of them.
+		boolean recorded = info.lastDataRecv() > 0 || info.lastDataSent() > 0 || info.lastAckRecv() > 0;
+		return recorded ? Math.min(maxMs, info.lastDataRecv()) : maxMs;
+	}
+
 }
