Let SlowHandshakeTests fail if no handshake was slow

Found by the review: without the filter of the caller, the test passed although no connection was accepted after the refusal; and an attempt to connect that times out counted as refused, since ConnectTimeoutException is a ConnectException. The test now requires such connections by the log line port.closed, and counts a timeout as a failure.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SlowHandshakeCaller.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SlowHandshakeCaller.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.epoll.EpollSocketChannel;
@@ -101,8 +102,9 @@
 				channel.writeAndFlush(Unpooled.copiedBuffer(this.request, StandardCharsets.ISO_8859_1));
 			}
 			else {
-				this.outcome
-					.complete((result.cause() instanceof ConnectException) ? NOT_CONNECTED : "" + result.cause());
+				boolean refused = result.cause() instanceof ConnectException
+						&& !(result.cause() instanceof ConnectTimeoutException);
+				this.outcome.complete(refused ? NOT_CONNECTED : "" + result.cause());
 			}
 		});
 		return this.outcome;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SlowHandshakeTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/SlowHandshakeTests.java
@@ -4,13 +4,19 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.EpollIoHandler;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.slf4j.LoggerFactory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -28,15 +34,29 @@
 	private static final long FIRST_CALL_MS = 600;
 
 	/**
-	 * Number of callers. The handshakes of the last ones end 2.1 s after the begin of the
-	 * stop, which takes 2.3 s.
+	 * Number of callers. Their handshakes end 1.6 to 2.1 s after the begin of the stop,
+	 * which takes 2.3 s and refuses new connections from 1.65 s on.
 	 */
 	private static final int CALLERS = 100;
 
+	private static final Pattern ACCEPTED_AFTER_REFUSAL = Pattern
+		.compile("event=port\\.closed refused=true accepted=([1-9]\\d*)");
+
+	private final Logger logger = (Logger) LoggerFactory.getLogger("org.lovagevale.gateway.http");
+
+	private final ListAppender<ILoggingEvent> appender = new ListAppender<>();
+
 	private final EventLoopGroup callerGroup = new MultiThreadIoEventLoopGroup(1, EpollIoHandler.newFactory());
 
+	@BeforeEach
+	void attach() {
+		this.appender.start();
+		this.logger.addAppender(this.appender);
+	}
+
 	@AfterEach
 	void shutDown() {
+		this.logger.detachAppender(this.appender);
 		this.callerGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 	}
 
@@ -61,6 +81,12 @@
 					(outcome) -> outcome.startsWith("HTTP/1.1 ") || outcome.equals(SlowHandshakeCaller.NOT_CONNECTED));
 			assertThat(outcomes).anyMatch((outcome) -> outcome.startsWith("HTTP/1.1 "));
 		}
+		assertThat(lines()).as("connections whose handshakes ended after the refusal began")
+			.anyMatch((line) -> ACCEPTED_AFTER_REFUSAL.matcher(line).matches());
+	}
+
+	private List<String> lines() {
+		return List.copyOf(this.appender.list).stream().map(ILoggingEvent::getFormattedMessage).toList();
 	}
 
 }
