End a planned stop earlier, and in time if the stop time is short

- The port stayed open for 1.2 s so that a repeated SYN-ACK is covered.
It is 0.4 s now, for the round trip between regions and a last packet of the handshake that is lost; the request replaces it when it is repeated.
- With a Grace below 1.56 s, the port was still open when stop() returned: refused connections were to begin after the end.
They now begin early enough for the handshakes in progress.
A Grace of 3 s or more, as on the sites, is not affected.
- A second call of stop() began the stop again.
It now returns at once.
- The stop time is read once, so that a reload during the stop cannot make the plan and the wait differ.
- The port is closed one turn of the event loop after the decision, so that what arrived during a delay is accepted first.
- port.unfiltered is written as well for other transports and if the system ignores the option.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -81,7 +81,7 @@
 	private static final double ACCEPTING_SHARE = 0.55;
 
 	/** Ticks of the periodic work between the close of the port and the end of a stop. */
-	private static final int CLOSING_TICKS = 3;
+	private static final int CLOSING_TICKS = 2;
 
 	/**
 	 * Part at the end of the stop time that is left for the exit of the process, which
@@ -376,21 +376,24 @@
 	 * Performs a planned stop: announces it to callers and peers, rejects the requests
 	 * that cannot be completed, then blocks until all connections of callers are closed
 	 * or the stop time is almost over. Returns at once if the process has not begun to
-	 * accept connections.
+	 * accept connections, or if a planned stop has begun already.
 	 */
 	public void stop() {
+		long stopMs = this.settings.stopMs();
+		long timeMs = Math.max(0, stopMs - STOP_MARGIN_MS);
 		synchronized (this.portLock) {
+			boolean begun = this.stopping;
 			this.stopping = true;
-			if (!this.callerPortOpen) {
+			if (begun || !this.callerPortOpen) {
 				return;
 			}
 		}
 		long stopStartedAt = this.clock.millis();
 		this.ready = false;
 		CountDownLatch stopped = new CountDownLatch(1);
-		this.loop.execute(() -> leave(stopStartedAt, stopped));
+		this.loop.execute(() -> leave(stopStartedAt, timeMs, acceptingMs(stopMs, timeMs), stopped));
 		try {
-			if (!stopped.await(stopTimeMs(), TimeUnit.MILLISECONDS)) {
+			if (!stopped.await(timeMs, TimeUnit.MILLISECONDS)) {
 				reportOpenConnections(stopStartedAt);
 			}
 		}
@@ -399,6 +402,12 @@
 		}
 	}
 
+	// With a short stop time, the handshakes and the last connections come first.
+	private static long acceptingMs(long stopMs, long timeMs) {
+		long lastMs = FrontendServer.HANDSHAKE_MS + CLOSING_TICKS * TICK_INTERVAL_MS;
+		return Math.max(0, Math.min((long) (stopMs * ACCEPTING_SHARE), timeMs - lastMs));
+	}
+
 	// Callers whose connections are still open get no response. An event loop that does
 	// not run is one of the causes.
 	private void reportOpenConnections(long stopStartedAt) throws InterruptedException {
@@ -416,24 +425,17 @@
 		LOGGER.warn("{}", line);
 	}
 
-	private long stopTimeMs() {
-		return Math.max(0, this.settings.stopMs() - STOP_MARGIN_MS);
-	}
-
-	private void leave(long stopStartedAt, CountDownLatch stopped) {
+	private void leave(long stopStartedAt, long timeMs, long acceptingMs, CountDownLatch stopped) {
 		LOGGER.info("{}", LogLine.event("process.leaving").with("connections", this.frontend.connectionCount()));
 		// The periodic work may have set it since the stop began.
 		this.ready = false;
 		this.roster.enterPhase(RosterPhase.LEAVING);
 		this.peers.sendHeartbeat();
-		this.plannedStop.begin(stopStartedAt, stopTimeMs());
-		long acceptingMs = (long) (this.settings.stopMs() * ACCEPTING_SHARE);
+		this.plannedStop.begin(stopStartedAt, timeMs);
 		// The event loop may have run this late.
 		long acceptingLeftMs = Math.max(0, stopStartedAt + acceptingMs - this.clock.millis());
 		this.loop.schedule(() -> {
-			// The last connections are closed in the ticks after the port.
-			long timeLeftMs = this.plannedStop.timeLeftMs(this.clock.millis()) - CLOSING_TICKS * TICK_INTERVAL_MS;
-			this.frontend.stopAccepting(Math.max(0, timeLeftMs));
+			this.frontend.stopAccepting();
 			this.frontend.closeIdle();
 		}, acceptingLeftMs, TimeUnit.MILLISECONDS);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ConnectionRefusal.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ConnectionRefusal.java
@@ -44,17 +44,21 @@
 	 */
 	static boolean refuseNewConnections(Channel listening) {
 		if (!(listening instanceof EpollServerSocketChannel)) {
-			return false;
+			return unavailable("the transport is " + listening.getClass().getSimpleName());
 		}
 		try {
 			listening.config().setOption(SO_BINDTOIFINDEX, NO_INTERFACE);
 			Integer bound = listening.config().getOption(SO_BINDTOIFINDEX);
-			return bound != null && bound == NO_INTERFACE;
+			return bound != null && bound == NO_INTERFACE || unavailable("the bound interface is " + bound);
 		}
 		catch (ChannelException ex) {
-			LOGGER.warn("{}", LogLine.event("port.unfiltered").with("why", String.valueOf(ex)));
-			return false;
+			return unavailable(String.valueOf(ex));
 		}
 	}
 
+	private static boolean unavailable(String reason) {
+		LOGGER.warn("{}", LogLine.event("port.unfiltered").with("why", reason));
+		return false;
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -48,9 +48,10 @@
 
 	/**
 	 * Time for the handshakes in progress when the server stops accepting, in
-	 * milliseconds. A lost packet of a handshake is repeated after 1 s.
+	 * milliseconds. It covers the round trip between regions and a lost last packet of
+	 * the handshake, which the request replaces when it is repeated after 200 ms.
 	 */
-	private static final long HANDSHAKE_MS = 1_200;
+	public static final long HANDSHAKE_MS = 400;
 
 	/**
 	 * Time after which the port is closed even if no further connection arrives, if new
@@ -58,6 +59,11 @@
 	 */
 	private static final long CLOSE_WITHOUT_CONNECTION_MS = 50;
 
+	/**
+	 * Time between the decision to close the port and the close, in milliseconds.
+	 */
+	private static final long ACCEPT_BEFORE_CLOSE_MS = 1;
+
 	private static final long TIMEOUT_CHECK_INTERVAL_MS = 250;
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(FrontendServer.class);
@@ -199,9 +205,8 @@
 	 * Stops accepting connections. New ones are refused at once. Those that callers have
 	 * opened already, or whose handshakes are in progress, are accepted before the port
 	 * is closed, since closing it would reset them.
-	 * @param maxHandshakeMs the maximum time for handshakes in progress, in milliseconds
 	 */
-	public void stopAccepting(long maxHandshakeMs) {
+	public void stopAccepting() {
 		this.stopping = true;
 		Channel channel = this.listening;
 		if (channel == null) {
@@ -209,8 +214,11 @@
 		}
 		boolean refusing = ConnectionRefusal.refuseNewConnections(channel);
 		this.closeAfterAccept = !refusing;
-		long closeInMs = refusing ? Math.min(HANDSHAKE_MS, maxHandshakeMs) : CLOSE_WITHOUT_CONNECTION_MS;
-		this.loop.schedule(this::closePort, closeInMs, TimeUnit.MILLISECONDS);
+		long closeInMs = refusing ? HANDSHAKE_MS : CLOSE_WITHOUT_CONNECTION_MS;
+		// The event loop accepts what arrived during a delay before it runs the inner
+		// task.
+		this.loop.schedule(() -> this.loop.schedule(this::closePort, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS),
+				closeInMs, TimeUnit.MILLISECONDS);
 	}
 
 	private void closePort() {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -18,6 +18,8 @@
 import io.netty.channel.ChannelPromise;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -109,6 +111,33 @@
 		}
 	}
 
+	// Guards against a port that is still open when a process with a short stop time
+	// ends.
+	@ParameterizedTest
+	@ValueSource(longs = { 1_000, 1_500, 2_000 })
+	void portIsClosedAtTheEndOfAShortStop(long stopMs) throws Exception {
+		try (TestGateway gateway = new TestGateway(List.of(), stopMs, MemoryLimits.forThisJvm())
+			.publishConfiguration(2_000)
+			.start()) {
+			gateway.process().stop();
+			assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
+		}
+	}
+
+	@Test
+	void secondStopDoesNotRestartTheFirstOne() throws Exception {
+		try (TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000).start()) {
+			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
+			Thread.sleep(1_000);
+			gateway.process().stop();
+			Thread.sleep(200);
+			// Callers can connect for 1,650 ms from the begin of the first stop.
+			gateway.connect().close();
+			stop.join();
+			assertThatThrownBy(gateway::connect).isInstanceOf(ConnectException.class);
+		}
+	}
+
 	// The connection is accepted before the event loop is blocked; its request arrives
 	// meanwhile.
 	@Test
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -42,6 +42,8 @@
 
 	private static final Region REGION = new Region("west");
 
+	private static final long STOP_MS = 3_000;
+
 	/**
 	 * Time without tasks after which the event loop ends. With zero, a loop that runs a
 	 * task when its shutdown begins ends without closing its channels.
@@ -69,19 +71,23 @@
 	}
 
 	TestGateway(List<HostPort> seeds, long memoryLimitBytes) throws GatewayException {
-		this(TestAddresses.host(1), DOMAIN, REGION, seeds, memoryLimitBytes);
+		this(seeds, STOP_MS, memoryLimitBytes);
+	}
+
+	TestGateway(List<HostPort> seeds, long stopMs, long memoryLimitBytes) throws GatewayException {
+		this(TestAddresses.host(1), DOMAIN, REGION, seeds, stopMs, memoryLimitBytes);
 	}
 
 	TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds) throws GatewayException {
-		this(host, domain, region, seeds, MemoryLimits.forThisJvm());
+		this(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm());
 	}
 
-	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long memoryLimitBytes)
-			throws GatewayException {
+	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
+			long memoryLimitBytes) throws GatewayException {
 		this.callerAddress = TestAddresses.next(host);
 		this.peerAddress = TestAddresses.next(host);
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
-				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), 3_000, 1_000);
+				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), stopMs, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				() -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
 				new TestProtocol(), memoryLimitBytes);
