Keep the end of a last response of lovagevale-gateway when its caller still sends

A caller that sent requests behind one whose response closed the connection, as each response during a planned stop does, got a reset in the middle of a large response that had been written completely: data that arrives on a closed connection resets it, and what the caller had not received was discarded. The process counted the response as sent. A slow link or a caller that reads slowly makes it likely.

Connections of callers are now closed by LingeringCloseHandler, output first.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -177,6 +177,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
+		added.pipeline().addFirst(new LingeringCloseHandler());
 	}
 
 	/**
