Share the close of ports and connections between HTTP servers

The entry process closes the port and the connections of its callers without the loss of a request; the endpoints of the platform need the same. The code moves to ServerConnections in lovagevale-gateway, which both modules can use.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerConnection.java
@@ -1,4 +1,4 @@
-package org.lovagevale.node.http;
+package org.lovagevale.gateway.http;
 
 import java.util.concurrent.TimeUnit;
 
@@ -9,19 +9,13 @@
 import io.netty.util.AttributeKey;
 
 /**
- * Tells whether a connection of a caller is idle, and closes it if so.
+ * Tells whether a connection of an HTTP server is idle, and closes it if so.
  *
  * <p>
  * The handler is placed in front of the decoder. Confined to the event loop, except for
  * {@link #closeIfIdle()}.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
-
-	/**
-	 * Time without activity before which a connection is not closed as idle, in
-	 * milliseconds. The request of a caller that has just connected arrives within it.
-	 */
-	static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
+final class ServerConnection extends ChannelInboundHandlerAdapter {
 
 	/**
 	 * Time between the decision to close an idle connection and the close, in
@@ -29,10 +23,12 @@
 	 */
 	private static final long READ_BEFORE_CLOSE_MS = 1;
 
-	private static final AttributeKey<CallerConnection> KEY = AttributeKey.valueOf(CallerConnection.class, "self");
+	private static final AttributeKey<ServerConnection> KEY = AttributeKey.valueOf(ServerConnection.class, "self");
 
 	private final Channel channel;
 
+	private final long minIdleMs;
+
 	private int openRequests;
 
 	/** Whether bytes have arrived that do not belong to a request in progress. */
@@ -43,9 +39,12 @@
 	/**
 	 * Creates the handler of a connection.
 	 * @param channel the channel of the connection
+	 * @param minIdleMs the time without activity before which the connection is not
+	 * closed as idle, in milliseconds
 	 */
-	CallerConnection(Channel channel) {
+	ServerConnection(Channel channel, long minIdleMs) {
 		this.channel = channel;
+		this.minIdleMs = minIdleMs;
 		channel.attr(KEY).set(this);
 	}
 
@@ -54,7 +53,7 @@
 	 * @param channel the channel of the connection
 	 * @return its handler
 	 */
-	static CallerConnection of(Channel channel) {
+	static ServerConnection of(Channel channel) {
 		return channel.attr(KEY).get();
 	}
 
@@ -80,7 +79,7 @@
 
 	private void closeIfStillIdle() {
 		long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.lastActivityNanos);
-		if (this.openRequests == 0 && !this.receiving && idleMs >= MIN_IDLE_BEFORE_CLOSE_MS) {
+		if (this.openRequests == 0 && !this.receiving && idleMs >= this.minIdleMs) {
 			this.channel.close();
 		}
 	}
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -6,16 +6,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +20,7 @@
 import org.lovagevale.core.event.AddressesAsked;
 import org.lovagevale.core.event.Event;
 import org.lovagevale.core.event.OutcomeAsked;
-import org.lovagevale.gateway.http.LingeringCloseHandler;
+import org.lovagevale.gateway.http.ServerConnections;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.HttpProtocol;
@@ -61,22 +55,11 @@
 	/** Longest idle time of a connection between two requests. */
 	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
-	private static final int ACCEPT_BACKLOG = 1_024;
-
-	/**
-	 * Maximum number of connections that are accepted at a time. It is larger than the
-	 * accept queue, so that the queue is empty afterwards.
-	 */
-	private static final int MAX_ACCEPTED_AT_ONCE = 2 * ACCEPT_BACKLOG;
-
 	/**
-	 * Time between the decision to close the port and the close, in milliseconds. The
-	 * event loop accepts the waiting connections in between.
+	 * Time without activity before which a connection is not closed as idle, in
+	 * milliseconds.
 	 */
-	private static final long ACCEPT_BEFORE_CLOSE_MS = 1;
-
-	/** Interval at which open connections are checked before the end, in milliseconds. */
-	private static final long CLOSE_CHECK_INTERVAL_MS = 20;
+	private static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
 
 	private static final int BAD_REQUEST = 400;
 
@@ -90,7 +73,7 @@
 
 	private final AtomicLong lastRequestId;
 
-	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+	private final ServerConnections connections = new ServerConnections(MIN_IDLE_BEFORE_CLOSE_MS);
 
 	private @Nullable DisposableServer server;
 
@@ -124,9 +107,9 @@
 				.compress(false)
 				.idleTimeout(IDLE_TIMEOUT)
 				.maxConnections(MAX_CONNECTIONS)
-				.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-				.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
-				.doOnChannelInit((observer, channel, address) -> connectionOpened(channel))
+				.option(ChannelOption.SO_BACKLOG, ServerConnections.ACCEPT_BACKLOG)
+				.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.acceptAllWaiting())
+				.doOnChannelInit((observer, channel, address) -> this.connections.add(channel))
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 					.maxHeaderSize(MAX_REQUEST_HEADERS_BYTES))
@@ -148,19 +131,10 @@
 		DisposableServer listening = this.server;
 		if (listening != null) {
 			this.server = null;
-			EventLoop loop = listening.channel().eventLoop();
-			// A delay that begins on another thread may end before the loop has run.
-			loop.execute(() -> loop.schedule(listening::dispose, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS));
+			ServerConnections.closePort(listening.channel(), listening::dispose);
 		}
 	}
 
-	private void connectionOpened(Channel channel) {
-		CallerConnection connection = new CallerConnection(channel);
-		this.connections.add(connection);
-		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
-		channel.pipeline().addFirst(new LingeringCloseHandler(), connection);
-	}
-
 	/**
 	 * Closes the connections without a request in progress, and waits until the others
 	 * are closed as well. Each response closes its connection during a planned stop.
@@ -168,24 +142,13 @@
 	 * @return the number of connections that are still open
 	 */
 	public int closeConnections(long timeoutMs) {
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-		try {
-			while (!this.connections.isEmpty() && System.nanoTime() < deadline) {
-				this.connections.forEach(CallerConnection::closeIfIdle);
-				Thread.sleep(CLOSE_CHECK_INTERVAL_MS);
-			}
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-		return this.connections.size();
+		return this.connections.close(timeoutMs);
 	}
 
 	private Mono<Void> handle(HttpServerRequest request, HttpServerResponse out) {
-		CallerConnection connection = CallerConnection.of(channelOf(request));
-		connection.requestStarted();
-		return respond(request, out)
-			.doFinally((signal) -> channelOf(request).eventLoop().execute(connection::requestEnded));
+		Channel channel = channelOf(request);
+		this.connections.requestStarted(channel);
+		return respond(request, out).doFinally((signal) -> this.connections.requestEnded(channel));
 	}
 
 	private Mono<Void> respond(HttpServerRequest request, HttpServerResponse out) {
@@ -249,12 +212,6 @@
 		return ResponseWriter.writeProblem(out, method, status, reason, "not-run", String.valueOf(message));
 	}
 
-	// By default, one connection is accepted each time.
-	private static RecvByteBufAllocator acceptAllWaiting() {
-		return new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
-			.maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE);
-	}
-
 	private static Channel channelOf(HttpServerRequest request) {
 		Channel[] result = new Channel[1];
 		request.withConnection((connection) -> result[0] = connection.channel());
