Relay non-idempotent requests only on connections that were idle for a short time

A request that is relayed on a kept connection which the other entry VM closes as idle at the same moment gets 502, although it was never run. Connections to servers are reused for such requests for at most 2 s of idle time because of that; connections to entry VMs were reused for up to 4 s. The same limit holds now for both.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -286,7 +286,7 @@
 		this.relayAttempts.started(entry.region());
 		SendAttempt newAttempt = new SendAttempt(this, null, entry, now());
 		this.attempt = newAttempt;
-		this.services.connectionPool().acquireEntryVm(entry, REPEATABLE_MAX_IDLE_MS, newAttempt);
+		this.services.connectionPool().acquireEntryVm(entry, maxIdleMs(), newAttempt);
 		return true;
 	}
 
@@ -346,8 +346,11 @@
 		}
 		SendAttempt newAttempt = new SendAttempt(this, grant, server, now());
 		this.attempt = newAttempt;
-		long maxIdleMs = isRepeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
-		this.services.connectionPool().acquire(server, maxIdleMs, newAttempt);
+		this.services.connectionPool().acquire(server, maxIdleMs(), newAttempt);
+	}
+
+	private long maxIdleMs() {
+		return isRepeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
 	}
 
 	@Override
