--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -268,9 +268,9 @@
 					.with("ageMs", ageMs())
 					.with("version", (configuration != null) ? configuration.version() : 0)
 					.with("servers", this.servers.size())
-					.with("evacuated", this.catalog.evacuated())
+					.with("evacuated", this.catalog.evacuated().stream().limit(MAX_LOGGED_KEYS).toList())
 					.with("changed", loggedKeys(change))
-					.with("removed", change.removed()));
+					.with("removed", change.removed().stream().limit(MAX_LOGGED_KEYS).toList()));
 		this.changeListener.run();
 	}
 
