Keep the last response of a caller that still sends

Seen by callers: a request was passed on to a server, and its response is cut off by a reset. It happens to a caller that has sent a further request, or the rest of a body, when its connection is closed after a response, as after each response of a planned stop.

Cause: responseEnded closed the socket as soon as the operating system had taken the response. Linux resets a connection that is closed with unread data or receives data afterwards, and discards what the caller has not received yet. An early response was followed by reading, but only until the body ended; one with Connection: close to a request without a route, by none. Class of fault: a close of both directions while the caller may still send.

The limit is 5 s here, since a caller on a slow network needs longer than 1 s for 540 KB, and 0.3 s before the end of a planned stop, so that the process ends in time. All responses that close a connection take this way. Idle connections and broken-off responses are closed as before: a request that crosses the close of an idle connection must not be read, and a broken-off response must not look complete.

Tests: LastResponseTests.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -54,10 +54,16 @@
 	private static final int MAX_QUEUED_OBJECTS = 64;
 
 	/**
-	 * Time for which data from the caller is read and discarded after an early response,
-	 * in milliseconds.
+	 * Maximum time between the last response and the close, in milliseconds. A caller
+	 * that reads 540 KB at 1 Mbit/s needs 4.4 s.
 	 */
-	private static final long LINGER_MS = 1_000;
+	private static final long LINGER_MS = 5_000;
+
+	/**
+	 * Time before the end of a planned stop at which a connection is closed after its
+	 * last response, in milliseconds.
+	 */
+	private static final long LINGER_STOP_MARGIN_MS = 300;
 
 	/**
 	 * Time without activity before which a connection is not closed as idle, in
@@ -136,6 +142,17 @@
 	/** The first close of this connection by this process, or its first failure. */
 	private @Nullable CallerClose close;
 
+	/**
+	 * Whether a part of the body of the last request was not read before its response.
+	 */
+	private boolean bodyUnread;
+
+	/** Closes the connection after the last response. */
+	private @Nullable LingeringCloseHandler lingeringHandler;
+
+	/** Monotonic time in milliseconds at which the last response was written, or -1. */
+	private long lingeringSince = -1;
+
 	/** Number of parts of responses that were not passed to the operating system. */
 	private int unwrittenParts;
 
@@ -166,6 +183,10 @@
 		this.lastActivityAt = router.now();
 	}
 
+	private long now() {
+		return this.router.now();
+	}
+
 	private ChannelHandlerContext context() {
 		ChannelHandlerContext known = this.context;
 		if (known == null) {
@@ -186,7 +207,10 @@
 	 */
 	void bytesArrived(int bytes) {
 		this.dataReceived = true;
-		this.lastActivityAt = this.router.now();
+		if (this.closing) {
+			return;
+		}
+		this.lastActivityAt = now();
 		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
@@ -194,8 +218,7 @@
 			this.partialHeadMemory.resize(this.partialHeadMemory.bytes() + bytes);
 		}
 		Exchange current = this.exchange;
-		if (this.router.isMemoryFull() && !this.closing && !this.discarding
-				&& (current == null || !current.isNextContentReserved())) {
+		if (this.router.isMemoryFull() && !this.discarding && (current == null || !current.isNextContentReserved())) {
 			this.pausedForMemory = true;
 			this.router.pauseReading(this);
 			setReading(false);
@@ -232,7 +255,7 @@
 		if (object.decoderResult().cause() instanceof PrematureChannelClosureException) {
 			recordCloseByOthers("head not complete");
 		}
-		if (this.closing && !this.discarding) {
+		if (this.closing) {
 			releaseUnhandled(object);
 			return;
 		}
@@ -330,10 +353,6 @@
 		ReferenceCountUtil.release(next);
 		if (last) {
 			this.discarding = false;
-			if (this.closing) {
-				recordClose(CallerCloseReason.EARLY_RESPONSE, "the rest of the body was read");
-				context().close();
-			}
 		}
 	}
 
@@ -528,7 +547,7 @@
 		this.exchange = null;
 		this.requestOpen = false;
 		this.responseStarted = false;
-		this.lastActivityAt = this.router.now();
+		this.lastActivityAt = now();
 		if (this.writeFailed) {
 			return;
 		}
@@ -539,31 +558,41 @@
 			process();
 			return;
 		}
+		closeAfterLastResponse(bodyIncomplete || this.discarding);
+	}
+
+	private void closeAfterLastResponse(boolean bodyIncomplete) {
 		this.closing = true;
-		if (bodyIncomplete) {
-			// Closing a connection with unread data would reset it, and the caller could
-			// lose the response.
-			this.discarding = true;
-			this.pausedForMemory = false;
-			setReading(true);
-			context().flush();
-			ChannelHandlerContext open = context();
-			open.executor().schedule(() -> {
-				recordClose(CallerCloseReason.EARLY_RESPONSE, "the rest of the body was not read in time");
-				open.close();
-			}, LINGER_MS, TimeUnit.MILLISECONDS);
-			process();
-			return;
-		}
+		this.discarding = false;
+		this.bodyUnread = bodyIncomplete;
+		this.pausedForMemory = false;
+		this.headStartedAt = -1;
 		releaseQueued();
+		this.partialHeadMemory.resize(0);
+		LingeringCloseHandler handler = new LingeringCloseHandler(LINGER_MS);
+		this.lingeringHandler = handler;
+		context().pipeline().addFirst(handler);
+		setReading(true);
 		context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (write) -> {
 			if (write.isSuccess()) {
-				recordClose(CallerCloseReason.LAST_RESPONSE, "");
+				lastResponseWritten();
 			}
 			write.channel().close();
 		});
 	}
 
+	private void lastResponseWritten() {
+		recordClose(this.bodyUnread ? CallerCloseReason.EARLY_RESPONSE : CallerCloseReason.LAST_RESPONSE, "");
+		this.lingeringSince = now();
+	}
+
+	private void closeAtEndOfStop() {
+		LingeringCloseHandler handler = this.lingeringHandler;
+		if (handler != null && this.router.isStopping() && this.router.stopTimeLeftMs() <= LINGER_STOP_MARGIN_MS) {
+			handler.closeNow();
+		}
+	}
+
 	@Override
 	public void abort(String reason) {
 		recordClose(CallerCloseReason.RESPONSE_ABORTED, reason);
@@ -601,7 +630,7 @@
 		context().channel().config().setAutoRead(allowed);
 		if (resumed) {
 			// The caller could send nothing while this process did not read.
-			this.lastActivityAt = this.router.now();
+			this.lastActivityAt = now();
 		}
 	}
 
@@ -646,10 +675,12 @@
 
 	/**
 	 * Closes the connection if no request is in progress and none is likely to be on its
-	 * way. What arrived during a delay of the event loop is read first, since closing the
+	 * way, or if it is still open after its last response when a planned stop ends. What
+	 * arrived during a delay of the event loop is read first, since closing the
 	 * connection would discard it.
 	 */
 	void closeIfIdle() {
+		closeAtEndOfStop();
 		if (isIdle()) {
 			long idleSince = this.lastActivityAt;
 			// The event loop reads before it runs what was scheduled meanwhile.
@@ -668,7 +699,7 @@
 
 	private boolean isIdle() {
 		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding;
-		return !busy && this.router.now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
+		return !busy && now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
 	}
 
 	@Override
@@ -712,8 +743,8 @@
 			Exchange current = this.exchange;
 			this.close = new CallerClose(reason, why, remoteAddress(), progress(current),
 					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
-					this.partialHeadMemory.bytes(), this.discarding, this.router.isStopping(),
-					this.router.now() - this.lastActivityAt);
+					this.partialHeadMemory.bytes(), this.bodyUnread || this.discarding, this.router.isStopping(),
+					now() - this.lastActivityAt);
 		}
 	}
 
@@ -743,7 +774,8 @@
 			LogLine line = known.toLogLine()
 				.with("discardedRequests", this.discardedRequests)
 				.with("discardedBytes", this.discardedBytes)
-				.with("unwrittenParts", this.unwrittenParts);
+				.with("unwrittenParts", this.unwrittenParts)
+				.with("lingerMs", (this.lingeringSince < 0) ? 0 : now() - this.lingeringSince);
 			LOGGER.atLevel(notable ? Level.INFO : Level.DEBUG).log("{}", line);
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/LingeringCloseHandler.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/LingeringCloseHandler.java
@@ -15,7 +15,7 @@
 
 /**
  * Closes a connection in two steps: first its output, then, once the caller has closed it
- * as well or {@link #LINGER_MS} have passed, the connection itself. What the caller sends
+ * as well or a limited time has passed, the connection itself. What the caller sends
  * meanwhile is discarded.
  *
  * <p>
@@ -32,10 +32,46 @@
 	 */
 	public static final long LINGER_MS = 1_000;
 
+	private final long maxLingerMs;
+
+	private @Nullable ChannelHandlerContext context;
+
 	private boolean lingering;
 
 	private @Nullable ScheduledFuture<?> closeTimer;
 
+	/**
+	 * Creates a handler that closes the connection after {@link #LINGER_MS}.
+	 */
+	public LingeringCloseHandler() {
+		this(LINGER_MS);
+	}
+
+	/**
+	 * Creates a handler.
+	 * @param maxLingerMs the maximum time between the end of the output and the close, in
+	 * milliseconds
+	 */
+	LingeringCloseHandler(long maxLingerMs) {
+		this.maxLingerMs = maxLingerMs;
+	}
+
+	/**
+	 * Closes the connection without waiting for the caller any longer, if its output is
+	 * closed.
+	 */
+	void closeNow() {
+		ChannelHandlerContext open = this.context;
+		if (open != null && this.lingering) {
+			open.close();
+		}
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext added) {
+		this.context = added;
+	}
+
 	@Override
 	public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
 		if (this.lingering && !isResetOnClose(ctx)) {
@@ -49,7 +85,7 @@
 		}
 		this.lingering = true;
 		completeOnClose(ctx, promise);
-		this.closeTimer = ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+		this.closeTimer = ctx.executor().schedule(() -> ctx.close(), this.maxLingerMs, TimeUnit.MILLISECONDS);
 		channel.shutdownOutput().addListener((ChannelFuture shutdown) -> {
 			if (!shutdown.isSuccess()) {
 				ctx.close();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -99,6 +99,15 @@
 		return this.services.plannedStop().isInProgress();
 	}
 
+	/**
+	 * Returns the time that is left until a planned stop ends.
+	 * @return the time in milliseconds
+	 * @throws IllegalStateException if no planned stop is in progress
+	 */
+	long stopTimeLeftMs() {
+		return this.services.plannedStop().timeLeftMs(now());
+	}
+
 	RequestLimits limits() {
 		ServingConfiguration configuration = this.services.catalog().configuration();
 		return (configuration != null) ? configuration.limits() : DEFAULT_LIMITS;
--- /dev/null
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
@@ -0,0 +1,146 @@
+package org.lovagevale.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against the loss of the last response of a connection that the caller reads
+ * slowly.
+ */
+@Timeout(30)
+class LastResponseTests {
+
+	private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+	private TestServer server;
+
+	private TestGateway gateway;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server = new TestServer((request, socket) -> TestServer.write(socket,
+				TestServer.ok(request, "r".repeat(Integer.parseInt(request.requestLine().split("[ /]+")[2])))));
+		this.gateway = new TestGateway(List.of()).setMaxBodyBytes(300_000)
+			.publishConfiguration(2_000)
+			.publishServer("a", this.server.port())
+			.start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.gateway.close();
+		this.server.close();
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+		socket.setSoTimeout(5_000);
+		socket.connect(new InetSocketAddress(this.gateway.callerAddress().host(), this.gateway.callerAddress().port()));
+		return socket;
+	}
+
+	private static String closing(String request) {
+		return request.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+	}
+
+	private static int readBody(Socket socket) throws IOException {
+		InputStream in = socket.getInputStream();
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			int next = in.read();
+			assertThat(next).as("after %s", head).isNotNegative();
+			head.append((char) next);
+		}
+		assertThat(head.toString()).startsWith("HTTP/1.1 200 ").containsIgnoringCase("connection: close");
+		int count = 0;
+		byte[] bytes = new byte[2_000];
+		for (int read = in.read(bytes); read >= 0; read = in.read(bytes)) {
+			count += read;
+		}
+		return count;
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 10_000, 90_000, 540_000 })
+	void requestSentBehindTheLastResponseDoesNotCutItOff(int bytes) throws Exception {
+		try (Socket socket = connect()) {
+			TestServer.write(socket, closing(TestGateway.getRequest("/read/" + bytes, "last")));
+			Thread.sleep(200);
+			TestServer.write(socket, TestGateway.getRequest("/read/10", "behind"));
+			Thread.sleep(50);
+			assertThat(readBody(socket)).isEqualTo(bytes);
+		}
+		assertThat(this.server.requests()).hasSize(1);
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 10_000, 90_000, 540_000 })
+	void requestSentBehindAResponseOfAPlannedStopDoesNotCutItOff(int bytes) throws Exception {
+		try (Socket socket = connect()) {
+			Thread stop = Thread.ofVirtual().start(this.gateway.process()::stop);
+			Thread.sleep(100);
+			TestServer.write(socket, TestGateway.getRequest("/read/" + bytes, "last"));
+			Thread.sleep(200);
+			TestServer.write(socket, TestGateway.getRequest("/read/10", "behind"));
+			Thread.sleep(50);
+			assertThat(readBody(socket)).isEqualTo(bytes);
+			socket.close();
+			stop.join();
+		}
+		assertThat(this.server.requests()).hasSize(1);
+	}
+
+	@Test
+	void responseBeforeTheBodyOfItsRequestIsNotCutOffByTheRestOfTheBody() throws Exception {
+		try (Socket socket = connect()) {
+			TestServer.write(socket, "POST /none/1 HTTP/1.1\r\nHost: a.example\r\nTest-Id: early\r\n"
+					+ "Connection: close\r\nContent-Length: 200000\r\n\r\n");
+			for (int i = 0; i < 20; i++) {
+				TestServer.write(socket, "c".repeat(10_000));
+				Thread.sleep(5);
+			}
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 404 ");
+			assertThat(socket.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	@Test
+	void connectionIsClosedIfTheCallerDoesNotCloseItAfterTheLastResponse() throws Exception {
+		try (Socket socket = connect()) {
+			TestServer.write(socket, closing(TestGateway.getRequest("/read/10", "last")));
+			assertThat(readBody(socket)).isEqualTo(10);
+			assertThat(this.gateway.loops().channelsTo(socket.getLocalPort())).hasSize(1);
+			Thread.sleep(6_500);
+			assertThat(this.gateway.loops().channelsTo(socket.getLocalPort())).isEmpty();
+		}
+	}
+
+	// Guards against a process that waits for callers which do not close their
+	// connections.
+	@Test
+	void callerThatKeepsItsConnectionDoesNotProlongAPlannedStop() throws Exception {
+		try (Socket socket = connect()) {
+			Thread stop = Thread.ofVirtual().start(this.gateway.process()::stop);
+			Thread.sleep(200);
+			TestServer.write(socket, TestGateway.getRequest("/read/10", "last"));
+			assertThat(readBody(socket)).isEqualTo(10);
+			assertThat(stop.join(Duration.ofSeconds(3))).isTrue();
+			assertThat(this.gateway.loops().channelsTo(socket.getLocalPort())).isEmpty();
+		}
+	}
+
+}
