Reset a response without a length until all of it is written

Cause: a response to HTTP/1.0 without a length ends with its connection, which therefore is reset by any close before the end. That protection was taken away when the end was queued, while parts of the response could still wait in the process for a slow caller. A process that was killed then ended the connection in order. It is now taken away when the operating system has the whole response.

Test: LastResponseTests#responseThatEndsWithItsConnectionIsResetIfItsEndIsNotWritten failed before: the truncated body ended without a reset.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -513,9 +513,6 @@
 	@Override
 	public void finish() {
 		write(LastHttpContent.EMPTY_LAST_CONTENT);
-		if (this.closeDelimited && !this.writeFailed) {
-			resetOnClose(false);
-		}
 		responseEnded();
 	}
 
@@ -584,6 +581,9 @@
 	private void lastResponseWritten() {
 		recordClose(this.bodyUnread ? CallerCloseReason.EARLY_RESPONSE : CallerCloseReason.LAST_RESPONSE, "");
 		this.lingeringSince = now();
+		if (this.closeDelimited) {
+			resetOnClose(false);
+		}
 	}
 
 	private void closeAtEndOfStop() {
@@ -609,8 +609,8 @@
 		context().close();
 	}
 
-	// A response without a length ends with its connection. Until it is complete, every
-	// other close, also that of a process that is killed, resets the connection.
+	// A response without a length ends with its connection. Until all of it is written,
+	// every other close, also that of a process that is killed, resets the connection.
 	private void resetOnClose(boolean reset) {
 		if (context().channel().isOpen()) {
 			context().channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
@@ -7,6 +7,10 @@
 import java.time.Duration;
 import java.util.List;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -15,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
 
 /**
  * Guards against the loss of the last response of a connection that the caller reads
@@ -104,6 +109,35 @@
 		assertThat(this.server.requests()).hasSize(1);
 	}
 
+	// The connection is at the entry process what a slow network makes of it.
+	private void queueWholeResponses(Socket socket) {
+		List<Channel> channels = this.gateway.loops().channelsTo(socket.getLocalPort());
+		assertThat(channels).hasSize(1);
+		ChannelConfig config = channels.getFirst().config();
+		config.setOption(ChannelOption.SO_SNDBUF, 4_096);
+		config.setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1_000_000, 1_000_000));
+	}
+
+	// Guards against a truncated response without a length that looks complete because
+	// its last parts wait in the entry process.
+	@Test
+	void responseThatEndsWithItsConnectionIsResetIfItsEndIsNotWritten() throws Exception {
+		this.server.setHandler((request, socket) -> {
+			TestServer.write(socket,
+					TestServer.ok(request, "r".repeat(540_000)).replaceFirst("Content-Length.*\r\n", ""));
+			socket.close();
+		});
+		try (Socket socket = connect()) {
+			TestServer.write(socket, TestGateway.getRequest("/read/1", "first").replace("HTTP/1.1", "HTTP/1.0"));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			queueWholeResponses(socket);
+			Thread.sleep(300);
+			this.gateway.loops().channelsTo(socket.getLocalPort()).forEach(Channel::close);
+			assertThatIOException().isThrownBy(() -> socket.getInputStream().readAllBytes())
+				.withMessageContaining("reset");
+		}
+	}
+
 	@Test
 	void responseBeforeTheBodyOfItsRequestIsNotCutOffByTheRestOfTheBody() throws Exception {
 		try (Socket socket = connect()) {
