Do not close a connection as idle while a response is still written

Seen by callers: during a planned stop, a response to a slow caller on a kept connection is cut off.

Cause: a connection counted as idle 300 ms after its response was queued, even if parts of it still waited in the process because the caller read slowly. The planned stop closes idle connections, and the close discards these parts. Class of fault: the end of a response taken for the end of its transmission.

Change: a planned stop closes a connection only if all parts of responses were passed to the operating system, and the idle time counts from the last one. The idle timeout still closes a connection whose caller reads nothing for so long.

Test: LastResponseTests#responseThatIsStillWrittenIsNotCutOffAsIdleByAPlannedStop failed before and passes now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -100,6 +100,10 @@
 
 	private final ChannelFutureListener writeListener = (write) -> {
 		Throwable cause = write.cause();
+		this.pendingWrites--;
+		if (this.exchange == null) {
+			this.lastActivityAt = now();
+		}
 		if (cause != null) {
 			this.unwrittenParts++;
 			writeFailed(cause);
@@ -142,6 +146,9 @@
 	/** The first close of this connection by this process, or its first failure. */
 	private @Nullable CallerClose close;
 
+	/** Number of parts of responses that wait to be passed to the operating system. */
+	private int pendingWrites;
+
 	/**
 	 * Whether a part of the body of the last request was not read before its response.
 	 */
@@ -482,6 +489,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
+		this.pendingWrites++;
 		context().write(message).addListener(this.writeListener);
 	}
 
@@ -655,7 +663,7 @@
 			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
 		}
 		else if (current == null && idleMs > idleTimeoutMs) {
-			closeIfIdle();
+			closeIfStillIdle();
 		}
 		else if (current != null && !current.isBodyComplete() && isReading() && idleMs > idleTimeoutMs) {
 			rejectAndClose(current, REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
@@ -674,13 +682,23 @@
 	}
 
 	/**
-	 * Closes the connection if no request is in progress and none is likely to be on its
-	 * way, or if it is still open after its last response when a planned stop ends. What
-	 * arrived during a delay of the event loop is read first, since closing the
-	 * connection would discard it.
+	 * Closes the connection if no request is in progress, none is likely to be on its way
+	 * and all responses are written, or if it is still open after its last response when
+	 * a planned stop ends.
 	 */
 	void closeIfIdle() {
 		closeAtEndOfStop();
+		if (this.pendingWrites == 0) {
+			closeIfStillIdle();
+		}
+	}
+
+	/**
+	 * Closes the connection if no request is in progress and none is likely to be on its
+	 * way. What arrived during a delay of the event loop is read first, since closing the
+	 * connection would discard it.
+	 */
+	private void closeIfStillIdle() {
 		if (isIdle()) {
 			long idleSince = this.lastActivityAt;
 			// The event loop reads before it runs what was scheduled meanwhile.
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
@@ -109,6 +109,30 @@
 		assertThat(this.server.requests()).hasSize(1);
 	}
 
+	// The response is larger than what the operating system takes of it.
+	@Test
+	void responseThatIsStillWrittenIsNotCutOffAsIdleByAPlannedStop() throws Exception {
+		int bytes = 540_000;
+		try (Socket socket = connect()) {
+			TestServer.write(socket, TestGateway.getRequest("/read/10", "first"));
+			TestGateway.readResponse(socket);
+			queueWholeResponses(socket);
+			TestServer.write(socket, TestGateway.getRequest("/read/" + bytes, "last"));
+			Thread.sleep(200);
+			Thread stop = Thread.ofVirtual().start(this.gateway.process()::stop);
+			// The process closes idle connections from 1,650 ms on.
+			Thread.sleep(1_900);
+			int count = 0;
+			InputStream in = socket.getInputStream();
+			byte[] buffer = new byte[4_000];
+			for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+				count += read;
+			}
+			assertThat(count).isGreaterThan(bytes);
+			stop.join();
+		}
+	}
+
 	// The connection is at the entry process what a slow network makes of it.
 	private void queueWholeResponses(Socket socket) {
 		List<Channel> channels = this.gateway.loops().channelsTo(socket.getLocalPort());
