Close the connection of a caller that does not read its last response

Test: LastResponseTests#callerThatDoesNotReadTheLastResponseDoesNotHoldItsConnection failed before and passes now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -654,11 +654,15 @@
 	 * @param idleTimeoutMs the maximum idle time, in milliseconds
 	 */
 	void checkTimeouts(long now, long headerTimeoutMs, long idleTimeoutMs) {
+		long idleMs = now - this.lastActivityAt;
 		if (this.closing) {
+			if (this.lingeringSince < 0 && idleMs > idleTimeoutMs) {
+				recordClose(CallerCloseReason.IDLE, "the last response is not read");
+				context().close();
+			}
 			return;
 		}
 		Exchange current = this.exchange;
-		long idleMs = now - this.lastActivityAt;
 		if (current == null && this.headStartedAt >= 0 && now - this.headStartedAt > headerTimeoutMs) {
 			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
 		}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/LastResponseTests.java
@@ -142,6 +142,19 @@
 		config.setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1_000_000, 1_000_000));
 	}
 
+	@Test
+	void callerThatDoesNotReadTheLastResponseDoesNotHoldItsConnection() throws Exception {
+		try (Socket socket = connect()) {
+			TestServer.write(socket, TestGateway.getRequest("/read/10", "first"));
+			TestGateway.readResponse(socket);
+			queueWholeResponses(socket);
+			TestServer.write(socket, closing(TestGateway.getRequest("/read/540000", "last")));
+			// The idle timeout is 3 s.
+			Thread.sleep(4_500);
+			assertThat(this.gateway.loops().channelsTo(socket.getLocalPort())).isEmpty();
+		}
+	}
+
 	// Guards against a truncated response without a length that looks complete because
 	// its last parts wait in the entry process.
 	@Test
