--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -205,7 +205,6 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
-		added.pipeline().addFirst(new LingeringCloseHandler());
 	}
 
 	/**
