Read a rejection that a server wrote before it reset the connection

A server that rejects an upload before it has read it, and closes its connection, resets it. If the gateway noticed the reset by its next write, the channel was closed at once and the complete rejection in the receive buffer was discarded: the caller got 502 and had to assume that the request had run, although the server had said that it had not.

After an I/O error of a write, the connection is now read for up to 100 ms more, and a response with a length is passed on. One without a length still fails, since its end cannot be told from the reset, and so does each response after a part that could not be encoded.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -33,13 +34,13 @@
  *
  * <p>
  * Invariants: a response to a request that must be identified is passed on only if it
- * carries the ID of that request; nothing is passed on after a failed write; responses to
- * earlier requests are skipped, and the connection is then not reused; a response with an
- * ID that was not sent on this connection is a failure. Each byte that arrives while no
- * request is in progress closes the connection, and so do a response that changes the
- * protocol and a head that continues one that was broken off. A server that sends only
- * data that is no part of the expected response is read to a limit. Confined to the event
- * loop.
+ * carries the ID of that request; after a failed write, nothing is passed on except a
+ * response with a length that was read from a lost connection; responses to earlier
+ * requests are skipped, and the connection is then not reused; a response with an ID that
+ * was not sent on this connection is a failure. Each byte that arrives while no request
+ * is in progress closes the connection, and so do a response that changes the protocol
+ * and a head that continues one that was broken off. A server that sends only data that
+ * is no part of the expected response is read to a limit. Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -76,6 +77,12 @@
 	 */
 	private static final int MAX_UNREAD_BYTES = 16_384;
 
+	/**
+	 * Time for which a response is read from a connection whose loss was noticed by a
+	 * write, in milliseconds. What the server wrote before has arrived already.
+	 */
+	private static final long READ_AFTER_LOSS_MS = 100;
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	/**
@@ -123,6 +130,14 @@
 
 	private boolean responseStarted;
 
+	/** Whether the end of the response can be told from the end of its connection. */
+	private boolean responseSized;
+
+	/**
+	 * Whether a response is read from a connection whose loss was noticed by a write.
+	 */
+	private boolean readingAfterLoss;
+
 	private boolean skipping;
 
 	private boolean informational;
@@ -262,10 +277,10 @@
 	}
 
 	/**
-	 * Closes the connection after a part of a request could not be written. Without that
-	 * part, the server would run a request with another body. A reset that is noticed by
-	 * a write closes the channel like an orderly end, and is not reported as an
-	 * exception; the channel's own closing fails writes as well.
+	 * Ends the connection after a part of a request could not be written. Without that
+	 * part, the server would run a request with another body. If the connection was lost,
+	 * a response that the server wrote before is read first. The loss is not reported as
+	 * an exception then; the channel's own closing fails writes as well.
 	 * @param cause the error
 	 */
 	void writeFailed(Throwable cause) {
@@ -278,7 +293,15 @@
 						.with("server", this.server.id())
 						.with("directBytes", GatewayMetrics.directMemoryBytes())
 						.with("why", String.valueOf(cause)));
-			context().close();
+			this.readingAfterLoss = cause instanceof IOException && (!this.responseStarted || this.responseSized);
+			if (!this.readingAfterLoss) {
+				context().close();
+				return;
+			}
+			this.reusable = false;
+			setReading(true);
+			ChannelHandlerContext open = context();
+			open.executor().schedule(() -> open.close(), READ_AFTER_LOSS_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -337,7 +360,7 @@
 			return;
 		}
 		Throwable brokenBy = this.writeFailure;
-		if (brokenBy != null) {
+		if (brokenBy != null && !this.readingAfterLoss) {
 			ReferenceCountUtil.release(message);
 			fail("connection lost while the request was written: " + brokenBy.getMessage());
 			return;
@@ -417,9 +440,13 @@
 			}
 			return;
 		}
+		this.responseSized = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+		if (this.readingAfterLoss && !this.responseSized) {
+			fail("response without a length on a lost connection");
+			return;
+		}
 		this.responseStarted = true;
-		this.reusable = this.reusable && HttpUtil.isKeepAlive(response)
-				&& (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+		this.reusable = this.reusable && HttpUtil.isKeepAlive(response) && this.responseSized;
 		updateIdleLimit(response);
 		currentListener().headReceived(response);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -132,6 +132,8 @@
 			.channelFactory(this.channelFactory::get)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			// A failed write would discard a response that was not read yet.
+			.option(ChannelOption.AUTO_CLOSE, false)
 			.handler(new ChannelInitializer<>() {
 
 				@Override
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ResetResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ResetResponseTests.java
@@ -58,6 +58,35 @@
 		}
 	}
 
+	// The reset is noticed by the next write of the request, before the response is read.
+	@Test
+	void completeRejectionThatIsFollowedByAResetIsNotLost() throws Exception {
+		Thread.ofVirtual().start(() -> {
+			while (!this.server.isClosed()) {
+				try (Socket socket = this.server.accept()) {
+					rejectAndReset(socket);
+				}
+				catch (IOException ex) {
+					// The gateway closed a connection, or the test is over.
+				}
+			}
+		});
+		for (int i = 0; i < 8; i++) {
+			assertThat(upload("id-" + i)).startsWith("HTTP/1.1 503");
+		}
+	}
+
+	private static void rejectAndReset(Socket socket) throws IOException {
+		String read = new String(socket.getInputStream().readNBytes(1_024), StandardCharsets.ISO_8859_1);
+		if (!read.startsWith("POST ")) {
+			return;
+		}
+		socket.getInputStream().skipNBytes(READ_BYTES);
+		String id = read.lines().filter((line) -> line.startsWith("Test-Id: ")).findFirst().orElseThrow();
+		TestServer.write(socket, "HTTP/1.1 503 Busy\r\n" + id + "\r\nTest-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno");
+		// Closing a socket with unread data resets the connection.
+	}
+
 	@Test
 	void responseThatEndsWithItsConnectionIsPassedOn() throws Exception {
 		serve(false);
