Open links to peers from the published address

Processes on a VM with several addresses found only a part of their peers: the system chose the address of an outgoing link, and peers reject a link from another address than the published one.

The new test failed before (no link within 10 s). That the users' VMs have several addresses is not known. Change: a transport that listens binds its outgoing links to that address.

--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
@@ -87,6 +87,9 @@
 
 	private @Nullable DisposableServer server;
 
+	/** The address that this process listens on, {@code null} until it does. */
+	private volatile @Nullable String localHost;
+
 	private boolean closed;
 
 	/**
@@ -124,6 +127,7 @@
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.doOnConnection(this::openLink)
 				.bindNow();
+			this.localHost = host;
 		}
 		catch (RuntimeException ex) {
 			throw new PeerException("cannot listen on " + host + ":" + port, ex);
@@ -240,8 +244,14 @@
 			connectFailed(peer, new PeerException("peer has no published address", null));
 			return;
 		}
-		TcpClient.newConnection()
-			.remoteAddress(() -> address)
+		String ownHost = this.localHost;
+		TcpClient client = TcpClient.newConnection();
+		if (ownHost != null) {
+			// Peers reject a link from another address than the published one, which the
+			// system may choose on a VM with several addresses.
+			client = client.bindAddress(() -> new InetSocketAddress(ownHost, 0));
+		}
+		client.remoteAddress(() -> address)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.doOnConnected((connection) -> openOutboundLink(peer, connection))
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
@@ -67,10 +67,15 @@
 	}
 
 	private PeerTransport startTransport(VmName vm, int incarnationSalt, BlockingQueue<Event> events) throws Exception {
+		return startTransport(vm, incarnationSalt, events, LOOPBACK);
+	}
+
+	private PeerTransport startTransport(VmName vm, int incarnationSalt, BlockingQueue<Event> events, String host)
+			throws Exception {
 		PeerTransport transport = new PeerTransport(new ProcessIdentity(vm, new Incarnation(1, incarnationSalt)),
 				() -> "demo", this.addresses::get, events::add);
-		transport.listen(LOOPBACK, 0);
-		this.addresses.put(vm, new InetSocketAddress(LOOPBACK, transport.port()));
+		transport.listen(host, 0);
+		this.addresses.put(vm, new InetSocketAddress(host, transport.port()));
 		return transport;
 	}
 
@@ -86,6 +91,19 @@
 		assertThat(this.b.counters().links()).isEqualTo(1);
 	}
 
+	// A VM may have several addresses, and peers reject a link from another than the
+	// published one.
+	@Test
+	void linksComeFromThePublishedAddress() throws Exception {
+		this.a.close();
+		this.b.close();
+		this.a = startTransport(A, 1, this.eventsOfA, "127.0.0.2");
+		this.b = startTransport(B, 2, this.eventsOfB, "127.0.0.3");
+		this.a.send(B, new SuspectNoticeAck(1));
+		assertThat(nextEvent(this.eventsOfB)).isEqualTo(new PeerConnected(A, new Incarnation(1, 1)));
+		assertThat(nextEvent(this.eventsOfB)).isEqualTo(new PeerMessageReceived(A, new SuspectNoticeAck(1)));
+	}
+
 	@Test
 	void opensALinkOnDemandAndReportsItsLoss() throws Exception {
 		this.a.send(B, new SuspectNoticeAck(1));
