Accept the whole queue at a time, and register for slots before ports open

- The callers' port accepted 256 connections at a time with a queue of 1,024.
It now uses the allocator of ServerConnections.
- SlotClient.onWaiting was set after both ports were open, by another thread, so a request in between might schedule no slot tick.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -220,13 +220,14 @@
 	public void start() throws GatewayException {
 		// The time since this object was created is no delay.
 		this.loop.execute(this.readDelay::recordTick);
+		// Requests may arrive as soon as the ports are open.
+		this.slotClient.onWaiting(this::scheduleSlotTick);
 		synchronized (this.portLock) {
 			if (this.stopping) {
 				return;
 			}
 			openPorts();
 		}
-		this.slotClient.onWaiting(this::scheduleSlotTick);
 		this.loop.scheduleWithFixedDelay(new PeriodicTask(() -> {
 			this.delayTask.run();
 			this.peersTask.run();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -14,9 +14,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
@@ -41,11 +39,6 @@
 
 	private static final int INITIAL_READ_BYTES = 2_048;
 
-	private static final int ACCEPT_BACKLOG = 1_024;
-
-	/** Maximum number of connections that are accepted at a time. */
-	private static final int MAX_ACCEPTED_AT_ONCE = 256;
-
 	/**
 	 * Time for the handshakes in progress when the server stops accepting, in
 	 * milliseconds. It covers the round trip between regions and a lost last packet of
@@ -108,9 +101,9 @@
 	public int open(HostPort address) throws GatewayException {
 		ChannelFuture bound = new ServerBootstrap().group(this.loop)
 			.channelFactory(this.channelFactory::get)
-			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+			.option(ChannelOption.SO_BACKLOG, ServerConnections.ACCEPT_BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
-			.option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllWaiting())
+			.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.acceptAllWaiting())
 			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
@@ -132,12 +125,6 @@
 		return ((InetSocketAddress) bound.channel().localAddress()).getPort();
 	}
 
-	// By default, one connection is accepted each time.
-	private static RecvByteBufAllocator acceptAllWaiting() {
-		return new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
-			.maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE);
-	}
-
 	private void accept(Channel channel) {
 		this.acceptedWhileStopping += this.stopping ? 1 : 0;
 		FrontendConnection connection = this.router.createConnection();
