Answer a request whose handling fails with an internal error

Change: if no response was begun, the request is answered with 500, which says nothing about whether it ran, and the connection is closed after it. If that fails too, it is closed as before.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -83,6 +83,8 @@
 
 	private static final int REQUEST_TIMEOUT = 408;
 
+	private static final int INTERNAL_ERROR = 500;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(FrontendConnection.class);
 
 	private final RequestRouter router;
@@ -300,18 +302,41 @@
 		}
 	}
 
-	// The request in progress ends when the channel becomes inactive.
 	private void closeAfterFailure(RuntimeException cause) {
 		LOGGER.error("{}",
 				LogLine.event("request.broken").with("caller", remoteHost()).with("why", String.valueOf(cause)), cause);
+		boolean answerable = this.requestOpen && !this.responseStarted && !this.writeFailed;
+		this.requestOpen = this.requestOpen && !answerable;
 		recordClose(CallerCloseReason.ERROR, String.valueOf(cause));
+		if (answerable && isAnsweredAfterFailure()) {
+			return;
+		}
 		this.closing = true;
 		this.discarding = false;
 		releaseQueued();
 		context().flush();
+		// The request in progress ends when the channel becomes inactive.
 		context().close();
 	}
 
+	private boolean isAnsweredAfterFailure() {
+		try {
+			this.keepAlive = false;
+			Exchange current = this.exchange;
+			if (current != null) {
+				current.requestFailed(INTERNAL_ERROR, "internal error");
+			}
+			else {
+				reply(INTERNAL_ERROR, "internal error", new DefaultHttpHeaders());
+			}
+			return this.closing;
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("{}", LogLine.event("request.broken").with("caller", remoteHost()).with("why", "" + ex), ex);
+			return false;
+		}
+	}
+
 	private boolean processNext() {
 		Exchange current = this.exchange;
 		if (current != null) {
