Move what explains the close of a connection out of FrontendConnection

No change of behaviour: CallerCloseRecorder keeps the first close and the counts of discarded and unwritten parts, and writes the line.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -36,7 +36,6 @@
 import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
 
 /**
  * A connection from a caller.
@@ -97,6 +96,9 @@
 	/** Memory of a request head that has arrived in part. */
 	private final MemoryReservation partialHeadMemory;
 
+	/** Explains the close of this connection. */
+	private final CallerCloseRecorder closeRecorder = new CallerCloseRecorder();
+
 	/** Memory of the queued objects. */
 	private final MemoryReservation queueMemory;
 
@@ -107,7 +109,7 @@
 			this.lastActivityAt = now();
 		}
 		if (cause != null) {
-			this.unwrittenParts++;
+			this.closeRecorder.recordUnwrittenPart();
 			writeFailed(cause);
 		}
 	};
@@ -145,9 +147,6 @@
 	/** Whether the head of a request was read whose response has not ended. */
 	private boolean requestOpen;
 
-	/** The first close of this connection by this process, or its first failure. */
-	private @Nullable CallerClose close;
-
 	/** Number of parts of responses that wait to be passed to the operating system. */
 	private int pendingWrites;
 
@@ -162,15 +161,6 @@
 	/** Monotonic time in milliseconds at which the last response was written, or -1. */
 	private long lingeringSince = -1;
 
-	/** Number of parts of responses that were not passed to the operating system. */
-	private int unwrittenParts;
-
-	/** Number of requests that were read and discarded. */
-	private int discardedRequests;
-
-	/** Size of the parts of requests that were read and discarded, in bytes. */
-	private long discardedBytes;
-
 	/** Whether no data is read because the process is full. */
 	private boolean pausedForMemory;
 
@@ -786,13 +776,13 @@
 	 * @param why details of the reason, empty if there are none
 	 */
 	private void recordClose(CallerCloseReason reason, String why) {
-		if (this.close == null) {
+		this.closeRecorder.recordClose(() -> {
 			Exchange current = this.exchange;
-			this.close = new CallerClose(reason, why, remoteAddress(), progress(current),
+			return new CallerClose(reason, why, remoteAddress(), progress(current),
 					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
 					this.partialHeadMemory.bytes(), this.bodyUnread || this.discarding, this.router.isStopping(),
 					now() - this.lastActivityAt);
-		}
+		});
 	}
 
 	private void recordCloseByOthers(String why) {
@@ -811,27 +801,14 @@
 	}
 
 	private void reportClose() {
-		CallerClose known = this.close;
-		if (known == null) {
-			return;
-		}
-		this.router.countCallerClose(known);
-		boolean notable = known.isNotable() || this.discardedRequests > 0 || this.unwrittenParts > 0;
-		if (notable ? LOGGER.isInfoEnabled() : LOGGER.isDebugEnabled()) {
-			LogLine line = known.toLogLine()
-				.with("discardedRequests", this.discardedRequests)
-				.with("discardedBytes", this.discardedBytes)
-				.with("unwrittenParts", this.unwrittenParts)
-				.with("lingerMs", (this.lingeringSince < 0) ? 0 : now() - this.lingeringSince);
-			LOGGER.atLevel(notable ? Level.INFO : Level.DEBUG).log("{}", line);
+		CallerClose known = this.closeRecorder.report((this.lingeringSince < 0) ? 0 : now() - this.lingeringSince);
+		if (known != null) {
+			this.router.countCallerClose(known);
 		}
 	}
 
 	private void releaseUnhandled(HttpObject object) {
-		this.discardedBytes += RequestSize.bytesOf(object);
-		if (object instanceof HttpRequest) {
-			this.discardedRequests++;
-		}
+		this.closeRecorder.recordDiscarded(object);
 		ReferenceCountUtil.release(object);
 	}
 
