--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RequestEndTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RequestEndTests.java
@@ -67,6 +67,8 @@
 					+ TestGateway.getRequest("/read/2", "second").replace("3000", "soon"));
 			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 200");
 			socket.setSoTimeout(1_000);
+			assertThat(TestGateway.readResponse(socket)).startsWith("HTTP/1.1 500")
+				.containsIgnoringCase("connection: close");
 			assertThat(socket.getInputStream().read()).isEqualTo(-1);
 		}
 	}
