--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -129,7 +129,7 @@
 		this.acceptedWhileStopping += this.stopping ? 1 : 0;
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
-			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router.limits()),
+			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router::limits),
 					new WriteFailureHandler(connection::writeFailed), new HttpResponseEncoder(), connection);
 	}
 
