Take the state of a store that was restored from a copy

Callers saw, in a store that is restored: for as long as its revisions stay below those of before, no change of routes, servers or evacuations takes effect, since a state with a lower revision counts as older.

Cause: revisions of the store were taken for a total order.

Change: a revision is combined with its era (CatalogRevision), so later eras are greater and nothing else changes, in the catalog or between entry processes.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
@@ -17,9 +17,12 @@
  * The published items as known to this process.
  *
  * <p>
- * Invariants: neither the revision nor the version of the configuration ever decreases. A
- * server that is missing after an outage is kept for {@link #REREGISTRATION_MS}, since
- * live servers register again within that time. Not thread-safe.
+ * Invariants: neither the revision nor the version of the configuration ever decreases;
+ * revisions are those of {@link CatalogRevision}. A server that is missing after an
+ * outage or a restore of the store is kept for {@link #REREGISTRATION_MS}, since live
+ * servers register again within that time, and an evacuation that is missing after a
+ * restore for {@link #REPUBLICATION_MS}. A server that had left is not listed again
+ * because of a report in a restored copy. Not thread-safe.
  */
 public final class Catalog {
 
@@ -33,6 +36,18 @@
 	 */
 	public static final long OUTAGE_THRESHOLD_MS = 3_000;
 
+	/**
+	 * Time within which the operator publishes again what a restored store has lost, in
+	 * milliseconds.
+	 */
+	public static final long REPUBLICATION_MS = 5_000;
+
+	/**
+	 * Time for which servers that have left are remembered, in milliseconds. The copy
+	 * from which a store is restored is younger.
+	 */
+	private static final long DEPARTED_MEMORY_MS = 60_000;
+
 	private final CatalogDecoder decoder;
 
 	private final Map<String, PublishedItem> items = new HashMap<>();
@@ -42,6 +57,8 @@
 	/** Kept beside unusable entries, which have no order. */
 	private final Map<String, ReportOrder> reportOrders = new HashMap<>();
 
+	private final Map<String, DepartedServer> departed = new HashMap<>();
+
 	private @Nullable ServingConfiguration configuration;
 
 	private long revision;
@@ -50,6 +67,8 @@
 
 	private long retainServersUntil = Long.MIN_VALUE;
 
+	private long retainEvacuationsUntil = Long.MIN_VALUE;
+
 	/**
 	 * Creates an empty catalog.
 	 * @param decoder decodes the published items
@@ -132,11 +151,15 @@
 			return CatalogChange.NONE;
 		}
 		detectOutage(observedAt);
+		detectRestore(asOf, observedAt);
 		Set<String> missing = new HashSet<>(this.items.keySet());
 		state.forEach((item) -> missing.remove(item.key()));
 		if (observedAt < this.retainServersUntil) {
 			missing.removeIf((key) -> this.decodedItems.get(key) instanceof CatalogItem.ListedServer);
 		}
+		if (observedAt < this.retainEvacuationsUntil) {
+			missing.removeIf((key) -> this.decodedItems.get(key) instanceof CatalogItem.EvacuatedDomain);
+		}
 		return apply(state, missing, asOf, observedAt);
 	}
 
@@ -158,6 +181,7 @@
 			return null;
 		}
 		detectOutage(observedAt);
+		detectRestore(asOf, observedAt);
 		return apply(change.changed(), change.removed(), asOf, observedAt);
 	}
 
@@ -167,6 +191,13 @@
 		}
 	}
 
+	private void detectRestore(long asOf, long observedAt) {
+		if (this.revision != 0 && CatalogRevision.era(asOf) > CatalogRevision.era(this.revision)) {
+			this.retainServersUntil = Math.max(this.retainServersUntil, observedAt + REREGISTRATION_MS);
+			this.retainEvacuationsUntil = observedAt + REPUBLICATION_MS;
+		}
+	}
+
 	private CatalogChange apply(Collection<PublishedItem> published, Collection<String> removedKeys, long asOf,
 			long observedAt) {
 		List<PublishedItem> changed = new ArrayList<>();
@@ -179,10 +210,14 @@
 		for (String key : removedKeys) {
 			if (this.items.remove(key) != null) {
 				this.decodedItems.remove(key);
-				this.reportOrders.remove(key);
+				ReportOrder order = this.reportOrders.remove(key);
+				if (order != null) {
+					this.departed.put(key, new DepartedServer(order, asOf, observedAt));
+				}
 				removed.add(key);
 			}
 		}
+		this.departed.values().removeIf((server) -> observedAt - server.removedAt() > DEPARTED_MEMORY_MS);
 		this.revision = asOf;
 		this.confirmedAt = Math.max(this.confirmedAt, observedAt);
 		return new CatalogChange(changed, removed);
@@ -197,7 +232,7 @@
 		this.items.put(item.key(), item);
 		CatalogItem previous = this.decodedItems.get(item.key());
 		if (decoded instanceof CatalogItem.ListedServer listed) {
-			if (!isAccepted(item.key(), listed)) {
+			if (!isAccepted(item, listed)) {
 				// Passed on, so that the next report is decided in the same way there.
 				return true;
 			}
@@ -213,13 +248,18 @@
 		return !Objects.equals(previous, decoded);
 	}
 
-	private boolean isAccepted(String key, CatalogItem.ListedServer report) {
-		ReportOrder order = this.reportOrders.get(key);
-		if (order == null) {
-			this.reportOrders.put(key, new ReportOrder(report));
-			return true;
+	private boolean isAccepted(PublishedItem item, CatalogItem.ListedServer report) {
+		ReportOrder order = this.reportOrders.get(item.key());
+		if (order != null) {
+			return order.accept(report);
+		}
+		DepartedServer left = this.departed.remove(item.key());
+		if (left != null && left.mayBeRestoredBy(item.revision())) {
+			this.reportOrders.put(item.key(), left.order());
+			return left.order().acceptAfterRestore(report);
 		}
-		return order.accept(report);
+		this.reportOrders.put(item.key(), new ReportOrder(report));
+		return true;
 	}
 
 	private boolean adopt(ServingConfiguration next) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/ReportOrder.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/ReportOrder.java
@@ -42,6 +42,22 @@
 		return true;
 	}
 
+	/**
+	 * Accepts or ignores a report that is published again after the server had left. A
+	 * copy of the store has the reports that were made before.
+	 * @param next the report
+	 * @return {@code true} if it was made after the accepted one
+	 */
+	boolean acceptAfterRestore(CatalogItem.ListedServer next) {
+		if (!this.accepted.isOlderThan(next)) {
+			this.ignored = next;
+			return false;
+		}
+		this.accepted = next;
+		this.ignored = null;
+		return true;
+	}
+
 	private boolean continuesIgnored(CatalogItem.ListedServer next) {
 		CatalogItem.ListedServer known = this.ignored;
 		return known != null && known.isOlderThan(next);
--- a/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,7 @@
 import org.lovagevale.base.ServiceName;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 class CatalogTests {
 
@@ -168,4 +170,86 @@
 		assertThat(this.catalog.ageMs(350)).isEqualTo(250);
 	}
 
+	private void read(long era, long revision, long observedAt, PublishedItem... state) {
+		List<PublishedItem> items = Stream.of(state)
+			.map((item) -> item(item.key(), CatalogRevision.of(era, item.revision()), item.value()))
+			.toList();
+		this.catalog.replace(items, CatalogRevision.of(era, revision), observedAt);
+	}
+
+	// Guards against a catalog that stays as it was until a restored store has given out
+	// as
+	// many revisions as before.
+	@Test
+	void stateOfARestoredStoreWithALowerRevisionIsTaken() {
+		read(0, 100, 0, item("c", 90, "version 5"), item("s", 100, "server 1000 9 ready"));
+		read(1, 40, 700, item("c", 30, "version 4"), item("s", 40, "server 1000 8 ready"));
+		read(1, 42, 1_400, item("c", 41, "version 6"), item("s", 42, "server 1000 10 draining"));
+		assertThat(version()).isEqualTo(6);
+		assertThat(server().draining()).isTrue();
+		assertThat(this.catalog.ageMs(1_400)).isZero();
+	}
+
+	@Test
+	void configurationDoesNotRevertWhenTheStoreIsRestored() {
+		read(0, 100, 0, item("c", 90, "version 5"));
+		read(1, 40, 700, item("c", 30, "version 4"));
+		assertThat(version()).isEqualTo(5);
+	}
+
+	@Test
+	void drainingServerStaysSoWhenTheStoreIsRestored() {
+		read(0, 100, 0, item("s", 100, "server 1000 9 draining"));
+		read(1, 40, 700, item("s", 40, "server 1000 6 ready"));
+		assertThat(server().draining()).isTrue();
+	}
+
+	@Test
+	void serverThatHadLeftIsNotListedAgainWhenTheStoreIsRestored() {
+		read(0, 100, 0, item("s", 99, "server 1000 9 ready"));
+		read(0, 101, 700);
+		read(1, 40, 1_400, item("s", 40, "server 1000 9 ready"));
+		assertThat(server()).isNull();
+		read(1, 41, 2_100, item("s", 41, "server 1000 10 ready"));
+		assertThat(server()).isNotNull();
+	}
+
+	@Test
+	void serverThatARestoredStoreHasLostIsKeptUntilItCanRegisterAgain() {
+		read(0, 100, 0, item("s", 99, "server 1000 9 ready"));
+		read(1, 40, 700);
+		assertThat(server()).isNotNull();
+		read(1, 41, 700 + Catalog.REREGISTRATION_MS);
+		assertThat(server()).isNull();
+	}
+
+	@Test
+	void evacuationThatARestoredStoreHasLostIsKeptUntilItCanBePublishedAgain() {
+		read(0, 100, 0, item("e", 99, "out"));
+		read(1, 40, 700);
+		assertThat(this.catalog.evacuated()).isNotEmpty();
+		read(1, 41, 700 + Catalog.REPUBLICATION_MS);
+		assertThat(this.catalog.evacuated()).isEmpty();
+	}
+
+	@Test
+	void changeOfARestoredStoreIsAppliedToTheStateBefore() {
+		read(0, 100, 0, item("s", 99, "server 1000 9 ready"));
+		CatalogChange change = new CatalogChange(
+				List.of(item("s", CatalogRevision.of(1, 41), "server 1000 10 draining")), List.of());
+		this.catalog.applyChange(CatalogRevision.of(0, 100), change, CatalogRevision.of(1, 41), 700);
+		assertThat(server().draining()).isTrue();
+		assertThat(
+				this.catalog.applyChange(CatalogRevision.of(2, 3), CatalogChange.NONE, CatalogRevision.of(2, 5), 800))
+			.isNull();
+	}
+
+	@Test
+	void revisionsOutOfRangeAreRejected() {
+		assertThat(CatalogRevision.of(CatalogRevision.MAX_ERA, CatalogRevision.MAX_REVISION)).isEqualTo(Long.MAX_VALUE);
+		assertThatIllegalArgumentException().isThrownBy(() -> CatalogRevision.of(0, CatalogRevision.MAX_REVISION + 1));
+		assertThatIllegalArgumentException().isThrownBy(() -> CatalogRevision.of(CatalogRevision.MAX_ERA + 1, 0));
+		assertThatIllegalArgumentException().isThrownBy(() -> CatalogRevision.of(-1, 0));
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -15,6 +15,7 @@
 import org.lovagevale.core.catalog.Catalog;
 import org.lovagevale.core.catalog.CatalogChange;
 import org.lovagevale.core.catalog.CatalogDecoder;
+import org.lovagevale.core.catalog.CatalogRevision;
 import org.lovagevale.core.catalog.PublishedItem;
 import org.lovagevale.core.catalog.ServingConfiguration;
 import org.lovagevale.core.message.CatalogNews;
@@ -165,7 +166,8 @@
 		if (this.schedule.failures() > 0 || this.catalog.revision() == 0) {
 			LOGGER.info("{}",
 					LogLine.event("platform.regained")
-						.with("asOf", state.asOf())
+						.with("asOf", CatalogRevision.withinEra(state.asOf()))
+						.with("era", CatalogRevision.era(state.asOf()))
 						.with("items", state.items().size())
 						.with("failures", this.schedule.failures()));
 		}
@@ -173,6 +175,7 @@
 		this.schedule.recordSuccess();
 		long baseRevision = this.catalog.revision();
 		CatalogChange change = this.catalog.replace(state.items(), state.asOf(), startedAt);
+		logRestore(baseRevision, "platform");
 		handleChange(change, "platform");
 		long ageMs = this.clock.millis() - startedAt;
 		boolean complete = baseRevision == 0;
@@ -223,6 +226,7 @@
 	 */
 	public void handleNews(VmName from, CatalogNews news) {
 		long observedAt = this.clock.millis() - news.ageMs();
+		long knownRevision = this.catalog.revision();
 		CatalogChange change = news.complete() ? this.catalog.replace(news.items(), news.asOf(), observedAt)
 				: this.catalog.applyChange(news.baseRevision(), new CatalogChange(news.items(), news.removed()),
 						news.asOf(), observedAt);
@@ -230,6 +234,7 @@
 			this.sender.send(from, new CatalogRequest(this.catalog.revision()));
 			return;
 		}
+		logRestore(knownRevision, from.value());
 		// If two processes read, the one on the VM with the lower name remains the
 		// reader.
 		if (from.compareTo(this.roster.self().vm()) < 0 || !this.schedule.isReader()) {
@@ -255,6 +260,18 @@
 		}
 	}
 
+	private void logRestore(long knownRevision, String from) {
+		long revision = this.catalog.revision();
+		if (knownRevision != 0 && CatalogRevision.era(revision) > CatalogRevision.era(knownRevision)) {
+			LOGGER.warn("{}",
+					LogLine.event("platform.restored")
+						.with("from", from)
+						.with("era", CatalogRevision.era(revision))
+						.with("asOf", CatalogRevision.withinEra(revision))
+						.with("knownAsOf", CatalogRevision.withinEra(knownRevision)));
+		}
+	}
+
 	private void handleChange(CatalogChange change, String from) {
 		if (change.isEmpty()) {
 			return;
@@ -264,7 +281,7 @@
 		LOGGER.info("{}",
 				LogLine.event("catalog.changed")
 					.with("from", from)
-					.with("asOf", this.catalog.revision())
+					.with("asOf", CatalogRevision.withinEra(this.catalog.revision()))
 					.with("ageMs", ageMs())
 					.with("version", (configuration != null) ? configuration.version() : 0)
 					.with("servers", this.servers.size())
