Give a slow platform more time to respond, so that a process becomes ready

Cause: a page of the store had to arrive within 900 ms as a whole, and each failed read began again with the same limit. A store that needs longer, because it or its link is slow or the machine is busy, was never read, and the repeated reads added to its load.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -34,6 +34,19 @@
 	 */
 	static final long MAX_READ_MS = 10_000;
 
+	/**
+	 * Time without data after which a response counts as lost, in milliseconds. A healthy
+	 * platform responds within a few milliseconds, a slow one within about 300.
+	 */
+	static final long SILENCE_MS = 900;
+
+	/**
+	 * Time without data after which the response to every second read in a series of
+	 * failed ones counts as lost, in milliseconds. It covers a platform on a busy
+	 * machine.
+	 */
+	static final long LONG_SILENCE_MS = 3_000;
+
 	/** Ranks by which a process whose reads fail is moved back. */
 	private static final int FAILURE_RANK_PENALTY = 3;
 
@@ -71,6 +84,16 @@
 		return ageMs >= TAKEOVER_AGE_MS + effectiveRank * RANK_DELAY_MS;
 	}
 
+	/**
+	 * Returns for how long the next read waits for data. A platform that has lost a
+	 * response is asked again soon, and one that is slower than that gets more time the
+	 * next time.
+	 * @return the time in milliseconds
+	 */
+	public long silenceMs() {
+		return (this.failures % 2 == 0) ? SILENCE_MS : LONG_SILENCE_MS;
+	}
+
 	/**
 	 * Records that a read was started.
 	 * @param now the monotonic time in milliseconds
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -32,6 +32,19 @@
 		assertThat(this.schedule.isDue(2_200, 50, 10_000)).isTrue();
 	}
 
+	// Guards against a process that never reads a store which needs more than one second.
+	@Test
+	void everySecondReadAfterAFailureWaitsLonger() {
+		assertThat(this.schedule.silenceMs()).isEqualTo(ReadSchedule.SILENCE_MS);
+		this.schedule.recordFailure();
+		assertThat(this.schedule.silenceMs()).isEqualTo(ReadSchedule.LONG_SILENCE_MS);
+		this.schedule.recordFailure();
+		assertThat(this.schedule.silenceMs()).isEqualTo(ReadSchedule.SILENCE_MS);
+		this.schedule.recordFailure();
+		this.schedule.recordSuccess();
+		assertThat(this.schedule.silenceMs()).isEqualTo(ReadSchedule.SILENCE_MS);
+	}
+
 	@Test
 	void readWithoutAnEndDoesNotStopFurtherReads() {
 		this.schedule.recordStart(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/CatalogSource.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/CatalogSource.java
@@ -13,8 +13,10 @@
 
 	/**
 	 * Reads the complete published state.
+	 * @param silenceMs the time without data after which a response counts as lost, in
+	 * milliseconds
 	 * @return a state that was current at some time after the call, or an error
 	 */
-	Mono<CatalogState> read();
+	Mono<CatalogState> read(long silenceMs);
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -157,7 +157,7 @@
 
 	private void read(long now) {
 		this.schedule.recordStart(now);
-		this.source.read()
+		this.source.read(this.schedule.silenceMs())
 			.subscribe((state) -> this.loop.execute(() -> handleReadSuccess(state, now)),
 					(error) -> this.loop.execute(() -> handleReadFailure(error, now)));
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -89,7 +89,7 @@
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
 				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), stopMs, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
-				() -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
+				(silenceMs) -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
 				new TestProtocol(), memoryLimitBytes);
 	}
 
