Hold back received bytes while the account of held memory is overfull

Cause: the account of held memory stopped reading only after each connection had been read once and its head was decoded; it counted a header by its characters although its objects take about 160 bytes more, and did not count a head behind an unfinished request. So 3,000 connections with a part of a head of 14 kB each, or some 100 heads of 2,300 short headers, used up the heap of 48 MB.

Change: the decoder tells what it holds of a head that has arrived in part; headers are accounted with their objects; bytes that are read when the limit is exceeded by a tenth are kept undecoded until there is room. New connections are not read while the process is full. The share of the heap is a fifth, which leaves room for 4,000 connections.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -33,6 +33,12 @@
 	/** Size up to which a request counts as small, in bytes. */
 	private static final long MAX_SMALL_REQUEST_BYTES = 4_096;
 
+	/**
+	 * Share of the limit from which received bytes are not decoded any more. Up to it, a
+	 * request that was read before reading stopped is still rejected at once.
+	 */
+	private static final double OVERFULL_SHARE = 1.1;
+
 	/** Factor by which earlier releases lose weight in the mean holding time. */
 	private static final double HOLDING_TIME_DECAY = 0.95;
 
@@ -89,6 +95,15 @@
 		return this.heldBytes >= this.limitBytes;
 	}
 
+	/**
+	 * Returns whether the limit is exceeded so far that bytes which were read already are
+	 * kept as they are.
+	 * @return {@code true} if the limit is exceeded by a tenth
+	 */
+	public boolean isOverfull() {
+		return this.heldBytes >= this.limitBytes * OVERFULL_SHARE;
+	}
+
 	/**
 	 * Returns when a rejected request can be sent again. By then, about as many bytes
 	 * have been released as are held now.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/MemoryLimits.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/MemoryLimits.java
@@ -19,9 +19,10 @@
 
 	/**
 	 * Share of the heap that heads of callers may take. A decoded head takes about twice
-	 * its size, and the state of the process takes the rest.
+	 * its size, 4,000 connections take another quarter, and the state of the process
+	 * takes the rest.
 	 */
-	private static final double HEAP_SHARE = 0.25;
+	private static final double HEAP_SHARE = 0.2;
 
 	private MemoryLimits() {
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -96,6 +96,9 @@
 	/** Memory of a request head that has arrived in part. */
 	private final MemoryReservation partialHeadMemory;
 
+	/** Bytes of a request head that has arrived in part. */
+	private int partialHeadBytes;
+
 	/** Explains the close of this connection. */
 	private final CallerCloseRecorder closeRecorder = new CallerCloseRecorder();
 
@@ -203,25 +206,55 @@
 	 * Records the arrival of bytes that are not decoded yet. Stops reading if the process
 	 * is full, unless they belong to a request that was accepted with its body.
 	 * @param bytes the number of bytes
+	 * @return {@code false} if they are not to be decoded until reading is resumed
 	 */
-	void bytesArrived(int bytes) {
+	boolean bytesArrived(int bytes) {
 		this.dataReceived = true;
 		if (this.closing) {
-			return;
+			return true;
 		}
 		this.lastActivityAt = now();
 		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
-		if (this.headStartedAt >= 0) {
-			this.partialHeadMemory.resize(this.partialHeadMemory.bytes() + bytes);
-		}
 		Exchange current = this.exchange;
 		if (this.router.isMemoryFull() && !this.discarding && (current == null || !current.isNextContentReserved())) {
-			this.pausedForMemory = true;
-			this.router.pauseReading(this);
-			setReading(false);
+			pauseForMemory();
 		}
+		return !this.pausedForMemory || !this.router.isMemoryOverfull();
+	}
+
+	/**
+	 * Records what is held of a head that has arrived in part, after received bytes were
+	 * decoded.
+	 * @param bytes the number of its bytes, 0 if there is none
+	 * @param lines the number of its complete lines
+	 */
+	void bytesDecoded(int bytes, int lines) {
+		if (!this.closing) {
+			this.partialHeadBytes = bytes;
+			this.partialHeadMemory.resize(RequestSize.ofPartialHead(bytes, lines));
+		}
+	}
+
+	private void releasePartialHead() {
+		this.partialHeadBytes = 0;
+		this.partialHeadMemory.resize(0);
+	}
+
+	/**
+	 * Reads nothing until the process is no longer full, if it is.
+	 */
+	void pauseIfMemoryFull() {
+		if (this.router.isMemoryFull()) {
+			pauseForMemory();
+		}
+	}
+
+	private void pauseForMemory() {
+		this.pausedForMemory = true;
+		this.router.pauseReading(this);
+		setReading(false);
 	}
 
 	/**
@@ -245,6 +278,7 @@
 	 */
 	void resumeReading() {
 		this.pausedForMemory = false;
+		context().pipeline().get(ArrivalHandler.class).decodeHeldBack();
 		setReading(true);
 	}
 
@@ -258,7 +292,7 @@
 			releaseUnhandled(object);
 			return;
 		}
-		this.partialHeadMemory.resize(0);
+		releasePartialHead();
 		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
 		this.queued.add(object);
 		if (object instanceof HttpRequest) {
@@ -588,7 +622,7 @@
 		this.pausedForMemory = false;
 		this.headStartedAt = -1;
 		releaseQueued();
-		this.partialHeadMemory.resize(0);
+		releasePartialHead();
 		LingeringCloseHandler handler = new LingeringCloseHandler(LINGER_MS);
 		this.lingeringHandler = handler;
 		context().pipeline().addFirst(handler);
@@ -755,7 +789,7 @@
 		this.closing = true;
 		releaseQueued();
 		reportClose();
-		this.partialHeadMemory.resize(0);
+		releasePartialHead();
 		this.router.removeConnection(this);
 		if (current != null) {
 			current.callerDisconnected();
@@ -780,7 +814,7 @@
 			Exchange current = this.exchange;
 			return new CallerClose(reason, why, remoteAddress(), progress(current),
 					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
-					this.partialHeadMemory.bytes(), this.bodyUnread || this.discarding, this.router.isStopping(),
+					this.partialHeadBytes, this.bodyUnread || this.discarding, this.router.isStopping(),
 					now() - this.lastActivityAt);
 		});
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -5,7 +5,6 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -131,6 +130,7 @@
 		channel.pipeline()
 			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router::limits),
 					new WriteFailureHandler(connection::writeFailed), new HttpResponseEncoder(), connection);
+		connection.pauseIfMemoryFull();
 	}
 
 	/**
@@ -256,26 +256,4 @@
 
 	}
 
-	/**
-	 * Notifies the connection of received bytes before they are decoded.
-	 *
-	 * <p>
-	 * Confined to the event loop.
-	 */
-	private static final class ArrivalHandler extends ChannelInboundHandlerAdapter {
-
-		private final FrontendConnection connection;
-
-		private ArrivalHandler(FrontendConnection connection) {
-			this.connection = connection;
-		}
-
-		@Override
-		public void channelRead(ChannelHandlerContext ctx, Object message) {
-			this.connection.bytesArrived((message instanceof ByteBuf bytes) ? bytes.readableBytes() : 0);
-			ctx.fireChannelRead(message);
-		}
-
-	}
-
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -1,9 +1,9 @@
 package org.lovagevale.gateway.http;
 
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.SequencedSet;
 import java.util.Set;
 
 import io.netty.channel.Channel;
@@ -69,7 +69,7 @@
 	private final Set<FrontendConnection> openConnections = new HashSet<>();
 
 	/** The connections that are not read because the process is full, oldest first. */
-	private final Set<FrontendConnection> pausedConnections = new LinkedHashSet<>();
+	private final SequencedSet<FrontendConnection> pausedConnections = new LinkedHashSet<>();
 
 	private double sharePosition;
 
@@ -135,6 +135,10 @@
 		return this.services.memory().isFull();
 	}
 
+	boolean isMemoryOverfull() {
+		return this.services.memory().isOverfull();
+	}
+
 	void pauseReading(FrontendConnection connection) {
 		this.pausedConnections.add(connection);
 	}
@@ -146,10 +150,9 @@
 	void resumeReading() {
 		MemoryAccount memory = this.services.memory();
 		long resumable = (memory.limitBytes() - memory.heldBytes()) / FrontendServer.MAX_READ_BYTES;
-		Iterator<FrontendConnection> paused = this.pausedConnections.iterator();
-		for (long i = 0; i < resumable && paused.hasNext(); i++) {
-			FrontendConnection connection = paused.next();
-			paused.remove();
+		long count = Math.min(resumable, this.pausedConnections.size());
+		for (long i = 0; i < count && !memory.isFull(); i++) {
+			FrontendConnection connection = this.pausedConnections.removeFirst();
 			connection.resumeReading();
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSize.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSize.java
@@ -19,8 +19,11 @@
  */
 record RequestSize(long headBytes, long bodyBytes) {
 
-	/** Separators and line ends of a header, in bytes. */
-	private static final int HEADER_SEPARATOR_BYTES = 4;
+	/**
+	 * Bytes for which a header is accounted in addition to its characters. Its objects
+	 * take about twice as many, as {@link org.lovagevale.gateway.MemoryLimits} assumes.
+	 */
+	private static final int HEADER_OVERHEAD_BYTES = 80;
 
 	/**
 	 * Returns the size of a request.
@@ -49,10 +52,20 @@
 		return bytes + ((part instanceof HttpContent content) ? content.content().readableBytes() : 0);
 	}
 
+	/**
+	 * Returns the size of a head that has arrived in part.
+	 * @param bytes the number of received bytes
+	 * @param lines the number of complete lines among them
+	 * @return the size in bytes
+	 */
+	static long ofPartialHead(int bytes, int lines) {
+		return bytes + (long) lines * HEADER_OVERHEAD_BYTES;
+	}
+
 	private static long headBytes(HttpRequest head) {
 		long bytes = head.uri().length();
 		for (Map.Entry<String, String> header : head.headers()) {
-			bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
+			bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
 		}
 		return bytes;
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/StrictRequestDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/StrictRequestDecoder.java
@@ -30,12 +30,17 @@
 	 */
 	private static final int LARGE_HEAD_BYTES = 2_048;
 
+	private static final byte LINE_FEED = '\n';
+
 	private final Supplier<RequestLimits> limits;
 
 	private int headBytes;
 
 	private boolean headComplete;
 
+	/** Lines of a head that has arrived in part. */
+	private int partialLines;
+
 	/**
 	 * Creates a decoder for a new connection.
 	 * @param limits returns the limits on requests; the current ones apply to this
@@ -55,34 +60,62 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-		int readable = buffer.readableBytes();
+		int start = buffer.readerIndex();
 		int decoded = out.size();
 		super.decode(ctx, buffer, out);
 		if (!this.headComplete) {
-			this.headBytes += readable - buffer.readableBytes();
+			this.headBytes += buffer.readerIndex() - start;
+			if (out.size() == decoded) {
+				this.partialLines += countLines(buffer, start);
+			}
 		}
 		for (Object part : out.subList(decoded, out.size())) {
 			recordPart(ctx, part);
 		}
 	}
 
+	private static int countLines(ByteBuf buffer, int start) {
+		int lines = 0;
+		int end = buffer.readerIndex();
+		for (int i = buffer.indexOf(start, end, LINE_FEED); i >= 0; i = buffer.indexOf(i + 1, end, LINE_FEED)) {
+			lines++;
+		}
+		return lines;
+	}
+
 	private void recordPart(ChannelHandlerContext ctx, Object part) {
 		if (part instanceof HttpRequest) {
 			this.headComplete = true;
+			this.partialLines = 0;
 		}
-		if (!(part instanceof LastHttpContent)) {
-			return;
-		}
-		boolean large = this.headBytes >= LARGE_HEAD_BYTES;
-		this.headBytes = 0;
-		this.headComplete = false;
-		if (large) {
-			// Bytes of the next request that have been read are passed to the new
-			// decoder.
-			ctx.pipeline().replace(this, null, new StrictRequestDecoder(this.limits));
+		if (part instanceof LastHttpContent) {
+			boolean large = this.headBytes >= LARGE_HEAD_BYTES;
+			this.headBytes = 0;
+			this.headComplete = false;
+			if (large) {
+				// Bytes of the next request that have been read are passed to the new
+				// decoder.
+				ctx.pipeline().replace(this, null, new StrictRequestDecoder(this.limits));
+			}
 		}
 	}
 
+	/**
+	 * Returns the size of a head that has arrived in part.
+	 * @return the received bytes of it, 0 if there is none
+	 */
+	int partialHeadBytes() {
+		return (this.headComplete ? 0 : this.headBytes) + actualReadableBytes();
+	}
+
+	/**
+	 * Returns the number of complete lines of a head that has arrived in part.
+	 * @return the number of lines, 0 if there is none
+	 */
+	int partialHeadLines() {
+		return this.partialLines;
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
