Use a connection to a server no more after a large response head

The same cause as for callers: the decoder of a kept connection holds a buffer as large as the longest line of a response head, up to 64 kB for each connection to a server, and no account counts it. LargeResponseHeadTests failed before (5 requests with heads of 20 kB on fewer than 5 connections) and passes.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -446,7 +446,8 @@
 			return;
 		}
 		this.responseStarted = true;
-		this.reusable = this.reusable && HttpUtil.isKeepAlive(response) && this.responseSized;
+		this.reusable = this.reusable && HttpUtil.isKeepAlive(response) && this.responseSized
+				&& !this.decoder.hadLargeHead();
 		updateIdleLimit(response);
 		currentListener().headReceived(response);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -1,13 +1,17 @@
 package org.lovagevale.gateway.http;
 
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 
 /**
@@ -23,11 +27,20 @@
 
 	private static final int MAX_CHUNK_BYTES = 32_768;
 
+	/** Size of a head from which this decoder is not to be used again, in bytes. */
+	private static final int LARGE_HEAD_BYTES = 8_192;
+
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+[1-5][0-9]{2}",
 			Pattern.CASE_INSENSITIVE);
 
 	private boolean responseToHead;
 
+	private int headBytes;
+
+	private boolean headComplete;
+
+	private boolean largeHead;
+
 	BackendResponseDecoder() {
 		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEAD_BYTES)
 			.setMaxHeaderSize(MAX_HEAD_BYTES)
@@ -52,6 +65,32 @@
 		return actualReadableBytes();
 	}
 
+	/**
+	 * Tells whether a large head was decoded. This decoder keeps a buffer of the size of
+	 * its longest line for as long as it is in use.
+	 * @return {@code true} if the connection is not to be used again
+	 */
+	boolean hadLargeHead() {
+		return this.largeHead;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		int start = buffer.readerIndex();
+		int decoded = out.size();
+		super.decode(ctx, buffer, out);
+		if (!this.headComplete) {
+			this.headBytes += buffer.readerIndex() - start;
+			this.largeHead |= this.headBytes >= LARGE_HEAD_BYTES;
+		}
+		for (Object part : out.subList(decoded, out.size())) {
+			this.headComplete = !(part instanceof LastHttpContent);
+			if (!this.headComplete) {
+				this.headBytes = 0;
+			}
+		}
+	}
+
 	/**
 	 * Tells whether a head has the status line of another one inside, which is the case
 	 * if it continues a head that was broken off.
