Tell which memory a full process has used up

An account of what is held for responses stands beside the one for requests. Metrics show what each of them holds by kind, its limit, what it gave up, and the heap in use; the line loop.delayed carries the same sums. Reservations of an account may be evictable: the largest are given up first when the limit is reached. Nothing uses that yet.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/HeldKind.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/HeldKind.java
@@ -9,6 +9,12 @@
 	REQUEST_HEAD,
 
 	/** The bodies of requests that wait for a server or may be sent again. */
-	REQUEST_BODY
+	REQUEST_BODY,
+
+	/** The heads of responses of servers and entry VMs. */
+	RESPONSE_HEAD,
+
+	/** The parts of response bodies that callers have not taken yet. */
+	RESPONSE_BODY
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -1,20 +1,27 @@
 package org.lovagevale.core.memory;
 
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 import org.lovagevale.base.Clock;
 
 /**
- * Accounts for the bytes that a process holds for its callers, and decides which requests
- * are accepted and whether further bytes are read.
+ * Accounts for the bytes that a process holds for requests or for responses, and decides
+ * which requests are accepted, whether further bytes are read and what is given up.
  *
  * <p>
  * A request is accepted only if all bytes that it announces fit. So the accepted requests
- * can be read completely, instead of blocking each other halfway.
+ * can be read completely, instead of blocking each other halfway. What was not announced,
+ * such as a head that has arrived in part, can be evicted: the largest holders give up
+ * theirs first, so that a sound message, which is small, is kept beside any number of
+ * large ones.
  *
  * <p>
  * Invariants: the held bytes exceed the limit at most by bytes that were not announced
  * and had been read before reading stopped; they are 0 once all reservations are
- * released. Messages between processes, health checks and reads of the platform are not
- * accounted, so they are never rejected for the bytes of callers. Not thread-safe.
+ * released. Messages between processes and reads of the platform are not accounted, so
+ * they are never rejected for the bytes of callers. Not thread-safe.
  */
 public final class MemoryAccount {
 
@@ -39,6 +46,9 @@
 	 */
 	private static final double OVERFULL_SHARE = 1.1;
 
+	/** Share of the limit down to which reservations are evicted once it is reached. */
+	private static final double EVICTION_TARGET_SHARE = 0.9;
+
 	/** Factor by which earlier releases lose weight in the mean holding time. */
 	private static final double HOLDING_TIME_DECAY = 0.95;
 
@@ -50,6 +60,9 @@
 
 	private final long[] heldByKind = new long[HeldKind.values().length];
 
+	/** The reservations that can be evicted and are not empty. */
+	private final Set<MemoryReservation> evictable = new LinkedHashSet<>();
+
 	private long heldBytes;
 
 	private double releasedBytes;
@@ -121,7 +134,37 @@
 	 * @return the reservation, to be released by the caller of this method
 	 */
 	public MemoryReservation reserve(HeldKind kind, long bytes) {
-		return new MemoryReservation(this, kind, bytes, this.clock.millis());
+		return new MemoryReservation(this, kind, bytes, this.clock.millis(), null);
+	}
+
+	/**
+	 * Creates an empty reservation that may be evicted.
+	 * @param kind what the bytes belong to
+	 * @param eviction releases what is held; called by {@link #evictExcess()}, which
+	 * empties the reservation afterwards
+	 * @return the reservation, to be released by the caller of this method
+	 */
+	public MemoryReservation reserveEvictable(HeldKind kind, Runnable eviction) {
+		return new MemoryReservation(this, kind, 0, this.clock.millis(), eviction);
+	}
+
+	/**
+	 * Evicts reservations, the largest first, if the limit is reached, until a tenth of
+	 * it is free or none is left.
+	 * @return the number of evicted reservations
+	 */
+	public int evictExcess() {
+		int evicted = 0;
+		if (isFull()) {
+			while (this.heldBytes > this.limitBytes * EVICTION_TARGET_SHARE && !this.evictable.isEmpty()) {
+				MemoryReservation largest = this.evictable.stream()
+					.max(Comparator.comparingLong(MemoryReservation::bytes))
+					.orElseThrow();
+				largest.evict();
+				evicted++;
+			}
+		}
+		return evicted;
 	}
 
 	/**
@@ -149,6 +192,15 @@
 		return this.limitBytes;
 	}
 
+	void setEvictable(MemoryReservation reservation, boolean isEvictable) {
+		if (isEvictable) {
+			this.evictable.add(reservation);
+		}
+		else {
+			this.evictable.remove(reservation);
+		}
+	}
+
 	void add(HeldKind kind, long bytes) {
 		this.heldByKind[kind.ordinal()] += bytes;
 		this.heldBytes += bytes;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryReservation.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryReservation.java
@@ -1,5 +1,7 @@
 package org.lovagevale.core.memory;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The bytes of one kind that one request or connection holds.
  *
@@ -14,14 +16,18 @@
 
 	private final long reservedAt;
 
+	/** Releases what is held, {@code null} if it has to be kept. */
+	private final @Nullable Runnable eviction;
+
 	private long bytes;
 
 	private boolean released;
 
-	MemoryReservation(MemoryAccount account, HeldKind kind, long bytes, long now) {
+	MemoryReservation(MemoryAccount account, HeldKind kind, long bytes, long now, @Nullable Runnable eviction) {
 		this.account = account;
 		this.kind = kind;
 		this.reservedAt = now;
+		this.eviction = eviction;
 		resize(bytes);
 	}
 
@@ -41,7 +47,21 @@
 		if (!this.released) {
 			this.account.add(this.kind, newBytes - this.bytes);
 			this.bytes = newBytes;
+			if (this.eviction != null) {
+				this.account.setEvictable(this, newBytes > 0);
+			}
+		}
+	}
+
+	/**
+	 * Has the owner release what it holds.
+	 */
+	void evict() {
+		Runnable known = this.eviction;
+		if (known != null) {
+			known.run();
 		}
+		resize(0);
 	}
 
 	/**
--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -12,8 +12,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against requests that are accepted beyond the limit, and against bytes that stay
- * accounted after their request has ended.
+ * Guards against requests that are accepted beyond the limit, against bytes that stay
+ * accounted after their request has ended, and against large unfinished messages that
+ * keep small ones from being read.
  */
 class MemoryAccountTests {
 
@@ -94,4 +95,36 @@
 		assertThat(this.account.retryAfterMs()).isBetween(1_400, 1_500);
 	}
 
+	@Property(seed = "20261206", tries = 500)
+	void evictionKeepsTheLimitAndTheSmallReservations(@ForAll long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		MemoryAccount evicting = new MemoryAccount(this.clock, LIMIT_BYTES);
+		List<MemoryReservation> small = new ArrayList<>();
+		for (int i = 0; i < STEPS; i++) {
+			MemoryReservation held = evicting.reserveEvictable(HeldKind.values()[random.nextInt(4)], () -> {
+			});
+			boolean large = random.nextInt(3) > 0;
+			held.resize(large ? random.nextInt(2_000, MAX_REQUEST_BYTES) : 1_000);
+			if (!large) {
+				small.add(held);
+			}
+			evicting.evictExcess();
+			assertThat(evicting.heldBytes()).isLessThan(LIMIT_BYTES);
+		}
+		assertThat(small).allMatch((held) -> held.bytes() == 1_000);
+	}
+
+	@Example
+	void reservationsThatCannotBeEvictedAreKept() {
+		MemoryReservation body = this.account.reserve(HeldKind.REQUEST_BODY, LIMIT_BYTES);
+		List<String> evicted = new ArrayList<>();
+		MemoryReservation head = this.account.reserveEvictable(HeldKind.REQUEST_HEAD, () -> evicted.add("head"));
+		head.resize(10);
+		assertThat(this.account.evictExcess()).isEqualTo(1);
+		assertThat(evicted).containsExactly("head");
+		assertThat(head.bytes()).isZero();
+		assertThat(body.bytes()).isEqualTo(LIMIT_BYTES);
+		assertThat(this.account.evictExcess()).isZero();
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -10,6 +10,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufAllocatorMetricProvider;
+import org.lovagevale.core.memory.HeldKind;
+import org.lovagevale.core.memory.MemoryAccount;
 
 /**
  * The metrics of an entry process.
@@ -94,6 +96,10 @@
 		.serviceLevelObjectives(LATENCY_BUCKETS)
 		.register(this.registry);
 
+	private final Meter.MeterProvider<Counter> evictions = Counter.builder("lovagevale.gateway.memory.evictions")
+		.description("Unfinished messages that were given up because the process was full, by account")
+		.withRegistry(this.registry);
+
 	private final Counter healthChecks = Counter.builder("lovagevale.gateway.health.checks")
 		.description("Health checks of backend servers")
 		.register(this.registry);
@@ -105,6 +111,44 @@
 		Gauge.builder("lovagevale.gateway.memory.direct", GatewayMetrics::directMemoryBytes)
 			.description("Direct memory reserved for the buffers of connections, in bytes")
 			.register(this.registry);
+		Gauge.builder("lovagevale.gateway.memory.heap", GatewayMetrics::heapBytes)
+			.description("Heap in use, in bytes, with what the next collection will free")
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds the held bytes of an account, which are read when the metrics are.
+	 * @param name the name of the account
+	 * @param account the account
+	 */
+	void observe(String name, MemoryAccount account) {
+		for (HeldKind kind : HeldKind.values()) {
+			Gauge.builder("lovagevale.gateway.memory.held", account, (observed) -> observed.heldBytes(kind))
+				.description("Bytes held, by account and kind")
+				.tags("account", name, "kind", kind.name())
+				.register(this.registry);
+		}
+		Gauge.builder("lovagevale.gateway.memory.limit", account, MemoryAccount::limitBytes)
+			.description("Limit on the held bytes, by account")
+			.tags("account", name)
+			.register(this.registry);
+	}
+
+	/**
+	 * Counts unfinished messages that were given up because the process was full.
+	 * @param account the name of the account that was full
+	 * @param count the number of messages
+	 */
+	public void countEvictions(String account, int count) {
+		this.evictions.withTags("account", account).increment(count);
+	}
+
+	/**
+	 * Returns the heap that is in use.
+	 * @return the size in bytes, with what the next collection will free
+	 */
+	public static long heapBytes() {
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -119,6 +119,8 @@
 
 	private final MemoryAccount memory;
 
+	private final MemoryAccount responseMemory;
+
 	private final PlannedStop plannedStop = new PlannedStop();
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
@@ -160,13 +162,16 @@
 	 * @param source reads the published state from the platform
 	 * @param decoder decodes published items
 	 * @param protocol reads and writes the headers of requests and responses
-	 * @param memoryLimitBytes the limit on the bytes held for callers
+	 * @param memoryLimits the limits on the bytes held for requests and responses
 	 */
 	public GatewayProcess(GatewaySettings settings, Clock clock, RandomSource random, LoopResources loops,
-			CatalogSource source, CatalogDecoder decoder, ServerProtocol protocol, long memoryLimitBytes) {
+			CatalogSource source, CatalogDecoder decoder, ServerProtocol protocol, MemoryLimits memoryLimits) {
 		this.settings = settings;
 		this.clock = clock;
-		this.memory = new MemoryAccount(clock, memoryLimitBytes);
+		this.memory = new MemoryAccount(clock, memoryLimits.requestBytes());
+		this.responseMemory = new MemoryAccount(clock, memoryLimits.responseBytes());
+		this.metrics.observe("requests", this.memory);
+		this.metrics.observe("responses", this.responseMemory);
 		this.startedAt = clock.millis();
 		EventLoopGroup group = loops.onServer(true);
 		this.loop = group.next();
@@ -189,7 +194,7 @@
 		this.readDelay = new ReadDelay(clock, TICK_INTERVAL_MS);
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
 				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
-				this.roster, this.plannedStop, announcements, this.readDelay, this.memory);
+				this.roster, this.plannedStop, announcements, this.readDelay, this.memory, this.responseMemory);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
@@ -265,7 +270,10 @@
 			LOGGER.warn("{}",
 					LogLine.event("loop.delayed")
 						.with("delayMs", delayMs)
-						.with("directBytes", GatewayMetrics.directMemoryBytes()));
+						.with("directBytes", GatewayMetrics.directMemoryBytes())
+						.with("heapBytes", GatewayMetrics.heapBytes())
+						.with("requestBytes", this.memory.heldBytes())
+						.with("responseBytes", this.responseMemory.heldBytes()));
 		}
 	}
 
@@ -329,13 +337,21 @@
 	}
 
 	/**
-	 * Returns the account of the bytes held for callers.
+	 * Returns the account of the bytes held for requests.
 	 * @return the account; must be used on the event loop
 	 */
 	public MemoryAccount memory() {
 		return this.memory;
 	}
 
+	/**
+	 * Returns the account of the bytes held for responses.
+	 * @return the account; must be used on the event loop
+	 */
+	public MemoryAccount responseMemory() {
+		return this.responseMemory;
+	}
+
 	/**
 	 * Returns the event loop.
 	 * @return the event loop
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/MemoryLimits.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/MemoryLimits.java
@@ -3,37 +3,45 @@
 import io.netty.util.internal.PlatformDependent;
 
 /**
- * Derives the limit on the bytes held for callers from the memory of the JVM.
+ * The limits on the bytes held for requests and responses.
  *
  * <p>
- * Thread-safe.
+ * Immutable and thread-safe.
+ *
+ * @param requestBytes the limit on what is held for requests, in bytes
+ * @param responseBytes the limit on what is held for responses, in bytes
  */
-public final class MemoryLimits {
+public record MemoryLimits(long requestBytes, long responseBytes) {
 
 	/**
-	 * Share of the direct memory that bodies of callers may take. The rest is left for
-	 * the buffers of reads, responses and messages between processes, and for the unused
+	 * Share of the direct memory that requests may take. The rest is left for responses,
+	 * for the buffers of reads and of messages between processes, and for the unused
 	 * parts of pooled chunks.
 	 */
-	private static final double DIRECT_SHARE = 0.5;
+	private static final double DIRECT_REQUEST_SHARE = 0.5;
 
 	/**
-	 * Share of the heap that heads of callers may take. A decoded head takes about twice
+	 * Share of the heap that heads of requests may take. A decoded head takes about twice
 	 * its size, 4,000 connections take another quarter, and the state of the process
 	 * takes the rest.
 	 */
-	private static final double HEAP_SHARE = 0.2;
+	private static final double HEAP_REQUEST_SHARE = 0.2;
 
-	private MemoryLimits() {
-	}
+	/** Share of the direct memory that responses may take. */
+	private static final double DIRECT_RESPONSE_SHARE = 0.25;
+
+	/** Share of the heap that heads of responses may take. */
+	private static final double HEAP_RESPONSE_SHARE = 0.15;
 
 	/**
-	 * Returns the limit for this JVM.
-	 * @return the limit in bytes
+	 * Derives the limits from the memory of this JVM.
+	 * @return the limits
 	 */
-	public static long forThisJvm() {
-		return (long) Math.min(DIRECT_SHARE * PlatformDependent.maxDirectMemory(),
-				HEAP_SHARE * Runtime.getRuntime().maxMemory());
+	public static MemoryLimits forThisJvm() {
+		long directBytes = PlatformDependent.maxDirectMemory();
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		return new MemoryLimits((long) Math.min(DIRECT_REQUEST_SHARE * directBytes, HEAP_REQUEST_SHARE * heapBytes),
+				(long) Math.min(DIRECT_RESPONSE_SHARE * directBytes, HEAP_RESPONSE_SHARE * heapBytes));
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -32,10 +32,11 @@
  * @param plannedStop the planned stop of this process
  * @param announcements the announcements of servers to this process
  * @param readDelay the delay with which received data is read
- * @param memory the account of the bytes held for callers
+ * @param memory the account of the bytes held for requests
+ * @param responseMemory the account of the bytes held for responses
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
 		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop,
-		ServerAnnouncements announcements, ReadDelay readDelay, MemoryAccount memory) {
+		ServerAnnouncements announcements, ReadDelay readDelay, MemoryAccount memory, MemoryAccount responseMemory) {
 }
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -116,7 +116,7 @@
 	@ParameterizedTest
 	@ValueSource(longs = { 1_000, 1_500, 2_000 })
 	void portIsClosedAtTheEndOfAShortStop(long stopMs) throws Exception {
-		try (TestGateway gateway = new TestGateway(List.of(), stopMs, MemoryLimits.forThisJvm())
+		try (TestGateway gateway = new TestGateway(List.of(), stopMs, MemoryLimits.forThisJvm().requestBytes())
 			.publishConfiguration(2_000)
 			.start()) {
 			gateway.process().stop();
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -79,7 +79,7 @@
 	}
 
 	TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds) throws GatewayException {
-		this(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm());
+		this(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm().requestBytes());
 	}
 
 	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
@@ -90,7 +90,7 @@
 				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), stopMs, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				(silenceMs) -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
-				new TestProtocol(), memoryLimitBytes);
+				new TestProtocol(), new MemoryLimits(memoryLimitBytes, MemoryLimits.forThisJvm().responseBytes()));
 	}
 
 	private synchronized CatalogState readCatalog() {
