End a health check whose response has a body without end

A server that answers /health with a body without end was read from for the 500 ms of each check, at the full speed of the connection. A check now fails once 64 KB of a body have arrived.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HealthChecks.java
@@ -56,6 +56,9 @@
 	 */
 	private static final int FAILURE_THRESHOLD = 2;
 
+	/** Size of the body of a response from which a check fails, in bytes. */
+	private static final long MAX_BODY_BYTES = 65_536;
+
 	private static final long MAX_CONNECTION_IDLE_MS = 8_000;
 
 	private static final int OK = 200;
@@ -168,6 +171,8 @@
 
 		private @Nullable HttpResponse response;
 
+		private long bodyBytes;
+
 		private boolean finished;
 
 		private Check(BackendInstance server, String path, long startedAt) {
@@ -178,14 +183,18 @@
 
 		private void expire(long now) {
 			if (now - this.startedAt >= TIMEOUT_MS) {
-				BackendConnection open = this.connection;
-				if (open != null) {
-					open.abandon();
-				}
-				fail();
+				abandon();
 			}
 		}
 
+		private void abandon() {
+			BackendConnection open = this.connection;
+			if (open != null) {
+				open.abandon();
+			}
+			fail();
+		}
+
 		private void fail() {
 			if (this.finished) {
 				return;
@@ -229,7 +238,11 @@
 
 		@Override
 		public void contentReceived(HttpContent content) {
+			this.bodyBytes += content.content().readableBytes();
 			content.release();
+			if (this.bodyBytes > MAX_BODY_BYTES) {
+				abandon();
+			}
 		}
 
 		@Override
