--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -65,6 +65,8 @@
 
 	private long heldBytes;
 
+	private long evictableBytes;
+
 	private double releasedBytes;
 
 	private double releasedByteMillis;
@@ -83,14 +85,15 @@
 	}
 
 	/**
-	 * Decides whether a new request is accepted.
+	 * Decides whether a new request is accepted. What can be evicted does not count.
 	 * @param requestBytes the size of its head and the announced size of its body, in
 	 * bytes
 	 * @param priority the priority of its route, 0 being the highest
 	 * @return {@code false} if it has to be rejected
 	 */
 	public boolean accepts(long requestBytes, int priority) {
-		return this.heldBytes + requestBytes <= this.limitBytes * shareFor(requestBytes, priority);
+		long keptBytes = this.heldBytes - this.evictableBytes;
+		return keptBytes + requestBytes <= this.limitBytes * shareFor(requestBytes, priority);
 	}
 
 	private static double shareFor(long requestBytes, int priority) {
@@ -192,8 +195,9 @@
 		return this.limitBytes;
 	}
 
-	void setEvictable(MemoryReservation reservation, boolean isEvictable) {
-		if (isEvictable) {
+	void changeEvictable(MemoryReservation reservation, long bytes) {
+		this.evictableBytes += bytes;
+		if (reservation.bytes() > 0) {
 			this.evictable.add(reservation);
 		}
 		else {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryReservation.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryReservation.java
@@ -45,10 +45,11 @@
 	 */
 	public void resize(long newBytes) {
 		if (!this.released) {
-			this.account.add(this.kind, newBytes - this.bytes);
+			long addedBytes = newBytes - this.bytes;
+			this.account.add(this.kind, addedBytes);
 			this.bytes = newBytes;
 			if (this.eviction != null) {
-				this.account.setEvictable(this, newBytes > 0);
+				this.account.changeEvictable(this, addedBytes);
 			}
 		}
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -114,6 +114,15 @@
 		assertThat(small).allMatch((held) -> held.bytes() == 1_000);
 	}
 
+	@Example
+	void requestIsAcceptedInPlaceOfWhatCanBeEvicted() {
+		this.account.reserveEvictable(HeldKind.REQUEST_HEAD, () -> {
+		}).resize(LIMIT_BYTES - 1);
+		assertThat(this.account.accepts(1_000, 0)).isTrue();
+		this.account.reserve(HeldKind.REQUEST_HEAD, LIMIT_BYTES - 1);
+		assertThat(this.account.accepts(1_000, 0)).isFalse();
+	}
+
 	@Example
 	void reservationsThatCannotBeEvictedAreKept() {
 		MemoryReservation body = this.account.reserve(HeldKind.REQUEST_BODY, LIMIT_BYTES);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -40,6 +40,7 @@
 import org.lovagevale.gateway.http.ReadDelay;
 import org.lovagevale.gateway.http.RegionRelay;
 import org.lovagevale.gateway.http.RequestRouter;
+import org.lovagevale.gateway.http.TurnScheduler;
 import org.lovagevale.gateway.http.WorkEstimates;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -187,14 +188,17 @@
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
 		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
 				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
+		TurnScheduler scheduler = new TurnScheduler(this.loop, clock);
 		this.connectionPool = new BackendConnectionPool(this.loop, () -> loops.onChannel(SocketChannel.class, group),
-				protocol, clock, this.metrics, announcements, this.slotClient::reportLeaving);
+				protocol, clock, this.metrics, announcements, this.responseMemory, scheduler,
+				this.slotClient::reportLeaving);
 		this.relay = new RegionRelay(clock, settings.region(), contacts, this.catalogUpdater,
 				new HomeRegionChooser(random));
 		this.readDelay = new ReadDelay(clock, TICK_INTERVAL_MS);
 		ExchangeServices services = new ExchangeServices(this.loop, clock, settings, this.catalogUpdater,
 				this.slotClient, this.relay, this.connectionPool, protocol, new WorkEstimates(), this.metrics,
-				this.roster, this.plannedStop, announcements, this.readDelay, this.memory, this.responseMemory);
+				this.roster, this.plannedStop, announcements, this.readDelay, this.memory, this.responseMemory,
+				scheduler);
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ArrivalHandler.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ArrivalHandler.java
@@ -1,41 +1,41 @@
 package org.lovagevale.gateway.http;
 
-import java.util.ArrayDeque;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.util.ReferenceCountUtil;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Notifies a connection of received bytes before and after they are decoded, and holds
- * back those that arrive while the process is overfull: each connection that has data is
- * read once before a pause takes effect, and a decoded head takes many times the size of
- * its bytes.
+ * Notifies a connection of received bytes before and after they are decoded.
  *
  * <p>
- * Invariant: bytes are decoded in the order of their arrival. Confined to the event loop.
+ * Confined to the event loop.
  */
-final class ArrivalHandler extends ChannelInboundHandlerAdapter {
+final class ArrivalHandler extends ReadGate {
 
 	private final FrontendConnection connection;
 
-	private final ArrayDeque<ByteBuf> heldBack = new ArrayDeque<>();
-
-	private @Nullable ChannelHandlerContext context;
+	private final DecodingTurns turns;
 
 	/**
-	 * Creates a handler.
-	 * @param connection the connection that decides whether bytes are decoded
+	 * Creates a handler in front of the decoder.
+	 * @param connection the connection
+	 * @param scheduler runs the later turns in which received bytes are decoded
 	 */
-	ArrivalHandler(FrontendConnection connection) {
+	ArrivalHandler(FrontendConnection connection, TurnScheduler scheduler) {
 		this.connection = connection;
+		this.turns = new DecodingTurns(StrictRequestDecoder.class, scheduler, connection::turnEnded);
+	}
+
+	/**
+	 * Returns the turns in which received bytes are decoded.
+	 * @return the turns
+	 */
+	DecodingTurns turns() {
+		return this.turns;
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
-		this.context = ctx;
+		this.turns.start(ctx);
 	}
 
 	@Override
@@ -44,37 +44,8 @@
 			ctx.fireChannelRead(message);
 			return;
 		}
-		if (this.connection.bytesArrived(bytes.readableBytes()) && this.heldBack.isEmpty()) {
-			decode(ctx, bytes);
-		}
-		else {
-			this.heldBack.add(bytes);
-		}
-	}
-
-	/**
-	 * Decodes the bytes that were held back.
-	 */
-	void decodeHeldBack() {
-		ChannelHandlerContext ctx = this.context;
-		while (ctx != null && !this.heldBack.isEmpty()) {
-			decode(ctx, this.heldBack.remove());
-		}
-	}
-
-	private void decode(ChannelHandlerContext ctx, ByteBuf bytes) {
-		ctx.fireChannelRead(bytes);
-		StrictRequestDecoder decoder = ctx.pipeline().get(StrictRequestDecoder.class);
-		if (decoder != null) {
-			this.connection.bytesDecoded(decoder.partialHeadBytes(), decoder.partialHeadLines());
-		}
-	}
-
-	@Override
-	public void channelInactive(ChannelHandlerContext ctx) {
-		this.heldBack.forEach(ReferenceCountUtil::release);
-		this.heldBack.clear();
-		ctx.fireChannelInactive();
+		this.connection.bytesArrived();
+		this.turns.decode(bytes);
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -24,6 +24,9 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.memory.HeldKind;
+import org.lovagevale.core.memory.MemoryAccount;
+import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.ServerProtocol;
 import org.slf4j.Logger;
@@ -40,7 +43,9 @@
  * was not sent on this connection is a failure. Each byte that arrives while no request
  * is in progress closes the connection, and so do a response that changes the protocol
  * and a head that continues one that was broken off. A server that sends only data that
- * is no part of the expected response is read to a limit. Confined to the event loop.
+ * is no part of the expected response is read to a limit. What is held of a response is
+ * accounted for, and the request fails if the process is full and this connection holds
+ * the most. Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -97,6 +102,13 @@
 
 	private final BackendResponseDecoder decoder;
 
+	private final ExpectedDataHandler dataHandler;
+
+	private final MemoryAccount memory;
+
+	/** Memory of the head of a response, or of the part of one that has arrived. */
+	private final MemoryReservation headMemory;
+
 	private final BackendInstance server;
 
 	private final ResponseObserver observer;
@@ -138,6 +150,18 @@
 	 */
 	private boolean readingAfterLoss;
 
+	/** Whether the listener takes further parts of the response. */
+	private boolean reading = true;
+
+	/** Whether nothing is read until received bytes are decoded. */
+	private boolean decodingSuspended;
+
+	/** Size of the buffer of the bytes that are not decoded yet. */
+	private int undecodedBufferBytes;
+
+	/** Size of the decoded head of the response. */
+	private long decodedHeadBytes;
+
 	private boolean skipping;
 
 	private boolean informational;
@@ -163,21 +187,41 @@
 	 * Creates a connection that is not open yet.
 	 * @param server the run of the server that the connection is opened to
 	 * @param protocol interprets the headers of responses
-	 * @param decoder the decoder in front of this handler
+	 * @param memory the account of the bytes held for responses
+	 * @param scheduler runs what does not fit into one turn of the event loop
 	 * @param observer receives the head of each response
 	 * @param releaseListener receives this connection each time it has become idle
 	 * @param metrics counts the parts of requests that could not be written
 	 */
-	BackendConnection(BackendInstance server, ServerProtocol protocol, BackendResponseDecoder decoder,
+	BackendConnection(BackendInstance server, ServerProtocol protocol, MemoryAccount memory, TurnScheduler scheduler,
 			ResponseObserver observer, ReleaseListener releaseListener, GatewayMetrics metrics) {
 		this.server = server;
 		this.protocol = protocol;
-		this.decoder = decoder;
+		this.memory = memory;
+		this.headMemory = memory.reserveEvictable(HeldKind.RESPONSE_HEAD, this::evict);
+		this.decoder = new BackendResponseDecoder(() -> this.reading);
+		this.dataHandler = new ExpectedDataHandler(this, scheduler);
 		this.observer = observer;
 		this.releaseListener = releaseListener;
 		this.metrics = metrics;
 	}
 
+	/**
+	 * Returns the handler in front of the decoder.
+	 * @return the handler
+	 */
+	ExpectedDataHandler dataHandler() {
+		return this.dataHandler;
+	}
+
+	/**
+	 * Returns the decoder in front of this handler.
+	 * @return the decoder
+	 */
+	BackendResponseDecoder decoder() {
+		return this.decoder;
+	}
+
 	private ChannelHandlerContext context() {
 		ChannelHandlerContext known = this.context;
 		if (known == null) {
@@ -305,8 +349,44 @@
 		}
 	}
 
+	/**
+	 * Sets whether further parts of the response are read and decoded.
+	 * @param reading {@code true} to read, {@code false} to apply backpressure
+	 */
 	void setReading(boolean reading) {
-		channel().config().setAutoRead(reading);
+		this.reading = reading;
+		channel().config().setAutoRead(reading && !this.decodingSuspended);
+		if (reading && this.decodingSuspended) {
+			this.dataHandler.turns().continueLater();
+		}
+	}
+
+	/**
+	 * Records what is held after received bytes were decoded.
+	 * @param used the decoder of this connection
+	 */
+	void turnEnded(PartDecoder used) {
+		this.undecodedBufferBytes = used.heldBytes();
+		this.decodingSuspended = used.parts().isSuspended();
+		channel().config().setAutoRead(this.reading && !this.decodingSuspended);
+		updateHeadMemory();
+		int evicted = this.memory.evictExcess();
+		if (evicted > 0) {
+			this.metrics.countEvictions("responses", evicted);
+			LOGGER.warn("{}",
+					LogLine.event("memory.full")
+						.with("account", "responses")
+						.with("evicted", evicted)
+						.with("heldBytes", this.memory.heldBytes()));
+		}
+	}
+
+	private void updateHeadMemory() {
+		this.headMemory.resize(channel().isOpen() ? this.undecodedBufferBytes + this.decodedHeadBytes : 0);
+	}
+
+	private void evict() {
+		fail("no memory for the response");
 	}
 
 	/**
@@ -315,6 +395,12 @@
 	 */
 	void abandon() {
 		this.listener = null;
+		close();
+	}
+
+	private void close() {
+		this.decodedHeadBytes = 0;
+		this.headMemory.resize(0);
 		context().close();
 	}
 
@@ -446,6 +532,7 @@
 			return;
 		}
 		this.responseStarted = true;
+		this.decodedHeadBytes = HeldSize.ofHead(response);
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(response) && this.responseSized
 				&& !this.decoder.hadLargeHead();
 		updateIdleLimit(response);
@@ -504,6 +591,7 @@
 	private void completeResponse() {
 		BackendListener completed = currentListener();
 		this.listener = null;
+		this.decodedHeadBytes = 0;
 		int undecodedBytes = this.decoder.undecodedBytes();
 		boolean keep = this.reusable && this.requestComplete && undecodedBytes == 0 && channel().isActive();
 		if (undecodedBytes > 0) {
@@ -514,7 +602,7 @@
 		}
 		completed.ended();
 		if (keep) {
-			channel().config().setAutoRead(true);
+			setReading(true);
 			this.releaseListener.released(this);
 		}
 	}
@@ -522,7 +610,7 @@
 	private void fail(String reason) {
 		BackendListener active = this.listener;
 		this.listener = null;
-		context().close();
+		close();
 		if (active != null) {
 			active.failed(reason);
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -20,6 +20,7 @@
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.gateway.GatewayMetrics;
 import org.lovagevale.gateway.ServerProtocol;
@@ -39,6 +40,9 @@
 	/** Timeout for opening a connection within the region, in milliseconds. */
 	private static final int CONNECT_TIMEOUT_MS = 400;
 
+	/** Maximum size of the buffer into which data of a server is read, in bytes. */
+	private static final int MAX_READ_BYTES = 32_768;
+
 	/** Maximum number of idle connections per server. */
 	private static final int MAX_IDLE_PER_SERVER = 4;
 
@@ -56,6 +60,10 @@
 
 	private final ServerAnnouncements announcements;
 
+	private final MemoryAccount responseMemory;
+
+	private final TurnScheduler scheduler;
+
 	private final Consumer<BackendInstance> leavingListener;
 
 	private final Map<ServerName, ArrayDeque<BackendConnection>> idle = new HashMap<>();
@@ -68,17 +76,22 @@
 	 * @param clock the clock
 	 * @param metrics counts the opened connections
 	 * @param announcements receives what servers announce in their responses
+	 * @param responseMemory the account of the bytes held for responses
+	 * @param scheduler runs what does not fit into one turn of the event loop
 	 * @param leavingListener receives a run of a server when it is first known to leave,
 	 * called on the event loop
 	 */
 	public BackendConnectionPool(EventLoop loop, Supplier<Channel> channelFactory, ServerProtocol protocol, Clock clock,
-			GatewayMetrics metrics, ServerAnnouncements announcements, Consumer<BackendInstance> leavingListener) {
+			GatewayMetrics metrics, ServerAnnouncements announcements, MemoryAccount responseMemory,
+			TurnScheduler scheduler, Consumer<BackendInstance> leavingListener) {
 		this.loop = loop;
 		this.channelFactory = channelFactory;
 		this.protocol = protocol;
 		this.clock = clock;
 		this.metrics = metrics;
 		this.announcements = announcements;
+		this.responseMemory = responseMemory;
+		this.scheduler = scheduler;
 		this.leavingListener = leavingListener;
 	}
 
@@ -113,11 +126,10 @@
 			listener.connected(idleConnection);
 			return;
 		}
-		BackendResponseDecoder decoder = new BackendResponseDecoder();
-		BackendConnection connection = new BackendConnection(server, this.protocol, decoder, observer,
-				(released) -> addIdle(server.id(), released), this.metrics);
+		BackendConnection connection = new BackendConnection(server, this.protocol, this.responseMemory, this.scheduler,
+				observer, (released) -> addIdle(server.id(), released), this.metrics);
 		this.metrics.countConnection(server.service().value());
-		bootstrap(decoder, connection).connect(server.host(), server.port()).addListener((future) -> {
+		bootstrap(connection).connect(server.host(), server.port()).addListener((future) -> {
 			if (future.isSuccess()) {
 				listener.connected(connection);
 			}
@@ -127,11 +139,12 @@
 		});
 	}
 
-	private Bootstrap bootstrap(BackendResponseDecoder decoder, BackendConnection connection) {
+	private Bootstrap bootstrap(BackendConnection connection) {
 		return new Bootstrap().group(this.loop)
 			.channelFactory(this.channelFactory::get)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.oneBufferAtATime(MAX_READ_BYTES))
 			// A failed write would discard a response that was not read yet.
 			.option(ChannelOption.AUTO_CLOSE, false)
 			.handler(new ChannelInitializer<>() {
@@ -139,8 +152,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new ExpectedDataHandler(connection), new WriteFailureHandler(connection::writeFailed),
-								new HttpRequestEncoder(), decoder, connection);
+						.addLast(connection.dataHandler(), new WriteFailureHandler(connection::writeFailed),
+								new HttpRequestEncoder(), connection.decoder(), connection);
 				}
 
 			});
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -1,17 +1,19 @@
 package org.lovagevale.gateway.http;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 
 /**
@@ -19,12 +21,15 @@
  * those whose head begins with a part of another one.
  *
  * <p>
- * Not thread-safe.
+ * Invariant: a head that has arrived in part is kept as bytes. Not thread-safe.
  */
-final class BackendResponseDecoder extends HttpResponseDecoder {
+final class BackendResponseDecoder extends HttpResponseDecoder implements PartDecoder {
 
 	private static final int MAX_HEAD_BYTES = 65_536;
 
+	/** Maximum number of header lines of a response. */
+	private static final int MAX_HEAD_LINES = 512;
+
 	private static final int MAX_CHUNK_BYTES = 32_768;
 
 	/** Size of a head from which this decoder is not to be used again, in bytes. */
@@ -33,19 +38,44 @@
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+[1-5][0-9]{2}",
 			Pattern.CASE_INSENSITIVE);
 
-	private boolean responseToHead;
+	private static final byte[] FIRST_BYTES = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
-	private int headBytes;
+	private final MessagePartReader parts;
 
-	private boolean headComplete;
+	private boolean responseToHead;
 
 	private boolean largeHead;
 
-	BackendResponseDecoder() {
+	/**
+	 * Creates a decoder for a new connection.
+	 * @param isDecodable tells whether decoded parts of responses can be handled now
+	 */
+	BackendResponseDecoder(BooleanSupplier isDecodable) {
 		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEAD_BYTES)
 			.setMaxHeaderSize(MAX_HEAD_BYTES)
 			.setMaxChunkSize(MAX_CHUNK_BYTES)
 			.setAllowDuplicateContentLengths(false));
+		this.parts = new MessagePartReader(new Parts(), isDecodable, MAX_HEAD_BYTES, MAX_HEAD_LINES);
+	}
+
+	@Override
+	public MessagePartReader parts() {
+		return this.parts;
+	}
+
+	@Override
+	public int heldBytes() {
+		return (actualReadableBytes() > 0) ? internalBuffer().capacity() : 0;
+	}
+
+	@Override
+	public int partialHeadBytes() {
+		return this.parts.partialHeadBytes() + actualReadableBytes();
+	}
+
+	@Override
+	public void decodeHeld(ChannelHandlerContext context) throws Exception {
+		channelRead(context, Unpooled.EMPTY_BUFFER);
 	}
 
 	/**
@@ -76,19 +106,14 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-		int start = buffer.readerIndex();
-		int decoded = out.size();
-		super.decode(ctx, buffer, out);
-		if (!this.headComplete) {
-			this.headBytes += buffer.readerIndex() - start;
-			this.largeHead |= this.headBytes >= LARGE_HEAD_BYTES;
-		}
-		for (Object part : out.subList(decoded, out.size())) {
-			this.headComplete = !(part instanceof LastHttpContent);
-			if (!this.headComplete) {
-				this.headBytes = 0;
-			}
-		}
+		this.parts.decode(ctx, buffer, out);
+		this.largeHead |= this.parts.headBytes() >= LARGE_HEAD_BYTES;
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+		this.parts.closeInput();
+		super.channelInactive(ctx);
 	}
 
 	/**
@@ -135,4 +160,31 @@
 		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
 	}
 
+	/**
+	 * Decodes the parts of responses.
+	 */
+	private final class Parts implements MessagePartReader.Decoder {
+
+		@Override
+		public void checkFirstBytes(ByteBuf buffer) {
+			int known = Math.min(FIRST_BYTES.length, buffer.readableBytes());
+			for (int i = 0; i < known; i++) {
+				if (buffer.getByte(buffer.readerIndex() + i) != FIRST_BYTES[i]) {
+					throw new IllegalArgumentException("response does not begin with a status line");
+				}
+			}
+		}
+
+		@Override
+		public void decode(ChannelHandlerContext ctx, ByteBuf part, List<Object> out) throws Exception {
+			BackendResponseDecoder.super.decode(ctx, part, out);
+		}
+
+		@Override
+		public HttpMessage createInvalid() {
+			return createInvalidMessage();
+		}
+
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerCloseRecorder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerCloseRecorder.java
@@ -47,7 +47,7 @@
 	}
 
 	void recordDiscarded(HttpObject part) {
-		this.discardedBytes += RequestSize.bytesOf(part);
+		this.discardedBytes += HeldSize.of(part);
 		this.discardedRequests += (part instanceof HttpRequest) ? 1 : 0;
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ExchangeServices.java
@@ -34,9 +34,11 @@
  * @param readDelay the delay with which received data is read
  * @param memory the account of the bytes held for requests
  * @param responseMemory the account of the bytes held for responses
+ * @param scheduler runs what does not fit into one turn of the event loop
  */
 public record ExchangeServices(EventLoop loop, Clock clock, GatewaySettings settings, CatalogUpdater catalog,
 		SlotClient slots, RegionRelay relay, BackendConnectionPool connectionPool, ServerProtocol protocol,
 		WorkEstimates estimates, GatewayMetrics metrics, Roster roster, PlannedStop plannedStop,
-		ServerAnnouncements announcements, ReadDelay readDelay, MemoryAccount memory, MemoryAccount responseMemory) {
+		ServerAnnouncements announcements, ReadDelay readDelay, MemoryAccount memory, MemoryAccount responseMemory,
+		TurnScheduler scheduler) {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -44,14 +44,21 @@
  * Invariants: requests are handled one after the other, so that responses are sent in the
  * order of the requests; a response that closes the connection is the last one; during a
  * planned stop every response closes it; after a part of a response that could not be
- * written, nothing more is written and the connection is closed. Confined to the event
- * loop.
+ * written, nothing more is written and the connection is closed; what has arrived of
+ * requests that are not accepted yet is given up if the process is full and this
+ * connection holds the most of it. Confined to the event loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
 
 	/** Maximum number of queued HTTP objects of later requests before reading stops. */
 	private static final int MAX_QUEUED_OBJECTS = 64;
 
+	/**
+	 * Size of the rest of a request, in bytes, up to which it is discarded so that its
+	 * connection can be used again.
+	 */
+	private static final long MAX_DISCARDED_BYTES = 262_144;
+
 	/**
 	 * Maximum time between the last response and the close, in milliseconds. A caller
 	 * that reads 540 KB at 1 Mbit/s needs 4.4 s.
@@ -84,6 +91,8 @@
 
 	private static final int INTERNAL_ERROR = 500;
 
+	private static final int SERVICE_UNAVAILABLE = 503;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(FrontendConnection.class);
 
 	private final RequestRouter router;
@@ -93,18 +102,36 @@
 	/** Monotonic times in milliseconds at which the queued request heads arrived. */
 	private final ArrayDeque<Long> queuedArrivals = new ArrayDeque<>();
 
-	/** Memory of a request head that has arrived in part. */
-	private final MemoryReservation partialHeadMemory;
+	/** Memory of what has arrived of requests that are not accepted yet. */
+	private final MemoryReservation pendingMemory;
+
+	/** Memory of the received bytes of a request that is accepted already. */
+	private final MemoryReservation acceptedMemory;
 
 	/** Bytes of a request head that has arrived in part. */
 	private int partialHeadBytes;
 
+	/** Size of the buffer of the bytes that are not decoded yet. */
+	private int undecodedBufferBytes;
+
+	/** Size of the queued objects. */
+	private long queuedBytes;
+
+	/** Whether the exchange takes further parts of the request. */
+	private boolean reading = true;
+
+	/** Whether nothing is read until received bytes are decoded. */
+	private boolean decodingSuspended;
+
+	/**
+	 * Whether further requests are not read, since the connection is closed after the
+	 * current one.
+	 */
+	private boolean inputDiscarded;
+
 	/** Explains the close of this connection. */
 	private final CallerCloseRecorder closeRecorder = new CallerCloseRecorder();
 
-	/** Memory of the queued objects. */
-	private final MemoryReservation queueMemory;
-
 	private final ChannelFutureListener writeListener = (write) -> {
 		Throwable cause = write.cause();
 		this.pendingWrites--;
@@ -125,6 +152,9 @@
 
 	private boolean discarding;
 
+	/** Size of the discarded parts of the current request. */
+	private long discardedBytes;
+
 	private boolean keepAlive = true;
 
 	private boolean http10;
@@ -145,6 +175,9 @@
 
 	private boolean processing;
 
+	/** Whether another turn of {@link #process()} is scheduled. */
+	private boolean processingLater;
+
 	private boolean dataReceived;
 
 	/** Whether the head of a request was read whose response has not ended. */
@@ -180,8 +213,8 @@
 
 	FrontendConnection(RequestRouter router) {
 		this.router = router;
-		this.partialHeadMemory = router.createMemoryReservation();
-		this.queueMemory = router.createMemoryReservation();
+		this.pendingMemory = router.reserveEvictable(this::evict);
+		this.acceptedMemory = router.reserve();
 		this.lastActivityAt = router.now();
 	}
 
@@ -205,41 +238,93 @@
 	/**
 	 * Records the arrival of bytes that are not decoded yet. Stops reading if the process
 	 * is full, unless they belong to a request that was accepted with its body.
-	 * @param bytes the number of bytes
-	 * @return {@code false} if they are not to be decoded until reading is resumed
 	 */
-	boolean bytesArrived(int bytes) {
+	void bytesArrived() {
 		this.dataReceived = true;
 		if (this.closing) {
-			return true;
+			return;
 		}
 		this.lastActivityAt = now();
 		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
+		this.router.evictExcess();
 		Exchange current = this.exchange;
 		if (this.router.isMemoryFull() && !this.discarding && (current == null || !current.isNextContentReserved())) {
 			pauseForMemory();
 		}
-		return !this.pausedForMemory || !this.router.isMemoryOverfull();
 	}
 
 	/**
-	 * Records what is held of a head that has arrived in part, after received bytes were
-	 * decoded.
-	 * @param bytes the number of its bytes, 0 if there is none
-	 * @param lines the number of its complete lines
+	 * Tells whether decoded parts of requests can be handled now. Bytes that arrive while
+	 * the process is overfull are not decoded, since a decoded head takes many times the
+	 * size of its bytes.
+	 * @return {@code false} if received bytes are to be kept as they are
+	 */
+	boolean isDecodable() {
+		return this.closing || this.reading && this.queued.size() < MAX_QUEUED_OBJECTS
+				&& (this.discarding || !this.pausedForMemory || !this.router.isMemoryOverfull());
+	}
+
+	/**
+	 * Records what is held after received bytes were decoded.
+	 * @param decoder the decoder of this connection
 	 */
-	void bytesDecoded(int bytes, int lines) {
-		if (!this.closing) {
-			this.partialHeadBytes = bytes;
-			this.partialHeadMemory.resize(RequestSize.ofPartialHead(bytes, lines));
+	void turnEnded(PartDecoder decoder) {
+		this.undecodedBufferBytes = this.closing ? 0 : decoder.heldBytes();
+		this.partialHeadBytes = this.closing ? 0 : decoder.partialHeadBytes();
+		this.decodingSuspended = decoder.parts().isSuspended();
+		applyReading();
+		updatePendingMemory();
+		this.router.evictExcess();
+	}
+
+	private void updatePendingMemory() {
+		Exchange current = this.exchange;
+		boolean accepted = current != null && !current.isBodyComplete();
+		this.pendingMemory.resize(accepted ? 0 : this.undecodedBufferBytes + this.queuedBytes);
+		// The next bytes of a body that was accepted are accounted for with it.
+		boolean reserved = current != null && current.isNextContentReserved();
+		this.acceptedMemory.resize((accepted && !reserved) ? this.undecodedBufferBytes + this.queuedBytes : 0);
+	}
+
+	// A request whose head is incomplete has not run. Requests behind one in progress are
+	// sent again by the caller if their connection is closed after its response.
+	private void evict() {
+		Exchange current = this.exchange;
+		if (this.closing) {
+			return;
+		}
+		if (this.discarding) {
+			closeAfterLastResponse(true);
 		}
+		else if (current == null) {
+			rejectAndClose(SERVICE_UNAVAILABLE, "no memory for the request", this.router.memoryRetryHeaders());
+		}
+		else {
+			this.keepAlive = false;
+			this.inputDiscarded = true;
+			releaseQueued();
+			discardUndecoded();
+			applyReading();
+		}
+	}
+
+	private void discardUndecoded() {
+		this.undecodedBufferBytes = 0;
+		this.decodingSuspended = false;
+		ArrivalHandler arrivals = context().pipeline().get(ArrivalHandler.class);
+		if (arrivals != null) {
+			arrivals.turns().discardInput();
+		}
+		updatePendingMemory();
 	}
 
-	private void releasePartialHead() {
-		this.partialHeadBytes = 0;
-		this.partialHeadMemory.resize(0);
+	private void continueDecoding() {
+		ArrivalHandler arrivals = context().pipeline().get(ArrivalHandler.class);
+		if (this.decodingSuspended && arrivals != null) {
+			arrivals.turns().continueLater();
+		}
 	}
 
 	/**
@@ -254,7 +339,7 @@
 	private void pauseForMemory() {
 		this.pausedForMemory = true;
 		this.router.pauseReading(this);
-		setReading(false);
+		applyReading();
 	}
 
 	/**
@@ -278,8 +363,8 @@
 	 */
 	void resumeReading() {
 		this.pausedForMemory = false;
-		context().pipeline().get(ArrivalHandler.class).decodeHeldBack();
-		setReading(true);
+		applyReading();
+		continueDecoding();
 	}
 
 	@Override
@@ -292,16 +377,13 @@
 			releaseUnhandled(object);
 			return;
 		}
-		releasePartialHead();
-		this.queueMemory.resize(this.queueMemory.bytes() + RequestSize.bytesOf(object));
+		this.queuedBytes += HeldSize.of(object);
 		this.queued.add(object);
 		if (object instanceof HttpRequest) {
 			this.queuedArrivals.add(this.router.arrivalTime(ctx.channel()));
 		}
 		process();
-		if (this.queued.size() > MAX_QUEUED_OBJECTS) {
-			setReading(false);
-		}
+		updatePendingMemory();
 	}
 
 	private void process() {
@@ -310,8 +392,20 @@
 		}
 		this.processing = true;
 		try {
-			while (!this.queued.isEmpty() && processNext()) {
-				// Each call consumes one object.
+			boolean begun = false;
+			boolean proceeding = true;
+			while (proceeding && !this.queued.isEmpty()) {
+				boolean begins = this.queued.peek() instanceof HttpRequest;
+				if (begins && begun && this.exchange == null) {
+					// Further requests are handled in other turns, since each may be
+					// answered at once.
+					processLater();
+					proceeding = false;
+				}
+				else {
+					proceeding = processNext();
+					begun |= begins && proceeding;
+				}
 			}
 		}
 		catch (RuntimeException ex) {
@@ -320,9 +414,18 @@
 		finally {
 			this.processing = false;
 		}
-		if (this.exchange == null && this.queued.isEmpty()) {
-			// Reading may have stopped because of a long queue that is discarded now.
-			setReading(true);
+		if (isDecodable()) {
+			continueDecoding();
+		}
+	}
+
+	private void processLater() {
+		if (!this.processingLater) {
+			this.processingLater = true;
+			this.router.scheduler().add(() -> {
+				this.processingLater = false;
+				process();
+			});
 		}
 	}
 
@@ -388,7 +491,7 @@
 
 	private HttpObject dequeue() {
 		HttpObject next = this.queued.remove();
-		this.queueMemory.resize(this.queueMemory.bytes() - RequestSize.bytesOf(next));
+		this.queuedBytes -= HeldSize.of(next);
 		if (next instanceof HttpRequest) {
 			this.arrivedAt = this.queuedArrivals.remove();
 		}
@@ -406,10 +509,14 @@
 
 	private void discard(HttpObject next) {
 		boolean last = next instanceof LastHttpContent || next.decoderResult().isFailure();
+		this.discardedBytes += HeldSize.of(next);
 		ReferenceCountUtil.release(next);
 		if (last) {
 			this.discarding = false;
 		}
+		else if (this.discardedBytes > MAX_DISCARDED_BYTES) {
+			closeAfterLastResponse(true);
+		}
 	}
 
 	private void beginRequest(HttpRequest head) {
@@ -459,6 +566,10 @@
 	 * @param reason the reason, sent in the response body
 	 */
 	void rejectAndClose(int status, String reason) {
+		rejectAndClose(status, reason, new DefaultHttpHeaders());
+	}
+
+	private void rejectAndClose(int status, String reason, HttpHeaders headers) {
 		LOGGER.info("{}",
 				LogLine.event("request.rejected")
 					.with("status", status)
@@ -466,7 +577,7 @@
 					.with("why", reason));
 		this.router.countRejected(status);
 		this.keepAlive = false;
-		reply(status, reason, new DefaultHttpHeaders());
+		reply(status, reason, headers);
 	}
 
 	private void rejectAndClose(Exchange current, int status, String reason) {
@@ -482,6 +593,7 @@
 	 */
 	void replyAndDiscard(int status, String reason, HttpHeaders headers) {
 		this.discarding = true;
+		this.discardedBytes = 0;
 		reply(status, reason, headers);
 	}
 
@@ -621,8 +733,11 @@
 		this.bodyUnread = bodyIncomplete;
 		this.pausedForMemory = false;
 		this.headStartedAt = -1;
+		this.inputDiscarded = false;
 		releaseQueued();
-		releasePartialHead();
+		if (this.undecodedBufferBytes > 0) {
+			discardUndecoded();
+		}
 		LingeringCloseHandler handler = new LingeringCloseHandler(LINGER_MS);
 		this.lingeringHandler = handler;
 		context().pipeline().addFirst(handler);
@@ -681,8 +796,15 @@
 
 	@Override
 	public void setReading(boolean reading) {
-		boolean full = this.queued.size() > MAX_QUEUED_OBJECTS;
-		boolean allowed = reading && !full && !this.pausedForMemory;
+		this.reading = reading;
+		applyReading();
+		if (reading) {
+			continueDecoding();
+		}
+	}
+
+	private void applyReading() {
+		boolean allowed = this.reading && !this.decodingSuspended && !this.pausedForMemory && !this.inputDiscarded;
 		boolean resumed = allowed && !isReading();
 		context().channel().config().setAutoRead(allowed);
 		if (resumed) {
@@ -769,7 +891,8 @@
 	}
 
 	private boolean isIdle() {
-		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding;
+		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding
+				|| !this.queued.isEmpty();
 		return !busy && now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
 	}
 
@@ -789,7 +912,8 @@
 		this.closing = true;
 		releaseQueued();
 		reportClose();
-		releasePartialHead();
+		this.pendingMemory.resize(0);
+		this.acceptedMemory.resize(0);
 		this.router.removeConnection(this);
 		if (current != null) {
 			current.callerDisconnected();
@@ -850,7 +974,8 @@
 		this.queued.forEach(this::releaseUnhandled);
 		this.queued.clear();
 		this.queuedArrivals.clear();
-		this.queueMemory.resize(0);
+		this.queuedBytes = 0;
+		updatePendingMemory();
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -5,7 +5,6 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,10 +33,6 @@
 	/** Maximum size of the buffer into which data of a caller is read, in bytes. */
 	static final int MAX_READ_BYTES = 16_384;
 
-	private static final int MIN_READ_BYTES = 64;
-
-	private static final int INITIAL_READ_BYTES = 2_048;
-
 	/**
 	 * Time for the handshakes in progress when the server stops accepting, in
 	 * milliseconds. It covers the round trip between regions and a lost last packet of
@@ -105,8 +100,7 @@
 			.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.acceptAllWaiting())
 			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
-					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.oneBufferAtATime(MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<>() {
 
 				@Override
@@ -128,7 +122,8 @@
 		this.acceptedWhileStopping += this.stopping ? 1 : 0;
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
-			.addLast(new ArrivalHandler(connection), new StrictRequestDecoder(this.router::limits),
+			.addLast(new ArrivalHandler(connection, this.router.scheduler()),
+					new StrictRequestDecoder(this.router::limits, connection::isDecodable),
 					new WriteFailureHandler(connection::writeFailed), new HttpResponseEncoder(), connection);
 		connection.pauseIfMemoryFull();
 	}
--- /dev/null
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HeldSize.java
@@ -0,0 +1,56 @@
+package org.lovagevale.gateway.http;
+
+import java.util.Map;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+
+/**
+ * The memory that decoded parts of messages take, with their objects.
+ *
+ * <p>
+ * Thread-safe.
+ */
+final class HeldSize {
+
+	/** Size of the objects of a head without its headers, in bytes. */
+	private static final int HEAD_BYTES = 512;
+
+	/**
+	 * Size of the objects of a header without its characters, in bytes: an entry of the
+	 * map, and a name and a value with an array each.
+	 */
+	private static final int HEADER_BYTES = 144;
+
+	/** Size of the objects of a part of a body, in bytes. */
+	private static final int CONTENT_BYTES = 144;
+
+	private HeldSize() {
+	}
+
+	/**
+	 * Returns the size of a head.
+	 * @param head the head of a request or a response
+	 * @return the size in bytes
+	 */
+	static long ofHead(HttpMessage head) {
+		long bytes = HEAD_BYTES + ((head instanceof HttpRequest request) ? request.uri().length() : 0);
+		for (Map.Entry<String, String> header : head.headers()) {
+			bytes += header.getKey().length() + header.getValue().length() + HEADER_BYTES;
+		}
+		return bytes;
+	}
+
+	/**
+	 * Returns the size of a part of a message.
+	 * @param part a head or a part of a body
+	 * @return the size in bytes
+	 */
+	static long of(HttpObject part) {
+		long bytes = (part instanceof HttpMessage head) ? ofHead(head) : 0;
+		return bytes + ((part instanceof HttpContent content) ? CONTENT_BYTES + content.content().readableBytes() : 0);
+	}
+
+}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -98,6 +98,14 @@
 		return now() - this.services.readDelay().millisOf(channel);
 	}
 
+	/**
+	 * Returns the scheduler of what does not fit into one turn of the event loop.
+	 * @return the scheduler
+	 */
+	TurnScheduler scheduler() {
+		return this.services.scheduler();
+	}
+
 	boolean isStopping() {
 		return this.services.plannedStop().isInProgress();
 	}
@@ -127,8 +135,39 @@
 		this.pausedConnections.remove(connection);
 	}
 
-	MemoryReservation createMemoryReservation() {
-		return this.services.memory().reserve(HeldKind.REQUEST_HEAD, 0);
+	MemoryReservation reserveEvictable(Runnable eviction) {
+		return this.services.memory().reserveEvictable(HeldKind.REQUEST_HEAD, eviction);
+	}
+
+	MemoryReservation reserve() {
+		return this.services.memory().reserve(HeldKind.REQUEST_BODY, 0);
+	}
+
+	/**
+	 * Has the connections that hold the most of requests which are not accepted yet give
+	 * it up, if the process is full.
+	 */
+	void evictExcess() {
+		MemoryAccount memory = this.services.memory();
+		int evicted = memory.evictExcess();
+		if (evicted > 0) {
+			this.services.metrics().countEvictions("requests", evicted);
+			LOGGER.warn("{}",
+					LogLine.event("memory.full")
+						.with("account", "requests")
+						.with("evicted", evicted)
+						.with("heldBytes", memory.heldBytes()));
+		}
+	}
+
+	/**
+	 * Returns the headers of a response to a request for which there is no memory.
+	 * @return the headers, which state when to send it again
+	 */
+	HttpHeaders memoryRetryHeaders() {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		this.services.protocol().setRetryAfter(headers, this.services.memory().retryAfterMs());
+		return headers;
 	}
 
 	boolean isMemoryFull() {
@@ -203,9 +242,7 @@
 		MemoryAccount memory = this.services.memory();
 		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), route.priority())) {
 			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
-			HttpHeaders headers = new DefaultHttpHeaders();
-			this.services.protocol().setRetryAfter(headers, memory.retryAfterMs());
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", headers);
+			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
 			return;
 		}
 		connection.handle(new Exchange(this.services, connection, request));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerConnections.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerConnections.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
@@ -33,6 +34,10 @@
 	 */
 	private static final long ACCEPT_BEFORE_CLOSE_MS = 1;
 
+	private static final int MIN_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2_048;
+
 	/** Interval at which open connections are checked before the end, in milliseconds. */
 	private static final long CLOSE_CHECK_INTERVAL_MS = 20;
 
@@ -60,6 +65,17 @@
 			.maxMessagesPerRead(MAX_ACCEPTED_AT_ONCE);
 	}
 
+	/**
+	 * Returns an allocator for a connection that is read once in a turn of the event
+	 * loop. By default, up to 16 buffers are read, which takes the time of other
+	 * connections while one has data without end.
+	 * @param maxBytes the maximum size of the buffer, in bytes
+	 * @return the allocator
+	 */
+	public static RecvByteBufAllocator oneBufferAtATime(int maxBytes) {
+		return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, maxBytes).maxMessagesPerRead(1);
+	}
+
 	/**
 	 * Closes a port. New connections are refused at once; those that callers have opened
 	 * already are accepted first, since closing the port would reset them.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/StrictRequestDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/StrictRequestDecoder.java
@@ -1,13 +1,14 @@
 package org.lovagevale.gateway.http;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.lovagevale.core.catalog.RequestLimits;
@@ -16,11 +17,12 @@
  * Decodes the requests of callers and rejects those with ambiguous framing.
  *
  * <p>
- * Invariant: once a request with a large head has arrived completely, this decoder is
- * replaced by a new one, since it keeps a buffer of the size of the longest line for as
- * long as it is in use. Not thread-safe.
+ * Invariants: a head that has arrived in part is kept as bytes; once a request with a
+ * large head has arrived completely, this decoder is replaced by a new one, since it
+ * keeps a buffer of the size of the longest line for as long as it is in use. Not
+ * thread-safe.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+final class StrictRequestDecoder extends HttpRequestDecoder implements PartDecoder {
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
@@ -30,95 +32,110 @@
 	 */
 	private static final int LARGE_HEAD_BYTES = 2_048;
 
-	private static final byte LINE_FEED = '\n';
-
 	private final Supplier<RequestLimits> limits;
 
-	private int headBytes;
-
-	private boolean headComplete;
+	private final BooleanSupplier isDecodable;
 
-	/** Lines of a head that has arrived in part. */
-	private int partialLines;
+	private final MessagePartReader parts;
 
 	/**
 	 * Creates a decoder for a new connection.
 	 * @param limits returns the limits on requests; the current ones apply to this
 	 * decoder
+	 * @param isDecodable tells whether decoded parts of requests can be handled now
 	 */
-	StrictRequestDecoder(Supplier<RequestLimits> limits) {
-		super(config(limits.get()));
-		this.limits = limits;
+	StrictRequestDecoder(Supplier<RequestLimits> limits, BooleanSupplier isDecodable) {
+		this(limits, isDecodable, limits.get().maxHeaderBytes());
 	}
 
-	private static HttpDecoderConfig config(RequestLimits limits) {
-		return new HttpDecoderConfig().setMaxInitialLineLength(limits.maxHeaderBytes())
-			.setMaxHeaderSize(limits.maxHeaderBytes())
+	private StrictRequestDecoder(Supplier<RequestLimits> limits, BooleanSupplier isDecodable, int maxHeaderBytes) {
+		super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes)
+			.setMaxHeaderSize(maxHeaderBytes)
 			.setMaxChunkSize(MAX_CHUNK_BYTES)
-			.setAllowDuplicateContentLengths(false);
+			.setAllowDuplicateContentLengths(false));
+		this.limits = limits;
+		this.isDecodable = isDecodable;
+		this.parts = new MessagePartReader(new Parts(), isDecodable, maxHeaderBytes, Integer.MAX_VALUE);
+	}
+
+	@Override
+	public MessagePartReader parts() {
+		return this.parts;
+	}
+
+	@Override
+	public int heldBytes() {
+		return (actualReadableBytes() > 0) ? internalBuffer().capacity() : 0;
+	}
+
+	@Override
+	public int partialHeadBytes() {
+		return this.parts.partialHeadBytes() + actualReadableBytes();
+	}
+
+	@Override
+	public void decodeHeld(ChannelHandlerContext context) throws Exception {
+		channelRead(context, Unpooled.EMPTY_BUFFER);
 	}
 
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-		int start = buffer.readerIndex();
 		int decoded = out.size();
-		super.decode(ctx, buffer, out);
-		if (!this.headComplete) {
-			this.headBytes += buffer.readerIndex() - start;
-			if (out.size() == decoded) {
-				this.partialLines += countLines(buffer, start);
-			}
-		}
+		this.parts.decode(ctx, buffer, out);
 		for (Object part : out.subList(decoded, out.size())) {
-			recordPart(ctx, part);
+			if (part instanceof LastHttpContent) {
+				requestDecoded(ctx);
+			}
 		}
 	}
 
-	private static int countLines(ByteBuf buffer, int start) {
-		int lines = 0;
-		int end = buffer.readerIndex();
-		for (int i = buffer.indexOf(start, end, LINE_FEED); i >= 0; i = buffer.indexOf(i + 1, end, LINE_FEED)) {
-			lines++;
+	private void requestDecoded(ChannelHandlerContext ctx) {
+		if (this.parts.headBytes() >= LARGE_HEAD_BYTES) {
+			// Bytes of the next request that have been read are passed to the new
+			// decoder.
+			ctx.pipeline().replace(this, null, new StrictRequestDecoder(this.limits, this.isDecodable));
 		}
-		return lines;
 	}
 
-	private void recordPart(ChannelHandlerContext ctx, Object part) {
-		if (part instanceof HttpRequest) {
-			this.headComplete = true;
-			this.partialLines = 0;
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+		if (this.parts.isSuspended()) {
+			// Nobody waits for the responses to these requests.
+			this.parts.discardInput();
 		}
-		if (part instanceof LastHttpContent) {
-			boolean large = this.headBytes >= LARGE_HEAD_BYTES;
-			this.headBytes = 0;
-			this.headComplete = false;
-			if (large) {
-				// Bytes of the next request that have been read are passed to the new
-				// decoder.
-				ctx.pipeline().replace(this, null, new StrictRequestDecoder(this.limits));
-			}
+		else {
+			this.parts.closeInput();
 		}
+		super.channelInactive(ctx);
 	}
 
-	/**
-	 * Returns the size of a head that has arrived in part.
-	 * @return the received bytes of it, 0 if there is none
-	 */
-	int partialHeadBytes() {
-		return (this.headComplete ? 0 : this.headBytes) + actualReadableBytes();
+	@Override
+	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
 	}
 
 	/**
-	 * Returns the number of complete lines of a head that has arrived in part.
-	 * @return the number of lines, 0 if there is none
+	 * Decodes the parts of requests.
 	 */
-	int partialHeadLines() {
-		return this.partialLines;
-	}
+	private final class Parts implements MessagePartReader.Decoder {
+
+		@Override
+		public void checkFirstBytes(ByteBuf buffer) {
+			if (buffer.getByte(buffer.readerIndex()) <= ' ') {
+				throw new IllegalArgumentException("request line does not begin with a method");
+			}
+		}
+
+		@Override
+		public void decode(ChannelHandlerContext ctx, ByteBuf part, List<Object> out) throws Exception {
+			StrictRequestDecoder.super.decode(ctx, part, out);
+		}
+
+		@Override
+		public HttpMessage createInvalid() {
+			return createInvalidMessage();
+		}
 
-	@Override
-	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
 	}
 
 }
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/http/StrictRequestDecoderTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/http/StrictRequestDecoderTests.java
@@ -34,7 +34,7 @@
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 7, 4_999, 5_100, 1_000_000 })
 	void pipelinedRequestsWithLargeHeadsArriveUnchanged(int readBytes) {
-		EmbeddedChannel channel = new EmbeddedChannel(new StrictRequestDecoder(() -> LIMITS));
+		EmbeddedChannel channel = new EmbeddedChannel(new StrictRequestDecoder(() -> LIMITS, () -> true));
 		byte[] bytes = REQUESTS.getBytes(StandardCharsets.US_ASCII);
 		for (int at = 0; at < bytes.length; at += readBytes) {
 			channel.writeInbound(Unpooled.copiedBuffer(bytes, at, Math.min(readBytes, bytes.length - at)));
@@ -46,7 +46,7 @@
 
 	@Test
 	void decoderIsReplacedAfterALargeHeadOnly() {
-		StrictRequestDecoder first = new StrictRequestDecoder(() -> LIMITS);
+		StrictRequestDecoder first = new StrictRequestDecoder(() -> LIMITS, () -> true);
 		EmbeddedChannel channel = new EmbeddedChannel(first);
 		channel.writeInbound(Unpooled.copiedBuffer("GET /4 HTTP/1.1\r\nHost: a\r\n\r\n", StandardCharsets.US_ASCII));
 		assertThat(channel.pipeline().first()).isSameAs(first);
