Join small parts of a request body also while it is being sent

What callers saw: not reported on its own. A caller that uploads in chunks of one byte filled the heap of the process, so that requests of others were lost.

Cause: once a body was being sent, each part that arrived became a direct buffer of its own, which was counted as one byte and kept until the response. A body of 262,144 bytes made 262,144 buffers with at least 100 bytes of objects each.

Change: a buffer of which slices are being sent is filled up to its capacity, and a new one has room in proportion to the body. It is never reallocated, since that would free memory that is being written. What arrives in one turn of the event loop is sent together. The capacity and the objects of the buffers are counted.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -147,6 +147,12 @@
 	/** Whether the request was at a server when its timeout expired. */
 	private boolean timedOutAtServer;
 
+	/** Whether received parts of the body are sent later in this turn of the loop. */
+	private boolean sendScheduled;
+
+	/** Whether the end of the body was sent in the current attempt. */
+	private boolean bodySent;
+
 	private boolean responseStarted;
 
 	private boolean done;
@@ -219,7 +225,6 @@
 			part.release();
 			return;
 		}
-		int firstNewPart = this.content.parts().size();
 		this.content.add(part);
 		updateBodyMemory();
 		if (this.content.size() > this.request.limits().maxBodyBytes()) {
@@ -229,7 +234,7 @@
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
-			writeFrom(connection, firstNewPart);
+			scheduleSend();
 		}
 		else if (this.pendingSlotId == null && current == null && isBodyReady()) {
 			place();
@@ -251,7 +256,8 @@
 	 * @return {@code true} if they may be read although the process is full
 	 */
 	boolean isNextContentReserved() {
-		return !this.content.isComplete() && this.content.heldBytes() < this.request.size().bodyBytes();
+		return !this.content.isComplete()
+				&& (!this.content.isReplayable() || this.content.size() < this.request.size().bodyBytes());
 	}
 
 	private boolean isBodyReady() {
@@ -506,7 +512,9 @@
 		// A rejection by another entry VM does not carry the request ID.
 		connection.beginRequest(current, requestHead(current, leftMs), this.request.id(), grant != null);
 		logAttempt(current, grant, leftMs);
-		writeFrom(connection, 0);
+		this.content.rewind();
+		this.bodySent = false;
+		sendUnsent(connection);
 	}
 
 	private void logAttempt(SendAttempt current, @Nullable SlotGrant grant, long leftMs) {
@@ -549,15 +557,32 @@
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
 	}
 
-	private void writeFrom(BackendConnection connection, int first) {
-		List<ByteBuf> parts = this.content.parts();
-		for (int i = first; i < parts.size(); i++) {
-			connection.write(new DefaultHttpContent(parts.get(i).retainedDuplicate()));
+	// Sends the parts of the body together that arrive in one turn of the event loop.
+	private void scheduleSend() {
+		if (!this.sendScheduled) {
+			this.sendScheduled = true;
+			this.services.loop().execute(this::sendReceived);
 		}
-		if (this.content.isComplete()) {
+	}
+
+	private void sendReceived() {
+		boolean scheduled = this.sendScheduled;
+		this.sendScheduled = false;
+		SendAttempt current = this.attempt;
+		BackendConnection connection = (current != null) ? current.connection() : null;
+		if (scheduled && !this.done && connection != null) {
+			sendUnsent(connection);
+		}
+	}
+
+	private void sendUnsent(BackendConnection connection) {
+		for (ByteBuf part : this.content.takeUnsent()) {
+			connection.write(new DefaultHttpContent(part));
+		}
+		if (this.content.isComplete() && !this.bodySent) {
+			this.bodySent = true;
 			connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
-		this.content.seal();
 		this.content.dropIfTooLarge();
 		updateBodyMemory();
 		this.caller.setReading(this.content.isComplete() || connection.channel().isWritable());
@@ -902,6 +927,7 @@
 		if (current == null) {
 			return;
 		}
+		sendReceived();
 		// A non-repeatable request that was sent completely is left to run to its end, as
 		// long as its server has time left. Another entry VM decides by itself what to
 		// cancel when the connection to it is closed.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestContent.java
@@ -11,8 +11,9 @@
  * The body of a request, retained so that it can be sent again to another server.
  *
  * <p>
- * Invariant: a body of more than {@link #MAX_REPLAYABLE_BYTES} is dropped once it has
- * been sent, and the request cannot be sent again. Confined to the event loop.
+ * Invariants: a body of more than {@link #MAX_REPLAYABLE_BYTES} is dropped once it has
+ * been sent, and the request cannot be sent again; a buffer of which a slice is being
+ * sent is filled up, but never reallocated. Confined to the event loop.
  */
 final class RequestContent {
 
@@ -25,19 +26,31 @@
 	/** Size up to which received parts are joined in one buffer, in bytes. */
 	private static final int MAX_JOINED_BYTES = 16_384;
 
+	/** Minimum size of a buffer that is added while the body is sent, in bytes. */
+	private static final int MIN_BUFFER_BYTES = 1_024;
+
+	/** Size of the objects of a buffer, in bytes. */
+	private static final int BUFFER_OVERHEAD_BYTES = 144;
+
 	// Parameters of the 64-bit FNV-1a hash.
 	private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
 
 	private static final long FNV_PRIME = 0x100000001b3L;
 
-	private final List<ByteBuf> parts = new ArrayList<>();
+	private final List<ByteBuf> buffers = new ArrayList<>();
 
 	private long size;
 
 	private long heldBytes;
 
-	/** Whether the last buffer is already being sent, so that it must not change. */
-	private boolean sealed;
+	/** Whether a slice of the last buffer is being sent. */
+	private boolean lastBufferSent;
+
+	/** Index of the first buffer that was not sent completely. */
+	private int unsentBuffer;
+
+	/** Index of the first byte in that buffer that was not sent. */
+	private int unsentByte;
 
 	private long hash = FNV_OFFSET_BASIS;
 
@@ -68,18 +81,28 @@
 	}
 
 	private void copy(ByteBuf part) {
-		int bytes = part.readableBytes();
-		ByteBuf last = this.parts.isEmpty() ? null : this.parts.getLast();
-		if (last == null || this.sealed || last.readableBytes() + bytes > MAX_JOINED_BYTES) {
-			last = part.alloc().directBuffer(bytes);
-			this.parts.add(last);
-			this.sealed = false;
+		ByteBuf last = this.buffers.isEmpty() ? null : this.buffers.getLast();
+		if (last != null && this.lastBufferSent) {
+			last.writeBytes(part, Math.min(last.writableBytes(), part.readableBytes()));
 		}
-		else {
+		else if (last != null && last.readableBytes() + part.readableBytes() <= MAX_JOINED_BYTES) {
 			this.heldBytes -= last.capacity();
+			last.writeBytes(part);
+			this.heldBytes += last.capacity();
+		}
+		if (part.isReadable()) {
+			ByteBuf added = part.alloc().directBuffer(Math.max(part.readableBytes(), minBufferBytes()));
+			this.buffers.add(added);
+			this.heldBytes += added.capacity() + BUFFER_OVERHEAD_BYTES;
+			this.lastBufferSent = false;
+			added.writeBytes(part);
 		}
-		last.writeBytes(part);
-		this.heldBytes += last.capacity();
+	}
+
+	// A buffer that is being sent has to have room for the parts that follow. The room is
+	// in proportion to the body, so that a short one takes little.
+	private int minBufferBytes() {
+		return this.lastBufferSent ? (int) Math.clamp(this.size, MIN_BUFFER_BYTES, MAX_JOINED_BYTES) : 1;
 	}
 
 	private void updateHash(ByteBuf part) {
@@ -111,19 +134,34 @@
 		return !this.dropped;
 	}
 
-	List<ByteBuf> parts() {
-		return this.parts;
+	/**
+	 * Has the whole body returned by the next call of {@link #takeUnsent()}.
+	 */
+	void rewind() {
+		this.unsentBuffer = 0;
+		this.unsentByte = 0;
 	}
 
 	/**
-	 * Marks all parts as being sent. Later parts are added behind them.
+	 * Returns what was received since the last call, and marks it as being sent.
+	 * @return slices of the body; the recipient must release them
 	 */
-	void seal() {
-		this.sealed = true;
+	List<ByteBuf> takeUnsent() {
+		List<ByteBuf> slices = new ArrayList<>();
+		for (int i = this.unsentBuffer; i < this.buffers.size(); i++) {
+			ByteBuf buffer = this.buffers.get(i);
+			if (buffer.writerIndex() > this.unsentByte) {
+				slices.add(buffer.retainedSlice(this.unsentByte, buffer.writerIndex() - this.unsentByte));
+			}
+			this.unsentBuffer = i;
+			this.unsentByte = (i + 1 < this.buffers.size()) ? 0 : buffer.writerIndex();
+		}
+		this.lastBufferSent = !this.buffers.isEmpty();
+		return slices;
 	}
 
 	/**
-	 * Returns the memory that the body takes.
+	 * Returns the memory that the body takes, with its objects.
 	 * @return the size in bytes
 	 */
 	long heldBytes() {
@@ -141,9 +179,11 @@
 	}
 
 	void release() {
-		this.parts.forEach(ByteBuf::release);
-		this.parts.clear();
+		this.buffers.forEach(ByteBuf::release);
+		this.buffers.clear();
+		this.lastBufferSent = false;
 		this.heldBytes = 0;
+		rewind();
 	}
 
 }
