Account for request bodies until a server has taken them

Bodies that servers did not take were missing from the account of held memory, so the process kept on accepting requests and could run out of direct memory.

Cause: a body too large to be sent again is dropped once it is written, and the body of an answered request is released. What is written but not yet passed to the operating system stays in the outbound queue of the connection to the server.

Change: the reservation of the body covers what is pending at the server's connection, and lasts until the attempt has ended.

Measured before: 384 bytes accounted while a server took nothing of an upload (at least 32,768 wait when reading stops); the test passes with this change.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -244,10 +244,14 @@
 		}
 	}
 
+	// What a server has not taken yet is a part of the body, unless that was dropped.
 	private void updateBodyMemory() {
-		boolean expected = !this.content.isComplete() && this.content.isReplayable();
+		boolean expected = !this.done && !this.content.isComplete() && this.content.isReplayable();
 		long expectedBytes = expected ? this.request.size().bodyBytes() : 0;
-		this.bodyMemory.resize(Math.max(expectedBytes, this.content.heldBytes()));
+		SendAttempt current = this.attempt;
+		BackendConnection connection = (current != null) ? current.connection() : null;
+		long pendingBytes = (connection != null) ? PendingWrites.bytesOf(connection.channel()) : 0;
+		this.bodyMemory.resize(Math.max(expectedBytes, Math.max(this.content.heldBytes(), pendingBytes)));
 	}
 
 	/**
@@ -589,6 +593,7 @@
 	}
 
 	void serverWritable() {
+		updateBodyMemory();
 		if (!this.done) {
 			this.caller.setReading(true);
 		}
@@ -961,6 +966,9 @@
 			this.attempt = null;
 		}
 		current.markEnded();
+		if (this.done) {
+			this.bodyMemory.release();
+		}
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
@@ -990,7 +998,13 @@
 		}
 		this.content.release();
 		this.headMemory.release();
-		this.bodyMemory.release();
+		if (this.attempt == null) {
+			this.bodyMemory.release();
+		}
+		else {
+			// The server may not have taken the body yet.
+			updateBodyMemory();
+		}
 		long tookMs = now() - this.request.arrivedAt();
 		this.services.metrics().countAnswer(this.request.route().name(), status, origin, tookMs);
 		if (LOGGER.isInfoEnabled()) {
