Copy and account for the buffered part of a response

What callers saw: not reported on its own. A server that sends a response in chunks of one byte filled the heap and the direct memory of the process with what is buffered to be able to send the request again.

Cause: up to 16,384 bytes of a response were kept as the parts of the decoder. A part of one byte has objects of some hundred bytes and keeps the buffer of up to 32 KB that it was read into, and none of it was accounted for.

Change: the parts are copied into one buffer. What is still buffered when all received data has been handled is accounted for as RESPONSE_BODY; if the process is full, the attempt that holds the most ends like one whose connection was lost. The buffer of an answered request is released at once.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -1,7 +1,6 @@
 package org.lovagevale.gateway.http;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -294,7 +293,7 @@
 			return false;
 		}
 		this.relayAttempts.started(entry.region());
-		SendAttempt newAttempt = new SendAttempt(this, null, entry, now());
+		SendAttempt newAttempt = new SendAttempt(this, null, entry, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
 		this.services.connectionPool().acquireEntryVm(entry, maxIdleMs(), newAttempt);
 		return true;
@@ -354,7 +353,7 @@
 			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is paused");
 			return;
 		}
-		SendAttempt newAttempt = new SendAttempt(this, grant, server, now());
+		SendAttempt newAttempt = new SendAttempt(this, grant, server, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
 		this.services.connectionPool().acquire(server, maxIdleMs(), newAttempt);
 	}
@@ -663,6 +662,7 @@
 		if (this.done) {
 			return;
 		}
+		current.accountBuffered();
 		if (this.responseStarted) {
 			BackendConnection connection = current.connection();
 			if (connection != null && !this.caller.isWritable()) {
@@ -732,13 +732,14 @@
 		this.responseStarted = true;
 		this.lastContentAt = now();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(response.headers(), (name) -> false);
-		List<HttpContent> buffered = current.takeBuffered();
 		if (complete && !isHeadRequest() && !HttpUtil.isContentLengthSet(response)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH,
-					buffered.stream().mapToLong((part) -> part.content().readableBytes()).sum());
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, current.bufferedBytes());
 		}
 		this.caller.writeHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
-		buffered.forEach(this.caller::writeContent);
+		ByteBuf buffered = current.takeBuffered();
+		if (buffered != null) {
+			this.caller.writeContent(new DefaultHttpContent(buffered));
+		}
 	}
 
 	private boolean isHeadRequest() {
@@ -998,10 +999,12 @@
 		}
 		this.content.release();
 		this.headMemory.release();
-		if (this.attempt == null) {
+		SendAttempt unattended = this.attempt;
+		if (unattended == null) {
 			this.bodyMemory.release();
 		}
 		else {
+			unattended.releaseBuffered();
 			// The server may not have taken the body yet.
 			updateBodyMemory();
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/SendAttempt.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/SendAttempt.java
@@ -1,20 +1,22 @@
 package org.lovagevale.gateway.http;
 
-import java.util.ArrayList;
-import java.util.List;
-
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.memory.HeldKind;
+import org.lovagevale.core.memory.MemoryAccount;
+import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.gateway.fleet.SlotGrant;
 
 /**
  * One attempt to send a request to a backend server or to an entry VM of another region.
  *
  * <p>
- * Invariant: after {@link #cancel()} no event is reported to the exchange. Confined to
- * the event loop.
+ * Invariants: after {@link #cancel()} no event is reported to the exchange; what is
+ * buffered between two reads is accounted for, and the attempt is given up if the process
+ * is full and this attempt holds the most. Confined to the event loop.
  */
 final class SendAttempt implements BackendListener {
 
@@ -24,11 +26,14 @@
 
 	private final BackendInstance server;
 
-	private final List<HttpContent> buffered = new ArrayList<>();
+	/** The received part of the response body that is not passed on yet. */
+	private final ContentBuffer buffered = new ContentBuffer();
+
+	private final MemoryReservation memory;
 
 	private final long startedAt;
 
-	private long bufferedBytes;
+	private long discardedBytes;
 
 	private boolean cancelled;
 
@@ -38,10 +43,20 @@
 
 	private @Nullable HttpResponse response;
 
-	SendAttempt(Exchange exchange, @Nullable SlotGrant grant, BackendInstance server, long startedAt) {
+	/**
+	 * Creates an attempt without a connection.
+	 * @param exchange receives the events
+	 * @param grant the slot that the attempt uses, {@code null} for a relayed request
+	 * @param server the server or the entry VM
+	 * @param account the account of the bytes held for responses
+	 * @param startedAt the monotonic time in milliseconds
+	 */
+	SendAttempt(Exchange exchange, @Nullable SlotGrant grant, BackendInstance server, MemoryAccount account,
+			long startedAt) {
 		this.exchange = exchange;
 		this.grant = grant;
 		this.server = server;
+		this.memory = account.reserveEvictable(HeldKind.RESPONSE_BODY, this::evict);
 		this.startedAt = startedAt;
 	}
 
@@ -87,34 +102,64 @@
 	 * @return the number of received bytes that were not passed on
 	 */
 	long discard(HttpContent content) {
-		this.bufferedBytes += content.content().readableBytes();
+		this.discardedBytes += this.buffered.size() + content.content().readableBytes();
+		releaseBuffered();
 		content.release();
-		return this.bufferedBytes;
+		return this.discardedBytes;
 	}
 
 	/**
 	 * Buffers a part of the response body that is not passed on yet.
-	 * @param content the part
+	 * @param content the part; this attempt releases it
 	 * @return the number of buffered bytes
 	 */
-	long buffer(HttpContent content) {
-		this.buffered.add(content);
-		this.bufferedBytes += content.content().readableBytes();
-		return this.bufferedBytes;
+	int buffer(HttpContent content) {
+		try {
+			this.buffered.add(content.content());
+		}
+		finally {
+			content.release();
+		}
+		return this.buffered.size();
+	}
+
+	/**
+	 * Returns the size of the buffered part of the response body.
+	 * @return the size in bytes
+	 */
+	int bufferedBytes() {
+		return this.buffered.size();
+	}
+
+	/**
+	 * Accounts for the buffered part, which is held until further data is read. A
+	 * response that arrives at once is not counted, so it is never evicted.
+	 */
+	void accountBuffered() {
+		this.memory.resize(this.buffered.heldBytes());
 	}
 
 	/**
-	 * Removes the buffered parts and returns them.
-	 * @return the parts; the recipient must release them
+	 * Removes the buffered part and returns it.
+	 * @return the part, which the recipient must release, or {@code null} if there is
+	 * none
 	 */
-	List<HttpContent> takeBuffered() {
-		List<HttpContent> parts = List.copyOf(this.buffered);
-		this.buffered.clear();
-		return parts;
+	@Nullable ByteBuf takeBuffered() {
+		this.memory.resize(0);
+		return this.buffered.take();
 	}
 
 	void releaseBuffered() {
-		takeBuffered().forEach(HttpContent::release);
+		this.memory.resize(0);
+		this.buffered.release();
+	}
+
+	private void evict() {
+		BackendConnection open = this.connection;
+		if (open != null) {
+			open.abandon();
+		}
+		this.exchange.connectionLost(this, "no memory for the response");
 	}
 
 	/**
