Join the parts of a response that arrive in one turn of the event loop

What callers saw: not reported on its own. A server that sends a response in chunks of one byte took the event loop from other callers and filled the outbound queue with objects.

Cause: each part was written and flushed on its own, which takes three entries of the outbound queue and a system call for each chunk. Each read also added a timer until the first part was passed on.

Change: the parts are joined as long as data is being read, and written and flushed once all of it is decoded, or once 16,384 bytes are joined. The end of a response is in the same flush. One timer for each attempt passes on a response that is slow.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerConnection.java
@@ -1,6 +1,6 @@
 package org.lovagevale.gateway.http;
 
-import io.netty.handler.codec.http.HttpContent;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -19,10 +19,16 @@
 	void writeHead(HttpResponse response);
 
 	/**
-	 * Writes a part of the response body.
+	 * Writes a part of the response body. It may be kept until {@link #flush()} or the
+	 * end of the response.
 	 * @param content the part; it is released once it is written
 	 */
-	void writeContent(HttpContent content);
+	void writeContent(ByteBuf content);
+
+	/**
+	 * Passes on all that was written.
+	 */
+	void flush();
 
 	/**
 	 * Completes the response.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -57,8 +57,8 @@
 	private static final int MAX_BUFFERED_RESPONSE_BYTES = 16_384;
 
 	/**
-	 * Time after a pause in reading at which the buffered part of an incomplete response
-	 * is passed on, in milliseconds.
+	 * Time after the first read at which the buffered part of an incomplete response is
+	 * passed on, in milliseconds.
 	 */
 	private static final long RESPONSE_BUFFER_DELAY_MS = 30;
 
@@ -141,6 +141,9 @@
 
 	private @Nullable SendAttempt attempt;
 
+	/** The attempt whose response is passed on after a delay. */
+	private @Nullable SendAttempt delayedAttempt;
+
 	private @Nullable String lastFailure;
 
 	/** Whether the request was at a server when its timeout expired. */
@@ -621,12 +624,20 @@
 			return;
 		}
 		this.lastContentAt = now();
-		if (this.responseStarted) {
-			this.caller.writeContent(part);
-			return;
-		}
 		if (current.buffer(part) > MAX_BUFFERED_RESPONSE_BYTES) {
-			bufferExceeded(current);
+			if (this.responseStarted) {
+				passOnBuffered(current);
+			}
+			else {
+				bufferExceeded(current);
+			}
+		}
+	}
+
+	private void passOnBuffered(SendAttempt current) {
+		ByteBuf buffered = current.takeBuffered();
+		if (buffered != null) {
+			this.caller.writeContent(buffered);
 		}
 	}
 
@@ -662,18 +673,25 @@
 		if (this.done) {
 			return;
 		}
-		current.accountBuffered();
 		if (this.responseStarted) {
+			passOnBuffered(current);
+			this.caller.flush();
 			BackendConnection connection = current.connection();
 			if (connection != null && !this.caller.isWritable()) {
 				connection.setReading(false);
 			}
 			return;
 		}
+		current.accountBuffered();
+		if (this.delayedAttempt == current) {
+			return;
+		}
+		this.delayedAttempt = current;
 		this.services.loop().schedule(() -> {
 			if (!this.done && !this.responseStarted && this.attempt == current && current.response() != null
 					&& classify(current) == SlotOutcome.SERVED) {
 				startResponse(current, false);
+				this.caller.flush();
 			}
 		}, RESPONSE_BUFFER_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
@@ -736,10 +754,7 @@
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, current.bufferedBytes());
 		}
 		this.caller.writeHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
-		ByteBuf buffered = current.takeBuffered();
-		if (buffered != null) {
-			this.caller.writeContent(new DefaultHttpContent(buffered));
-		}
+		passOnBuffered(current);
 	}
 
 	private boolean isHeadRequest() {
@@ -828,6 +843,7 @@
 	}
 
 	private void finish(SendAttempt current) {
+		passOnBuffered(current);
 		HttpResponse response = current.response();
 		int status = (response != null) ? response.status().code() : 0;
 		this.caller.finish();
@@ -836,21 +852,22 @@
 
 	void connectionLost(SendAttempt current, String reason) {
 		endAttempt(current, SlotOutcome.LOST, ServerLoad.UNKNOWN);
+		if (!this.done && this.responseStarted) {
+			passOnBuffered(current);
+			this.caller.abort(reason);
+			complete(0, "entry", "response aborted: " + reason);
+			return;
+		}
 		current.releaseBuffered();
 		if (this.done) {
 			return;
 		}
-		if (current.isRelay() && !this.responseStarted) {
+		if (current.isRelay()) {
 			// Called only to record that the request may have run.
 			this.policy.nextStep(SlotOutcome.LOST, false, 0);
 			respondLocally(BAD_GATEWAY, reason, 0);
 			return;
 		}
-		if (this.responseStarted) {
-			this.caller.abort(reason);
-			complete(0, "entry", "response aborted: " + reason);
-			return;
-		}
 		attemptFailed(SlotOutcome.LOST, reason);
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -521,16 +522,17 @@
 	}
 
 	@Override
-	public void writeContent(HttpContent content) {
-		if (this.isHeadRequest || !content.content().isReadable()) {
+	public void writeContent(ByteBuf content) {
+		if (this.isHeadRequest) {
 			content.release();
 			return;
 		}
-		// finish() writes the end of the response.
-		write((content instanceof LastHttpContent) ? toPlainContent(content) : content);
-		if (this.responseStarted) {
-			context().flush();
-		}
+		write(new DefaultHttpContent(content));
+	}
+
+	@Override
+	public void flush() {
+		context().flush();
 	}
 
 	private void write(Object message) {
@@ -563,10 +565,6 @@
 		closeBrokenOff();
 	}
 
-	private static HttpContent toPlainContent(HttpContent last) {
-		return new DefaultHttpContent(last.content());
-	}
-
 	@Override
 	public void finish() {
 		write(LastHttpContent.EMPTY_LAST_CONTENT);
