Handle pipelined requests only as fast as their responses are read

A caller that sent requests and did not read the responses filled the direct memory of the process, so that requests of others were lost.

Cause: a slow caller held back the server of a response in progress, but a short response was queued whole, and the next request was handled at once. There was no limit on their sum.

Change: a request is handled once the connection can be written to. The marks of the outbound queue are 16,384 and 32,768 bytes, half of the default, since the operating system buffers much more than that. A head behind unread responses is not timed out.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -44,9 +44,9 @@
  * <p>
  * Invariants: requests are handled one after the other, so that responses are sent in the
  * order of the requests; a response that closes the connection is the last one; during a
- * planned stop every response closes it; after a part of a response that could not be
- * written, nothing more is written and the connection is closed. Confined to the event
- * loop.
+ * planned stop every response closes it; a request is handled only once most of the
+ * earlier responses are taken; after a part of a response that could not be written,
+ * nothing more is written and the connection is closed. Confined to the event loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
 
@@ -371,6 +371,9 @@
 			receiveBody(current, dequeue());
 			return true;
 		}
+		if (isBlockedByUnreadResponses()) {
+			return false;
+		}
 		HttpObject next = dequeue();
 		if (this.discarding) {
 			discard(next);
@@ -387,6 +390,12 @@
 		return true;
 	}
 
+	// A caller that sends requests and does not read the responses would otherwise have
+	// them all queued.
+	private boolean isBlockedByUnreadResponses() {
+		return this.exchange == null && !this.queued.isEmpty() && !this.discarding && !this.closing && !isWritable();
+	}
+
 	private HttpObject dequeue() {
 		HttpObject next = this.queued.remove();
 		this.queueMemory.resize(this.queueMemory.bytes() - RequestSize.bytesOf(next));
@@ -710,7 +719,8 @@
 			return;
 		}
 		Exchange current = this.exchange;
-		if (current == null && this.headStartedAt >= 0 && now - this.headStartedAt > headerTimeoutMs) {
+		if (current == null && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
+				&& now - this.headStartedAt > headerTimeoutMs) {
 			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
 		}
 		else if (current == null && idleMs > idleTimeoutMs) {
@@ -774,9 +784,16 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		Exchange current = this.exchange;
-		if (current != null && ctx.channel().isWritable()) {
+		if (!ctx.channel().isWritable()) {
+			return;
+		}
+		if (current != null) {
 			current.callerWritable();
 		}
+		else {
+			// A write that has just ended may be a part of handling a response.
+			ctx.executor().execute(this::process);
+		}
 	}
 
 	@Override
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
@@ -34,6 +35,13 @@
 	/** Maximum size of the buffer into which data of a caller is read, in bytes. */
 	static final int MAX_READ_BYTES = 16_384;
 
+	/**
+	 * Size of the written and not yet taken data of a connection down to which further
+	 * data is written, and above which none is, in bytes. The operating system buffers
+	 * more than that.
+	 */
+	private static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(16_384, 32_768);
+
 	private static final int MIN_READ_BYTES = 64;
 
 	private static final int INITIAL_READ_BYTES = 2_048;
@@ -105,6 +113,7 @@
 			.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.acceptAllWaiting())
 			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
 					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<>() {
