Account for responses that callers do not take, and bound their sum

What callers saw: not reported on its own. Callers that do not read kept the direct memory of the process, and the slots of the servers whose responses were in progress for as long as they kept their connections.

Cause: only the outbound queue of one connection was limited, up to 16 reads were added to it before its server was held back, and nothing limited the sum over all connections. A connection that took nothing of a response in progress was never closed.

While the account is full, no response is read whose caller has something pending. A connection that takes nothing for the idle timeout is closed with the reason NOT_READ, whatever the account says.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerClose.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerClose.java
@@ -37,7 +37,7 @@
 	boolean isNotable() {
 		boolean usual = switch (this.reason) {
 			case LAST_RESPONSE, EARLY_RESPONSE, IDLE, PROCESS_ENDED, CALLER, CONNECTION_FAILED -> true;
-			case RESPONSE_ABORTED, WRITE_FAILED, ERROR -> false;
+			case RESPONSE_ABORTED, NOT_READ, WRITE_FAILED, ERROR -> false;
 		};
 		return !usual || isRequestCut() || this.bodyUnread;
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerCloseReason.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerCloseReason.java
@@ -17,6 +17,9 @@
 	/** A response was begun and could not be completed. */
 	RESPONSE_ABORTED,
 
+	/** Nothing of a response was taken for some time. */
+	NOT_READ,
+
 	/** A part of a response could not be queued for writing. */
 	WRITE_FAILED,
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -157,6 +157,9 @@
 
 	private boolean responseStarted;
 
+	/** Whether the response is not read because the caller does not take it. */
+	private boolean responsePaused;
+
 	private boolean done;
 
 	private long slotRequestedAt;
@@ -626,7 +629,7 @@
 		this.lastContentAt = now();
 		if (current.buffer(part) > MAX_BUFFERED_RESPONSE_BYTES) {
 			if (this.responseStarted) {
-				passOnBuffered(current);
+				passOnReceived(current);
 			}
 			else {
 				bufferExceeded(current);
@@ -634,6 +637,17 @@
 		}
 	}
 
+	// Reads no more of the response if the caller takes it more slowly.
+	private void passOnReceived(SendAttempt current) {
+		passOnBuffered(current);
+		this.caller.flush();
+		BackendConnection connection = current.connection();
+		if (connection != null && !this.caller.isWritable()) {
+			this.responsePaused = true;
+			connection.setReading(false);
+		}
+	}
+
 	private void passOnBuffered(SendAttempt current) {
 		ByteBuf buffered = current.takeBuffered();
 		if (buffered != null) {
@@ -674,12 +688,7 @@
 			return;
 		}
 		if (this.responseStarted) {
-			passOnBuffered(current);
-			this.caller.flush();
-			BackendConnection connection = current.connection();
-			if (connection != null && !this.caller.isWritable()) {
-				connection.setReading(false);
-			}
+			passOnReceived(current);
 			return;
 		}
 		current.accountBuffered();
@@ -696,13 +705,20 @@
 		}, RESPONSE_BUFFER_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Continues to read the response if that was paused and the caller has taken enough
+	 * of it.
+	 */
 	void callerWritable() {
-		// While the caller took no data, none was read from the server.
-		this.lastContentAt = now();
-		resumeReadingResponse();
+		if (this.responsePaused && this.caller.isWritable()) {
+			// While the caller took no data, none was read from the server.
+			this.lastContentAt = now();
+			resumeReadingResponse();
+		}
 	}
 
 	private void resumeReadingResponse() {
+		this.responsePaused = false;
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -106,17 +106,10 @@
 	/** Memory of the queued objects. */
 	private final MemoryReservation queueMemory;
 
-	private final ChannelFutureListener writeListener = (write) -> {
-		Throwable cause = write.cause();
-		this.pendingWrites--;
-		if (this.exchange == null) {
-			this.lastActivityAt = now();
-		}
-		if (cause != null) {
-			this.closeRecorder.recordUnwrittenPart();
-			writeFailed(cause);
-		}
-	};
+	private final ChannelFutureListener writeListener = (write) -> writeEnded(write.cause());
+
+	/** What is written and not taken yet. */
+	private final CallerBacklog backlog;
 
 	private @Nullable ChannelHandlerContext context;
 
@@ -183,6 +176,7 @@
 		this.router = router;
 		this.partialHeadMemory = router.createMemoryReservation();
 		this.queueMemory = router.createMemoryReservation();
+		this.backlog = router.createBacklog(this::evictBacklog);
 		this.lastActivityAt = router.now();
 	}
 
@@ -542,6 +536,40 @@
 	@Override
 	public void flush() {
 		context().flush();
+		updateBacklog();
+	}
+
+	private void writeEnded(@Nullable Throwable cause) {
+		this.pendingWrites--;
+		if (this.exchange == null) {
+			this.lastActivityAt = now();
+		}
+		if (cause == null) {
+			this.backlog.recordTaken(now());
+		}
+		updateBacklog();
+		if (cause != null) {
+			this.closeRecorder.recordUnwrittenPart();
+			writeFailed(cause);
+		}
+	}
+
+	private void updateBacklog() {
+		ChannelHandlerContext open = context();
+		this.backlog.update(open.channel(), now());
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.callerWritable();
+		}
+		else if (!this.queued.isEmpty() && isWritable()) {
+			// A write that has just ended may be a part of handling a response.
+			open.executor().execute(this::process);
+		}
+	}
+
+	private void evictBacklog() {
+		recordClose(CallerCloseReason.NOT_READ, "no memory for the response");
+		closeBrokenOff();
 	}
 
 	private void write(Object message) {
@@ -614,7 +642,7 @@
 		}
 		boolean bodyIncomplete = current != null && !current.isBodyComplete();
 		if (this.keepAlive && !bodyIncomplete) {
-			context().flush();
+			flush();
 			setReading(true);
 			process();
 			return;
@@ -640,6 +668,7 @@
 			}
 			write.channel().close();
 		});
+		updateBacklog();
 	}
 
 	private void lastResponseWritten() {
@@ -683,7 +712,7 @@
 
 	@Override
 	public boolean isWritable() {
-		return context().channel().isWritable();
+		return context().channel().isWritable() && (this.backlog.isEmpty() || !this.router.isResponseMemoryFull());
 	}
 
 	@Override
@@ -703,13 +732,20 @@
 	}
 
 	/**
-	 * Closes the connection if it is idle for too long or receives a request too slowly.
+	 * Closes the connection if it is idle for too long, receives a request too slowly or
+	 * takes nothing of a response.
 	 * @param now the monotonic time in milliseconds
 	 * @param headerTimeoutMs the maximum time to receive the head of a request, in
 	 * milliseconds
 	 * @param idleTimeoutMs the maximum idle time, in milliseconds
 	 */
 	void checkTimeouts(long now, long headerTimeoutMs, long idleTimeoutMs) {
+		updateBacklog();
+		if (this.backlog.untakenMs(now) > idleTimeoutMs) {
+			recordClose(CallerCloseReason.NOT_READ, "nothing taken for " + idleTimeoutMs + " ms");
+			closeBrokenOff();
+			return;
+		}
 		long idleMs = now - this.lastActivityAt;
 		if (this.closing) {
 			if (this.lingeringSince < 0 && idleMs > idleTimeoutMs) {
@@ -783,17 +819,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-		Exchange current = this.exchange;
-		if (!ctx.channel().isWritable()) {
-			return;
-		}
-		if (current != null) {
-			current.callerWritable();
-		}
-		else {
-			// A write that has just ended may be a part of handling a response.
-			ctx.executor().execute(this::process);
-		}
+		updateBacklog();
 	}
 
 	@Override
@@ -804,6 +830,7 @@
 		this.closing = true;
 		releaseQueued();
 		reportClose();
+		updateBacklog();
 		releasePartialHead();
 		this.router.removeConnection(this);
 		if (current != null) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -144,8 +144,8 @@
 
 	/**
 	 * Resumes reading from callers if the process is no longer full. Closes the
-	 * connections that are idle for too long or receive a request too slowly, if the last
-	 * check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
+	 * connections that are idle for too long, receive a request too slowly or take
+	 * nothing of a response, if the last check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
 	 */
 	public void tick() {
 		this.router.resumeReading();
@@ -158,6 +158,7 @@
 		for (FrontendConnection connection : this.router.connections()) {
 			connection.checkTimeouts(now, limits.headerTimeoutMs(), limits.idleTimeoutMs());
 		}
+		this.router.evictExcessResponses();
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -131,6 +131,31 @@
 		return this.services.memory().reserve(HeldKind.REQUEST_HEAD, 0);
 	}
 
+	CallerBacklog createBacklog(Runnable eviction) {
+		return new CallerBacklog(this.services.responseMemory(), eviction);
+	}
+
+	boolean isResponseMemoryFull() {
+		return this.services.responseMemory().isFull();
+	}
+
+	/**
+	 * Has the responses that hold the most and are not taken be given up, if the process
+	 * is full.
+	 */
+	void evictExcessResponses() {
+		MemoryAccount memory = this.services.responseMemory();
+		int evicted = memory.evictExcess();
+		if (evicted > 0) {
+			this.services.metrics().countEvictions("responses", evicted);
+			LOGGER.warn("{}",
+					LogLine.event("memory.full")
+						.with("account", "responses")
+						.with("evicted", evicted)
+						.with("heldBytes", memory.heldBytes()));
+		}
+	}
+
 	boolean isMemoryFull() {
 		return this.services.memory().isFull();
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -75,22 +75,27 @@
 	}
 
 	TestGateway(List<HostPort> seeds, long stopMs, long memoryLimitBytes) throws GatewayException {
-		this(TestAddresses.host(1), DOMAIN, REGION, seeds, stopMs, memoryLimitBytes);
+		this(TestAddresses.host(1), DOMAIN, REGION, seeds, stopMs,
+				new MemoryLimits(memoryLimitBytes, MemoryLimits.forThisJvm().responseBytes()));
+	}
+
+	TestGateway(List<HostPort> seeds, MemoryLimits memoryLimits) throws GatewayException {
+		this(TestAddresses.host(1), DOMAIN, REGION, seeds, STOP_MS, memoryLimits);
 	}
 
 	TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds) throws GatewayException {
-		this(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm().requestBytes());
+		this(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm());
 	}
 
 	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
-			long memoryLimitBytes) throws GatewayException {
+			MemoryLimits memoryLimits) throws GatewayException {
 		this.callerAddress = TestAddresses.next(host);
 		this.peerAddress = TestAddresses.next(host);
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
 				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), stopMs, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				(silenceMs) -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
-				new TestProtocol(), new MemoryLimits(memoryLimitBytes, MemoryLimits.forThisJvm().responseBytes()));
+				new TestProtocol(), memoryLimits);
 	}
 
 	private synchronized CatalogState readCatalog() {
@@ -181,6 +186,13 @@
 		return this.process.loop().submit(() -> this.process.memory().heldBytes()).syncUninterruptibly().getNow();
 	}
 
+	long heldResponseBytes() {
+		return this.process.loop()
+			.submit(() -> this.process.responseMemory().heldBytes())
+			.syncUninterruptibly()
+			.getNow();
+	}
+
 	Socket connect() throws IOException {
 		Socket socket = new Socket(this.callerAddress.host(), this.callerAddress.port());
 		socket.setSoTimeout(5_000);
