--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -1,7 +1,6 @@
 package org.lovagevale.gateway.http;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -58,8 +57,8 @@
 	private static final int MAX_BUFFERED_RESPONSE_BYTES = 16_384;
 
 	/**
-	 * Time after a pause in reading at which the buffered part of an incomplete response
-	 * is passed on, in milliseconds.
+	 * Time after the first read at which the buffered part of an incomplete response is
+	 * passed on, in milliseconds.
 	 */
 	private static final long RESPONSE_BUFFER_DELAY_MS = 30;
 
@@ -142,13 +141,25 @@
 
 	private @Nullable SendAttempt attempt;
 
+	/** The attempt whose response is passed on after a delay. */
+	private @Nullable SendAttempt delayedAttempt;
+
 	private @Nullable String lastFailure;
 
 	/** Whether the request was at a server when its timeout expired. */
 	private boolean timedOutAtServer;
 
+	/** Whether received parts of the body are sent later in this turn of the loop. */
+	private boolean sendScheduled;
+
+	/** Whether the end of the body was sent in the current attempt. */
+	private boolean bodySent;
+
 	private boolean responseStarted;
 
+	/** Whether the response is not read because the caller does not take it. */
+	private boolean responsePaused;
+
 	private boolean done;
 
 	private long slotRequestedAt;
@@ -219,7 +230,6 @@
 			part.release();
 			return;
 		}
-		int firstNewPart = this.content.parts().size();
 		this.content.add(part);
 		updateBodyMemory();
 		if (this.content.size() > this.request.limits().maxBodyBytes()) {
@@ -229,7 +239,7 @@
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
-			writeFrom(connection, firstNewPart);
+			scheduleSend();
 		}
 		else if (this.pendingSlotId == null && current == null && isBodyReady()) {
 			place();
@@ -239,10 +249,14 @@
 		}
 	}
 
+	// What a server has not taken yet is a part of the body, unless that was dropped.
 	private void updateBodyMemory() {
-		boolean expected = !this.content.isComplete() && this.content.isReplayable();
+		boolean expected = !this.done && !this.content.isComplete() && this.content.isReplayable();
 		long expectedBytes = expected ? this.request.size().bodyBytes() : 0;
-		this.bodyMemory.resize(Math.max(expectedBytes, this.content.heldBytes()));
+		SendAttempt current = this.attempt;
+		BackendConnection connection = (current != null) ? current.connection() : null;
+		long pendingBytes = (connection != null) ? PendingWrites.bytesOf(connection.channel()) : 0;
+		this.bodyMemory.resize(Math.max(expectedBytes, Math.max(this.content.heldBytes(), pendingBytes)));
 	}
 
 	/**
@@ -251,7 +265,8 @@
 	 * @return {@code true} if they may be read although the process is full
 	 */
 	boolean isNextContentReserved() {
-		return !this.content.isComplete() && this.content.heldBytes() < this.request.size().bodyBytes();
+		return !this.content.isComplete()
+				&& (!this.content.isReplayable() || this.content.size() < this.request.size().bodyBytes());
 	}
 
 	private boolean isBodyReady() {
@@ -284,7 +299,7 @@
 			return false;
 		}
 		this.relayAttempts.started(entry.region());
-		SendAttempt newAttempt = new SendAttempt(this, null, entry, now());
+		SendAttempt newAttempt = new SendAttempt(this, null, entry, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
 		this.services.connectionPool().acquireEntryVm(entry, maxIdleMs(), newAttempt);
 		return true;
@@ -344,7 +359,7 @@
 			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is paused");
 			return;
 		}
-		SendAttempt newAttempt = new SendAttempt(this, grant, server, now());
+		SendAttempt newAttempt = new SendAttempt(this, grant, server, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
 		this.services.connectionPool().acquire(server, maxIdleMs(), newAttempt);
 	}
@@ -506,7 +521,9 @@
 		// A rejection by another entry VM does not carry the request ID.
 		connection.beginRequest(current, requestHead(current, leftMs), this.request.id(), grant != null);
 		logAttempt(current, grant, leftMs);
-		writeFrom(connection, 0);
+		this.content.rewind();
+		this.bodySent = false;
+		sendUnsent(connection);
 	}
 
 	private void logAttempt(SendAttempt current, @Nullable SlotGrant grant, long leftMs) {
@@ -549,21 +566,39 @@
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
 	}
 
-	private void writeFrom(BackendConnection connection, int first) {
-		List<ByteBuf> parts = this.content.parts();
-		for (int i = first; i < parts.size(); i++) {
-			connection.write(new DefaultHttpContent(parts.get(i).retainedDuplicate()));
+	// Sends the parts of the body together that arrive in one turn of the event loop.
+	private void scheduleSend() {
+		if (!this.sendScheduled) {
+			this.sendScheduled = true;
+			this.services.loop().execute(this::sendReceived);
 		}
-		if (this.content.isComplete()) {
+	}
+
+	private void sendReceived() {
+		boolean scheduled = this.sendScheduled;
+		this.sendScheduled = false;
+		SendAttempt current = this.attempt;
+		BackendConnection connection = (current != null) ? current.connection() : null;
+		if (scheduled && !this.done && connection != null) {
+			sendUnsent(connection);
+		}
+	}
+
+	private void sendUnsent(BackendConnection connection) {
+		for (ByteBuf part : this.content.takeUnsent()) {
+			connection.write(new DefaultHttpContent(part));
+		}
+		if (this.content.isComplete() && !this.bodySent) {
+			this.bodySent = true;
 			connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
-		this.content.seal();
 		this.content.dropIfTooLarge();
 		updateBodyMemory();
 		this.caller.setReading(this.content.isComplete() || connection.channel().isWritable());
 	}
 
 	void serverWritable() {
+		updateBodyMemory();
 		if (!this.done) {
 			this.caller.setReading(true);
 		}
@@ -592,12 +627,31 @@
 			return;
 		}
 		this.lastContentAt = now();
-		if (this.responseStarted) {
-			this.caller.writeContent(part);
-			return;
-		}
 		if (current.buffer(part) > MAX_BUFFERED_RESPONSE_BYTES) {
-			bufferExceeded(current);
+			if (this.responseStarted) {
+				passOnReceived(current);
+			}
+			else {
+				bufferExceeded(current);
+			}
+		}
+	}
+
+	// Reads no more of the response if the caller takes it more slowly.
+	private void passOnReceived(SendAttempt current) {
+		passOnBuffered(current);
+		this.caller.flush();
+		BackendConnection connection = current.connection();
+		if (connection != null && !this.caller.isWritable()) {
+			this.responsePaused = true;
+			connection.setReading(false);
+		}
+	}
+
+	private void passOnBuffered(SendAttempt current) {
+		ByteBuf buffered = current.takeBuffered();
+		if (buffered != null) {
+			this.caller.writeContent(buffered);
 		}
 	}
 
@@ -634,27 +688,37 @@
 			return;
 		}
 		if (this.responseStarted) {
-			BackendConnection connection = current.connection();
-			if (connection != null && !this.caller.isWritable()) {
-				connection.setReading(false);
-			}
+			passOnReceived(current);
 			return;
 		}
+		current.accountBuffered();
+		if (this.delayedAttempt == current) {
+			return;
+		}
+		this.delayedAttempt = current;
 		this.services.loop().schedule(() -> {
 			if (!this.done && !this.responseStarted && this.attempt == current && current.response() != null
 					&& classify(current) == SlotOutcome.SERVED) {
 				startResponse(current, false);
+				this.caller.flush();
 			}
 		}, RESPONSE_BUFFER_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Continues to read the response if that was paused and the caller has taken enough
+	 * of it.
+	 */
 	void callerWritable() {
-		// While the caller took no data, none was read from the server.
-		this.lastContentAt = now();
-		resumeReadingResponse();
+		if (this.responsePaused && this.caller.isWritable()) {
+			// While the caller took no data, none was read from the server.
+			this.lastContentAt = now();
+			resumeReadingResponse();
+		}
 	}
 
 	private void resumeReadingResponse() {
+		this.responsePaused = false;
 		SendAttempt current = this.attempt;
 		BackendConnection connection = (current != null) ? current.connection() : null;
 		if (connection != null) {
@@ -702,13 +766,11 @@
 		this.responseStarted = true;
 		this.lastContentAt = now();
 		HttpHeaders headers = HopByHopHeaders.copyWithout(response.headers(), (name) -> false);
-		List<HttpContent> buffered = current.takeBuffered();
 		if (complete && !isHeadRequest() && !HttpUtil.isContentLengthSet(response)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH,
-					buffered.stream().mapToLong((part) -> part.content().readableBytes()).sum());
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, current.bufferedBytes());
 		}
 		this.caller.writeHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
-		buffered.forEach(this.caller::writeContent);
+		passOnBuffered(current);
 	}
 
 	private boolean isHeadRequest() {
@@ -797,6 +859,7 @@
 	}
 
 	private void finish(SendAttempt current) {
+		passOnBuffered(current);
 		HttpResponse response = current.response();
 		int status = (response != null) ? response.status().code() : 0;
 		this.caller.finish();
@@ -805,21 +868,22 @@
 
 	void connectionLost(SendAttempt current, String reason) {
 		endAttempt(current, SlotOutcome.LOST, ServerLoad.UNKNOWN);
+		if (!this.done && this.responseStarted) {
+			passOnBuffered(current);
+			this.caller.abort(reason);
+			complete(0, "entry", "response aborted: " + reason);
+			return;
+		}
 		current.releaseBuffered();
 		if (this.done) {
 			return;
 		}
-		if (current.isRelay() && !this.responseStarted) {
+		if (current.isRelay()) {
 			// Called only to record that the request may have run.
 			this.policy.nextStep(SlotOutcome.LOST, false, 0);
 			respondLocally(BAD_GATEWAY, reason, 0);
 			return;
 		}
-		if (this.responseStarted) {
-			this.caller.abort(reason);
-			complete(0, "entry", "response aborted: " + reason);
-			return;
-		}
 		attemptFailed(SlotOutcome.LOST, reason);
 	}
 
@@ -902,6 +966,7 @@
 		if (current == null) {
 			return;
 		}
+		sendReceived();
 		// A non-repeatable request that was sent completely is left to run to its end, as
 		// long as its server has time left. Another entry VM decides by itself what to
 		// cancel when the connection to it is closed.
@@ -935,6 +1000,9 @@
 			this.attempt = null;
 		}
 		current.markEnded();
+		if (this.done) {
+			this.bodyMemory.release();
+		}
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
@@ -964,7 +1032,15 @@
 		}
 		this.content.release();
 		this.headMemory.release();
-		this.bodyMemory.release();
+		SendAttempt unattended = this.attempt;
+		if (unattended == null) {
+			this.bodyMemory.release();
+		}
+		else {
+			unattended.releaseBuffered();
+			// The server may not have taken the body yet.
+			updateBodyMemory();
+		}
 		long tookMs = now() - this.request.arrivedAt();
 		this.services.metrics().countAnswer(this.request.route().name(), status, origin, tookMs);
 		if (LOGGER.isInfoEnabled()) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -43,10 +44,11 @@
  * <p>
  * Invariants: requests are handled one after the other, so that responses are sent in the
  * order of the requests; a response that closes the connection is the last one; during a
- * planned stop every response closes it; after a part of a response that could not be
- * written, nothing more is written and the connection is closed; what has arrived of
- * requests that are not accepted yet is given up if the process is full and this
- * connection holds the most of it. Confined to the event loop.
+ * planned stop every response closes it; a request is handled only once most of the
+ * earlier responses are taken; after a part of a response that could not be written,
+ * nothing more is written and the connection is closed; what has arrived of requests that
+ * are not accepted yet is given up if the process is full and this connection holds the
+ * most of it. Confined to the event loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
 
@@ -132,17 +134,10 @@
 	/** Explains the close of this connection. */
 	private final CallerCloseRecorder closeRecorder = new CallerCloseRecorder();
 
-	private final ChannelFutureListener writeListener = (write) -> {
-		Throwable cause = write.cause();
-		this.pendingWrites--;
-		if (this.exchange == null) {
-			this.lastActivityAt = now();
-		}
-		if (cause != null) {
-			this.closeRecorder.recordUnwrittenPart();
-			writeFailed(cause);
-		}
-	};
+	private final ChannelFutureListener writeListener = (write) -> writeEnded(write.cause());
+
+	/** What is written and not taken yet. */
+	private final CallerBacklog backlog;
 
 	private @Nullable ChannelHandlerContext context;
 
@@ -215,6 +210,7 @@
 		this.router = router;
 		this.pendingMemory = router.reserveEvictable(this::evict);
 		this.acceptedMemory = router.reserve();
+		this.backlog = router.createBacklog(this::evictBacklog);
 		this.lastActivityAt = router.now();
 	}
 
@@ -473,6 +469,9 @@
 			receiveBody(current, dequeue());
 			return true;
 		}
+		if (isBlockedByUnreadResponses()) {
+			return false;
+		}
 		HttpObject next = dequeue();
 		if (this.discarding) {
 			discard(next);
@@ -489,6 +488,12 @@
 		return true;
 	}
 
+	// A caller that sends requests and does not read the responses would otherwise have
+	// them all queued.
+	private boolean isBlockedByUnreadResponses() {
+		return this.exchange == null && !this.queued.isEmpty() && !this.discarding && !this.closing && !isWritable();
+	}
+
 	private HttpObject dequeue() {
 		HttpObject next = this.queued.remove();
 		this.queuedBytes -= HeldSize.of(next);
@@ -633,18 +638,53 @@
 	}
 
 	@Override
-	public void writeContent(HttpContent content) {
-		if (this.isHeadRequest || !content.content().isReadable()) {
+	public void writeContent(ByteBuf content) {
+		if (this.isHeadRequest) {
 			content.release();
 			return;
 		}
-		// finish() writes the end of the response.
-		write((content instanceof LastHttpContent) ? toPlainContent(content) : content);
-		if (this.responseStarted) {
-			context().flush();
+		write(new DefaultHttpContent(content));
+	}
+
+	@Override
+	public void flush() {
+		context().flush();
+		updateBacklog();
+	}
+
+	private void writeEnded(@Nullable Throwable cause) {
+		this.pendingWrites--;
+		if (this.exchange == null) {
+			this.lastActivityAt = now();
+		}
+		if (cause == null) {
+			this.backlog.recordTaken(now());
+		}
+		updateBacklog();
+		if (cause != null) {
+			this.closeRecorder.recordUnwrittenPart();
+			writeFailed(cause);
+		}
+	}
+
+	private void updateBacklog() {
+		ChannelHandlerContext open = context();
+		this.backlog.update(open.channel(), now());
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.callerWritable();
+		}
+		else if (!this.queued.isEmpty() && isWritable()) {
+			// A write that has just ended may be a part of handling a response.
+			open.executor().execute(this::process);
 		}
 	}
 
+	private void evictBacklog() {
+		recordClose(CallerCloseReason.NOT_READ, "no memory for the response");
+		closeBrokenOff();
+	}
+
 	private void write(Object message) {
 		if (this.writeFailed) {
 			ReferenceCountUtil.release(message);
@@ -675,10 +715,6 @@
 		closeBrokenOff();
 	}
 
-	private static HttpContent toPlainContent(HttpContent last) {
-		return new DefaultHttpContent(last.content());
-	}
-
 	@Override
 	public void finish() {
 		write(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -719,7 +755,7 @@
 		}
 		boolean bodyIncomplete = current != null && !current.isBodyComplete();
 		if (this.keepAlive && !bodyIncomplete) {
-			context().flush();
+			flush();
 			setReading(true);
 			process();
 			return;
@@ -748,6 +784,7 @@
 			}
 			write.channel().close();
 		});
+		updateBacklog();
 	}
 
 	private void lastResponseWritten() {
@@ -791,7 +828,7 @@
 
 	@Override
 	public boolean isWritable() {
-		return context().channel().isWritable();
+		return context().channel().isWritable() && (this.backlog.isEmpty() || !this.router.isResponseMemoryFull());
 	}
 
 	@Override
@@ -818,13 +855,20 @@
 	}
 
 	/**
-	 * Closes the connection if it is idle for too long or receives a request too slowly.
+	 * Closes the connection if it is idle for too long, receives a request too slowly or
+	 * takes nothing of a response.
 	 * @param now the monotonic time in milliseconds
 	 * @param headerTimeoutMs the maximum time to receive the head of a request, in
 	 * milliseconds
 	 * @param idleTimeoutMs the maximum idle time, in milliseconds
 	 */
 	void checkTimeouts(long now, long headerTimeoutMs, long idleTimeoutMs) {
+		updateBacklog();
+		if (this.backlog.untakenMs(now) > idleTimeoutMs) {
+			recordClose(CallerCloseReason.NOT_READ, "nothing taken for " + idleTimeoutMs + " ms");
+			closeBrokenOff();
+			return;
+		}
 		long idleMs = now - this.lastActivityAt;
 		if (this.closing) {
 			if (this.lingeringSince < 0 && idleMs > idleTimeoutMs) {
@@ -834,7 +878,8 @@
 			return;
 		}
 		Exchange current = this.exchange;
-		if (current == null && this.headStartedAt >= 0 && now - this.headStartedAt > headerTimeoutMs) {
+		if (current == null && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
+				&& now - this.headStartedAt > headerTimeoutMs) {
 			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
 		}
 		else if (current == null && idleMs > idleTimeoutMs) {
@@ -898,10 +943,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-		Exchange current = this.exchange;
-		if (current != null && ctx.channel().isWritable()) {
-			current.callerWritable();
-		}
+		updateBacklog();
 	}
 
 	@Override
@@ -914,6 +956,7 @@
 		reportClose();
 		this.pendingMemory.resize(0);
 		this.acceptedMemory.resize(0);
+		updateBacklog();
 		this.router.removeConnection(this);
 		if (current != null) {
 			current.callerDisconnected();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
@@ -33,6 +34,13 @@
 	/** Maximum size of the buffer into which data of a caller is read, in bytes. */
 	static final int MAX_READ_BYTES = 16_384;
 
+	/**
+	 * Size of the written and not yet taken data of a connection down to which further
+	 * data is written, and above which none is, in bytes. The operating system buffers
+	 * more than that.
+	 */
+	private static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(16_384, 32_768);
+
 	/**
 	 * Time for the handshakes in progress when the server stops accepting, in
 	 * milliseconds. It covers the round trip between regions and a lost last packet of
@@ -100,6 +108,7 @@
 			.option(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.acceptAllWaiting())
 			.handler(new AcceptHandler())
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
 			.childOption(ChannelOption.RECVBUF_ALLOCATOR, ServerConnections.oneBufferAtATime(MAX_READ_BYTES))
 			.childHandler(new ChannelInitializer<>() {
 
@@ -130,8 +139,8 @@
 
 	/**
 	 * Resumes reading from callers if the process is no longer full. Closes the
-	 * connections that are idle for too long or receive a request too slowly, if the last
-	 * check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
+	 * connections that are idle for too long, receive a request too slowly or take
+	 * nothing of a response, if the last check is {@link #TIMEOUT_CHECK_INTERVAL_MS} ago.
 	 */
 	public void tick() {
 		this.router.resumeReading();
@@ -144,6 +153,7 @@
 		for (FrontendConnection connection : this.router.connections()) {
 			connection.checkTimeouts(now, limits.headerTimeoutMs(), limits.idleTimeoutMs());
 		}
+		this.router.evictExcessResponses();
 	}
 
 	/**
