Take a response whose status code does not exist for none

A health check counted such a response as a sign of life, and an announcement in it was taken.

Cause: Netty accepts any number that Integer.parseInt accepts as a status code, so +200 and 0200 passed as well. lovagevale-node checked only that the code has three characters.

The decoders now reject a code other than 100 to 599 (RFC 9110, section 15). Such a response is counted as MALFORMED, its connection is closed, and the request is handled like one whose response was lost: sent again if its kind allows, else 502.

NonexistentStatusTests of the gateway: 30 of 32 cases failed before, among them requests of another region, and 32 of 32 pass now. In lovagevale-node 5 of 9 cases failed before (000, 099, 600, 999, +20), and none does now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -17,8 +17,9 @@
 import io.netty.util.AsciiString;
 
 /**
- * Decodes the responses of backend servers and rejects those with ambiguous framing and
- * those whose head begins with a part of another one.
+ * Decodes the responses of backend servers and rejects those with ambiguous framing,
+ * those with a status code that does not exist and those whose head begins with a part of
+ * another one.
  *
  * <p>
  * Invariant: a head that has arrived in part is kept as bytes. Not thread-safe.
@@ -38,6 +39,9 @@
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+[1-5][0-9]{2}",
 			Pattern.CASE_INSENSITIVE);
 
+	/** The status codes that exist (RFC 9110, section 15). */
+	private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
 	private static final byte[] FIRST_BYTES = "HTTP/".getBytes(StandardCharsets.US_ASCII);
 
 	private final MessagePartReader parts;
@@ -150,6 +154,15 @@
 		return super.splitHeaderName(line, start, length);
 	}
 
+	// Without this check, any number is a status code.
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		if (!STATUS_CODE.matcher(initialLine[1]).matches()) {
+			throw new IllegalArgumentException("status code that does not exist: " + initialLine[1]);
+		}
+		return super.createMessage(initialLine);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.responseToHead || super.isContentAlwaysEmpty(message);
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
@@ -33,6 +33,9 @@
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}( |$)");
 
+	/** The status codes that exist (RFC 9110, section 15). */
+	private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
 	private @Nullable HttpMethod pendingMethod;
 
 	private boolean interim;
@@ -112,7 +115,7 @@
 	protected HttpMessage createMessage(String[] initialLine) {
 		String version = initialLine[0];
 		boolean isKnown = version.equals("HTTP/1.1") || version.equals("HTTP/1.0");
-		if (!isKnown || initialLine[1].length() != 3 || containsStatusLine(initialLine[2])) {
+		if (!isKnown || !STATUS_CODE.matcher(initialLine[1]).matches() || containsStatusLine(initialLine[2])) {
 			throw new IllegalArgumentException("malformed status line");
 		}
 		if (initialLine[1].equals("101")) {
