Take a body where none is allowed for no response

A 1xx response ends with its head, whatever its headers say, so what a server sent as its body was decoded as the next response: a whole response inside it reached the caller as the final one. A 204 with a Content-Length kept its connection in use, so that its body could arrive as the response to the next request.

A 1xx response that announces a body is now malformed and its request handled as if the response was lost; a length of zero is still allowed. The connection of a 204 that announces a body is not used again. In lovagevale-node, an interim response that cannot be decoded was dropped with its failure, and the request waited for its timeout; it now fails at once.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -534,7 +534,7 @@
 		this.responseStarted = true;
 		this.decodedHeadBytes = HeldSize.ofHead(response);
 		this.reusable = this.reusable && HttpUtil.isKeepAlive(response) && this.responseSized
-				&& !this.decoder.hadLargeHead();
+				&& !this.decoder.hadLargeHead() && !BackendResponseDecoder.announcesSurplusBody(response);
 		updateIdleLimit(response);
 		currentListener().headReceived(response);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendResponseDecoder.java
@@ -11,9 +11,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 
 /**
@@ -163,11 +167,31 @@
 		return super.createMessage(initialLine);
 	}
 
+	// The body of an interim response would be decoded as the final one.
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		if (message instanceof HttpResponse response && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+				&& announcesBody(message)) {
+			throw new IllegalArgumentException("interim response with a body");
+		}
 		return this.responseToHead || super.isContentAlwaysEmpty(message);
 	}
 
+	/**
+	 * Tells whether a head announces a body although its status allows none. The body may
+	 * arrive when the next response is expected.
+	 * @param response the head
+	 * @return {@code true} for 204 with a transfer coding or a length other than zero
+	 */
+	static boolean announcesSurplusBody(HttpResponse response) {
+		return response.status().code() == HttpResponseStatus.NO_CONTENT.code() && announcesBody(response);
+	}
+
+	private static boolean announcesBody(HttpMessage message) {
+		return message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+				|| HttpUtil.getContentLength(message, 0L) != 0;
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
@@ -7,12 +7,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
@@ -68,7 +70,8 @@
 		while (index < out.size()) {
 			Object decoded = out.get(index);
 			if (decoded instanceof HttpResponse response) {
-				this.interim = isInterim(response);
+				// A head that cannot be decoded ends the response.
+				this.interim = isInterim(response) && response.decoderResult().isSuccess();
 				this.dropping = this.interim && !response.status().equals(HttpResponseStatus.CONTINUE);
 			}
 			if (this.dropping) {
@@ -135,9 +138,18 @@
 				throw new IllegalArgumentException("status line in header " + header.getKey());
 			}
 		}
+		// The body of an interim response would be decoded as the final one.
+		if (message instanceof HttpResponse response && isInterim(response) && announcesBody(message)) {
+			throw new IllegalArgumentException("interim response with a body");
+		}
 		return HttpMethod.HEAD.equals(this.pendingMethod) || super.isContentAlwaysEmpty(message);
 	}
 
+	private static boolean announcesBody(HttpMessage message) {
+		return message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+				|| HttpUtil.getContentLength(message, 0L) != 0;
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/NonexistentStatusTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/NonexistentStatusTests.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -15,12 +16,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a response whose status code does not exist and that is passed on as the
- * response to a request.
+ * Guards against a response whose status code does not exist, or the body of an interim
+ * response, that is passed on as the response to a request.
  */
 @Timeout(60)
 class NonexistentStatusTests {
 
+	private static final String INNER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner";
+
 	private static final String GET_REQUEST = "GET /transfers/1 HTTP/1.1\r\nHost: a\r\n\r\n";
 
 	@ParameterizedTest
@@ -29,6 +32,25 @@
 		assertFailure("HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nhello");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "100", "102", "103", "199" })
+	void bodyOfAnInterimResponseIsNotTakenForTheFinalOne(String status) throws Exception {
+		String head = "HTTP/1.1 " + status + " Interim\r\n";
+		assertFailure(head + "Content-Length: " + INNER.length() + "\r\n\r\n" + INNER);
+		assertFailure(head + "Transfer-Encoding: chunked\r\n\r\n" + INNER);
+	}
+
+	@Test
+	void responseBehindAnInterimOneWithLengthZeroIsPassedOn() throws Exception {
+		String interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n";
+		try (RawServer server = new RawServer((head, in, connection) -> write(connection, interim + INNER));
+				HttpFixture fixture = new HttpFixture(server.port());
+				RawCaller caller = new RawCaller(fixture.callerPort)) {
+			caller.send(GET_REQUEST);
+			assertThat(caller.readResponse()).startsWith("HTTP/1.1 200 ").endsWith("inner");
+		}
+	}
+
 	private static void assertFailure(String response) throws Exception {
 		try (RawServer server = new RawServer((head, in, connection) -> write(connection, response));
 				HttpFixture fixture = new HttpFixture(server.port());
