Receive peer messages on the event loop of the callers

The report was sent at once, before the response was passed on, but it could be handled after a request that arrived later: PeerTransport took its threads from the JVM-wide resources of Reactor Netty, so each message passed through two more threads. GatewayMain sets these resources to its event loop; TestGateway does not, so tests ran with threads that no deployed process has. At a load average of 4 to 9, the first report was handled 1 to 27 ms after it was sent; that it seldom failed is due to the load known to the dispatcher, which keeps requests from a server with an unreleased slot.

PeerTransport now takes its event loops as a dependency. A report that arrives before a request is then read and handled before it.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -182,7 +182,7 @@
 						settings.peerAddress().port(), settings.callerAddress().port(), settings.domain(),
 						settings.region(), settings.capacity(), incarnation, 1, RosterPhase.STARTING));
 		RemoteContacts contacts = new RemoteContacts(clock, this.roster.self().vm(), settings.region());
-		this.peers = new RegionPeers(this.loop, clock, this.roster, contacts, random, settings.seeds());
+		this.peers = new RegionPeers(this.loop, loops, clock, this.roster, contacts, random, settings.seeds());
 		this.catalogUpdater = new CatalogUpdater(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
 				this.metrics);
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -52,6 +52,7 @@
 import org.lovagevale.peer.PeerTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.netty.resources.LoopResources;
 
 /**
  * Discovers the other entry processes and exchanges messages with them.
@@ -59,8 +60,9 @@
  * <p>
  * A process sends a heartbeat to its seeds, which reply with the processes that they
  * know. From then on it exchanges heartbeats with the hubs of its region; {@link Roster}
- * explains what hubs do. Not thread-safe; after {@link #listen}, all methods must be
- * called on the event loop.
+ * explains what hubs do. Connections to other processes have the event loop of the
+ * callers, so that a message which arrives before a request is handled before it. Not
+ * thread-safe; after {@link #listen}, all methods must be called on the event loop.
  */
 public final class RegionPeers implements RegionMessageSender {
 
@@ -157,21 +159,22 @@
 	/**
 	 * Creates an instance without connections.
 	 * @param loop the event loop on which messages are processed
+	 * @param loops provides that event loop for the connections to other processes
 	 * @param clock the source of the current time
 	 * @param roster the known entry processes of the region
 	 * @param contacts the known entry VMs of other regions
 	 * @param random selects samples of members and receivers
 	 * @param seeds the peer addresses that are contacted to discover other processes
 	 */
-	public RegionPeers(EventLoop loop, Clock clock, Roster roster, RemoteContacts contacts, RandomSource random,
-			List<HostPort> seeds) {
+	public RegionPeers(EventLoop loop, LoopResources loops, Clock clock, Roster roster, RemoteContacts contacts,
+			RandomSource random, List<HostPort> seeds) {
 		this.loop = loop;
 		this.clock = clock;
 		this.roster = roster;
 		this.contacts = contacts;
 		this.random = random;
 		ProcessIdentity self = new ProcessIdentity(roster.self().vm(), roster.self().incarnation());
-		this.transport = new PeerTransport(self, () -> "", this.addresses::get, this::enqueue);
+		this.transport = new PeerTransport(self, () -> "", this.addresses::get, this::enqueue, loops);
 		setSeeds(seeds);
 	}
 
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ObservedLoops.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/ObservedLoops.java
@@ -42,12 +42,14 @@
 	}
 
 	/**
-	 * Returns the open channel that accepts the connections of callers.
+	 * Returns the open channel that accepts connections to a port.
+	 * @param localPort the port
 	 * @return the listening channel
 	 */
-	Channel listening() {
+	Channel listening(int localPort) {
 		return this.channels.stream()
-			.filter((channel) -> channel.isActive() && channel instanceof ServerChannel)
+			.filter((channel) -> channel.isActive() && channel instanceof ServerChannel
+					&& channel.localAddress() instanceof InetSocketAddress local && local.getPort() == localPort)
 			.findFirst()
 			.orElseThrow();
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PlannedStopTests.java
@@ -73,7 +73,7 @@
 					.publishServer("a", server.port())
 					.start()) {
 			CallerBeforeClose caller = new CallerBeforeClose(gateway);
-			gateway.loops().listening().pipeline().addFirst(caller);
+			gateway.listening().pipeline().addFirst(caller);
 			gateway.process().stop();
 			assertThat(caller.outcome.get(10, TimeUnit.SECONDS)).matches("(?s)not connected|HTTP/1.1 200.*");
 		}
@@ -147,7 +147,7 @@
 				TestGateway gateway = new TestGateway(List.of()).publishConfiguration(2_000)
 					.publishServer("a", server.port())
 					.start()) {
-			gateway.loops().listening().pipeline().addFirst(new DelayAfterAccept());
+			gateway.listening().pipeline().addFirst(new DelayAfterAccept());
 			Thread stop = Thread.ofVirtual().start(gateway.process()::stop);
 			// The process closes idle connections from 1,650 ms on.
 			Thread.sleep(1_400);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
@@ -97,7 +97,7 @@
 	@Test
 	void nonIdempotentRequestIsNotRelayedOnAConnectionThatWasIdleForLong() throws Exception {
 		AcceptCounter accepted = new AcceptCounter();
-		this.homeGateway.loops().listening().pipeline().addFirst(accepted);
+		this.homeGateway.listening().pipeline().addFirst(accepted);
 		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
 			.startsWith("HTTP/1.1 200");
 		Thread.sleep(2_400);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.netty.channel.Channel;
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.SeededRandom;
@@ -182,6 +183,14 @@
 		return this.loops;
 	}
 
+	/**
+	 * Returns the channel that accepts the connections of callers.
+	 * @return the listening channel
+	 */
+	Channel listening() {
+		return this.loops.listening(this.callerAddress.port());
+	}
+
 	long heldBytes() {
 		return this.process.loop().submit(() -> this.process.memory().heldBytes()).syncUninterruptibly().getNow();
 	}
--- a/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/EntryProcess.java
@@ -158,7 +158,7 @@
 	public EntryProcess(ProcessIdentity self, URI platform, int threads, Clock clock, RandomSource random) {
 		this.self = self;
 		this.loops = LoopResources.create("http", threads, true);
-		// The peer and platform clients use the global resources of Reactor Netty.
+		// The platform client uses the global resources of Reactor Netty.
 		TcpResources.set(this.loops);
 		HttpResources.set(this.loops);
 		this.auditTrail = new AuditTrail(MAX_AUDIT_ENTRIES, clock.epochMillis());
@@ -167,7 +167,8 @@
 		this.platform = new PlatformClient(platform);
 		this.settingsLoader = new SettingsLoader(new JsonSettingsReader(), this.platform, this.controlExecutor, clock,
 				this.engine::apply, this.auditTrail::add);
-		this.peerTransport = new PeerTransport(self, this::deployment, this::peerAddress, this::handlePeerEvent);
+		this.peerTransport = new PeerTransport(self, this::deployment, this::peerAddress, this::handlePeerEvent,
+				this.loops);
 		this.backendClients = new BackendHttpClients(this.loops);
 		this.prober = new BackendProber(this.backendClients);
 		EntryExchangeContext context = new EntryExchangeContext(self.vm(), clock, this.engine, this.backendClients,
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
@@ -31,6 +31,7 @@
 import reactor.core.publisher.Flux;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.resources.LoopResources;
 import reactor.netty.tcp.TcpClient;
 import reactor.netty.tcp.TcpServer;
 
@@ -73,6 +74,8 @@
 
 	private final Consumer<Event> events;
 
+	private final LoopResources loops;
+
 	private final PeerCodec codec = new PeerCodec();
 
 	private final PeerCounterRecorder counters = new PeerCounterRecorder();
@@ -100,13 +103,15 @@
 	 * @param addresses returns the published peer address of a VM, or {@code null} if
 	 * none is published
 	 * @param events receives the events of links and the messages of peers
+	 * @param loops provides the event loops of the links
 	 */
 	public PeerTransport(ProcessIdentity self, Supplier<String> deployment,
-			Function<VmName, @Nullable InetSocketAddress> addresses, Consumer<Event> events) {
+			Function<VmName, @Nullable InetSocketAddress> addresses, Consumer<Event> events, LoopResources loops) {
 		this.self = self;
 		this.deployment = deployment;
 		this.addresses = addresses;
 		this.events = events;
+		this.loops = loops;
 		this.maintenanceTimer = Flux.interval(Duration.ofMillis(RECONNECT_INTERVAL_MS))
 			.onBackpressureDrop()
 			.subscribe((tick) -> maintainLinks());
@@ -121,6 +126,7 @@
 	public void listen(String host, int port) throws PeerException {
 		try {
 			this.server = TcpServer.create()
+				.runOn(this.loops)
 				.host(host)
 				.port(port)
 				.option(ChannelOption.SO_REUSEADDR, true)
@@ -245,7 +251,7 @@
 			return;
 		}
 		String ownHost = this.localHost;
-		TcpClient client = TcpClient.newConnection();
+		TcpClient client = TcpClient.newConnection().runOn(this.loops);
 		if (ownHost != null) {
 			// Peers reject a link from another address than the published one, which the
 			// system may choose on a VM with several addresses.
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
@@ -26,6 +26,7 @@
 import org.lovagevale.core.event.PeerMessageReceived;
 import org.lovagevale.core.event.PeerRefused;
 import org.lovagevale.core.message.SuspectNoticeAck;
+import reactor.netty.tcp.TcpResources;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -73,7 +74,7 @@
 	private PeerTransport startTransport(VmName vm, int incarnationSalt, BlockingQueue<Event> events, String host)
 			throws Exception {
 		PeerTransport transport = new PeerTransport(new ProcessIdentity(vm, new Incarnation(1, incarnationSalt)),
-				() -> "demo", this.addresses::get, events::add);
+				() -> "demo", this.addresses::get, events::add, TcpResources.get());
 		transport.listen(host, 0);
 		this.addresses.put(vm, new InetSocketAddress(host, transport.port()));
 		return transport;
@@ -137,7 +138,7 @@
 	void closesALinkToAnotherDeployment() throws Exception {
 		PeerTransport other = new PeerTransport(new ProcessIdentity(A, new Incarnation(1, 3)), () -> "other",
 				this.addresses::get, (event) -> {
-				});
+				}, TcpResources.get());
 		other.send(B, new SuspectNoticeAck(1));
 		assertThat(this.eventsOfB.poll(1, TimeUnit.SECONDS)).isNull();
 		assertThat(this.b.counters().rejected()).isGreaterThanOrEqualTo(1);
