Keep the ports of the platform open for handshakes in progress

The ports for readiness, directory and metrics, and the port of the callers in lovagevale-node, were closed 1 ms after new connections were refused, so handshakes in progress were reset. The port of the callers in the gateway waits for them for 0.4 s (HANDSHAKE_MS), the others did not.

ServerConnections now waits for the same time, and its close() for the port.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -393,6 +393,15 @@
 		});
 	}
 
+	/**
+	 * Returns the maximum time that a planned stop takes, without the exit of the
+	 * process.
+	 * @return the time in milliseconds
+	 */
+	public long maxStopMs() {
+		return Math.max(0, this.settings.stopMs() - STOP_MARGIN_MS);
+	}
+
 	/**
 	 * Performs a planned stop: announces it to callers and peers, rejects the requests
 	 * that cannot be completed, then blocks until all connections of callers are closed
@@ -401,7 +410,7 @@
 	 */
 	public void stop() {
 		long stopMs = this.settings.stopMs();
-		long timeMs = Math.max(0, stopMs - STOP_MARGIN_MS);
+		long timeMs = maxStopMs();
 		synchronized (this.portLock) {
 			boolean begun = this.stopping;
 			this.stopping = true;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerConnections.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ServerConnections.java
@@ -43,6 +43,9 @@
 
 	private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
 
+	/** The listening channels that are closed or about to be. */
+	private final Set<Channel> closingPorts = ConcurrentHashMap.newKeySet();
+
 	private final long minIdleMs;
 
 	/**
@@ -77,16 +80,21 @@
 	}
 
 	/**
-	 * Closes a port. New connections are refused at once; those that callers have opened
-	 * already are accepted first, since closing the port would reset them.
+	 * Closes a port. New connections are refused at once. Those that callers have opened
+	 * already, or whose handshakes are in progress, are accepted before the port is
+	 * closed, since closing it would reset them.
 	 * @param listening the listening channel
-	 * @param close closes the channel
+	 * @param close closes the channel; called after {@link FrontendServer#HANDSHAKE_MS},
+	 * or at once if new connections cannot be refused
 	 */
-	public static void closePort(Channel listening, Runnable close) {
-		ConnectionRefusal.refuseNewConnections(listening);
+	public void closePort(Channel listening, Runnable close) {
+		this.closingPorts.add(listening);
+		boolean refusing = ConnectionRefusal.refuseNewConnections(listening);
 		EventLoop loop = listening.eventLoop();
-		// A delay that begins on another thread may end before the loop has run.
-		loop.execute(() -> loop.schedule(close, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS));
+		// A delay that begins on another thread may end before the loop has run, and the
+		// loop accepts what arrived during a delay before it runs the inner task.
+		loop.execute(() -> loop.schedule(() -> loop.schedule(close, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS),
+				refusing ? FrontendServer.HANDSHAKE_MS : 0, TimeUnit.MILLISECONDS));
 	}
 
 	/**
@@ -118,15 +126,15 @@
 
 	/**
 	 * Closes the connections without a request in progress, and waits until the others
-	 * are closed as well. Each response has to close its connection during a planned
-	 * stop.
+	 * and the ports passed to {@link #closePort} are closed as well. Each response has to
+	 * close its connection during a planned stop.
 	 * @param timeoutMs the maximum time to wait, in milliseconds
 	 * @return the number of connections that are still open
 	 */
 	public int close(long timeoutMs) {
 		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
 		try {
-			while (!this.connections.isEmpty() && System.nanoTime() < deadline) {
+			while ((!this.connections.isEmpty() || isPortOpen()) && System.nanoTime() < deadline) {
 				this.connections.forEach(ServerConnection::closeIfIdle);
 				Thread.sleep(CLOSE_CHECK_INTERVAL_MS);
 			}
@@ -137,4 +145,8 @@
 		return this.connections.size();
 	}
 
+	private boolean isPortOpen() {
+		return this.closingPorts.stream().anyMatch(Channel::isOpen);
+	}
+
 }
--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/CallerServer.java
@@ -131,13 +131,14 @@
 		DisposableServer listening = this.server;
 		if (listening != null) {
 			this.server = null;
-			ServerConnections.closePort(listening.channel(), listening::dispose);
+			this.connections.closePort(listening.channel(), listening::dispose);
 		}
 	}
 
 	/**
 	 * Closes the connections without a request in progress, and waits until the others
-	 * are closed as well. Each response closes its connection during a planned stop.
+	 * and the port are closed as well. Each response closes its connection during a
+	 * planned stop.
 	 * @param timeoutMs the maximum time to wait, in milliseconds
 	 * @return the number of connections that are still open
 	 */
