Bound what connections of peers hold

5,000 silent connections to the port for peers, and 200 incomplete frames of 1.3 MB with or without a hello message, left questions to the readiness port and callers without a response in 1 s (PeerFloodTests, 3 of 6 forms; e.g. 3 of 4 asked in 2.5 s). Frames of 650,000 strings of one character passed the validator, and the loop served 3 to 4 questions in 2.5 s.

A frame may have 1.3 MB, and nothing limited the sum, nor the links, nor what an unknown sender may send. The state of a peer stayed for ever under the name that it chose, and so did each address in a list of processes.

A first frame now has at most 1 KB. 128 links without a hello message are kept, 1,024 accepted ones and 8 to one peer; a further one closes the oldest without a hello message. The incomplete frames of all links have at most 8 MB; the link with the oldest one is closed above it. A message has at most 131,072 values. A link is read once a turn, 64 KB at most. The states of peers without links are removed, lists add at most 1,000 processes, and addresses that are not used are removed above 4,000.

The limits on listed processes and on addresses have no test.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -109,6 +109,15 @@
 	/** Maximum number of senders whose last heartbeat is remembered. */
 	private static final int MAX_REMEMBERED_SENDERS = 1_000;
 
+	/**
+	 * Maximum number of processes that are known from lists of others, more than there
+	 * are in a region.
+	 */
+	static final int MAX_LISTED_MEMBERS = 1_000;
+
+	/** Maximum number of addresses before those that are not used are removed. */
+	private static final int MAX_ADDRESSES = 4_000;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(RegionPeers.class);
 
 	private final EventLoop loop;
@@ -220,9 +229,20 @@
 	}
 
 	private void recordAddress(String host, int port) {
+		if (this.addresses.size() >= MAX_ADDRESSES && !this.addresses.containsKey(vmNameOf(host))) {
+			removeUnusedAddresses();
+		}
 		this.addresses.put(vmNameOf(host), new InetSocketAddress(host, port));
 	}
 
+	private void removeUnusedAddresses() {
+		Set<VmName> used = new HashSet<>();
+		this.roster.known().forEach((member) -> used.add(member.vm()));
+		this.contacts.usable().forEach((member) -> used.add(member.vm()));
+		this.seeds.forEach((seed) -> used.add(vmNameOf(seed.host())));
+		this.addresses.keySet().retainAll(used);
+	}
+
 	@Override
 	public void send(VmName to, RegionMessage message) {
 		this.transport.send(to, message);
@@ -415,6 +435,9 @@
 			this.contacts.update(member);
 			return;
 		}
+		if (this.roster.find(member.vm()) == null && this.roster.known().size() >= MAX_LISTED_MEMBERS) {
+			return;
+		}
 		recordAddress(member.host(), member.peerPort());
 		this.roster.addKnown(member);
 	}
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/MessagePackValidator.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/MessagePackValidator.java
@@ -8,8 +8,8 @@
 
 /**
  * Checks that MessagePack input is exactly one value of the types that peer messages
- * contain, and that the declared lengths of its strings and arrays do not exceed the
- * input.
+ * contain, that the declared lengths of its strings and arrays do not exceed the input,
+ * and that there are not too many values.
  *
  * <p>
  * The parser allocates a buffer of the declared length of a string before it reads the
@@ -18,13 +18,24 @@
  */
 final class MessagePackValidator {
 
+	/**
+	 * Maximum number of values in a message. An element of one byte takes 40 bytes and
+	 * more once it is decoded; the largest sound messages have more than 10 bytes for
+	 * each value.
+	 */
+	static final int MAX_VALUES = PeerCodec.MAX_MESSAGE_BYTES / 10;
+
 	private MessagePackValidator() {
 	}
 
 	static void validate(byte[] bytes) throws PeerException {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
 			long pendingValues = 1;
+			int values = 0;
 			while (pendingValues > 0) {
+				if (++values > MAX_VALUES) {
+					throw new PeerException("malformed message: more than " + MAX_VALUES + " values", null);
+				}
 				pendingValues += readScalarOrArrayHeader(unpacker, bytes.length) - 1;
 				long remainingBytes = bytes.length - unpacker.getTotalReadBytes();
 				// Each value is encoded in at least one byte.
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerLink.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
@@ -39,8 +38,6 @@
 
 	private static final int KEEPALIVE_INTERVAL_SECONDS = 1;
 
-	private static final int LENGTH_FIELD_BYTES = 4;
-
 	/**
 	 * Number of unsent bytes from which messages are dropped. Two messages of the maximum
 	 * size fit, each with a complete settings tree; more unsent bytes mean that the peer
@@ -58,9 +55,13 @@
 
 	private final PeerLinkListener listener;
 
+	private final PartialFrames partialFrames;
+
 	private volatile @Nullable VmName peer;
 
-	PeerLink(Channel channel, PeerCodec codec, PeerCounterRecorder counters, PeerLinkListener listener) {
+	PeerLink(Channel channel, PeerCodec codec, PeerCounterRecorder counters, PartialFrames partialFrames,
+			PeerLinkListener listener) {
+		this.partialFrames = partialFrames;
 		this.channel = channel;
 		this.codec = codec;
 		this.counters = counters;
@@ -77,9 +78,8 @@
 			.setWriteBufferWaterMark(new WriteBufferWaterMark(MAX_PENDING_BYTES / 2, MAX_PENDING_BYTES));
 		connection.addHandlerLast("idle",
 				new IdleStateHandler(READ_IDLE_TIMEOUT_SECONDS, KEEPALIVE_INTERVAL_SECONDS, 0, TimeUnit.SECONDS));
-		connection.addHandlerLast("frames", new LengthFieldBasedFrameDecoder(
-				PeerCodec.MAX_MESSAGE_BYTES + LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
-		connection.addHandlerLast("lengths", new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+		connection.addHandlerLast("frames", new PeerFrameDecoder(() -> this.peer != null, this.partialFrames));
+		connection.addHandlerLast("lengths", new LengthFieldPrepender(PeerFrameDecoder.LENGTH_FIELD_BYTES));
 		connection.addHandlerLast("messages", this);
 		// Reactor Netty reads only when its own inbound requests data, which is not the
 		// case here.
@@ -123,7 +123,7 @@
 			this.counters.countDropped();
 			return false;
 		}
-		this.counters.countSent(bytes.length + LENGTH_FIELD_BYTES);
+		this.counters.countSent(bytes.length + PeerFrameDecoder.LENGTH_FIELD_BYTES);
 		// The peer would take the next frame for the part that could not be written.
 		this.channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
 		return true;
@@ -144,7 +144,7 @@
 		frame.readBytes(bytes);
 		try {
 			handle(this.codec.decode(bytes));
-			this.counters.countReceived(length + LENGTH_FIELD_BYTES);
+			this.counters.countReceived(length + PeerFrameDecoder.LENGTH_FIELD_BYTES);
 		}
 		catch (PeerException ex) {
 			closeOnError(ex);
@@ -194,6 +194,9 @@
 	}
 
 	private void closeOnError(Throwable cause) {
+		if (!this.channel.isActive()) {
+			return;
+		}
 		this.counters.countRejected();
 		LOGGER.warn("event=peer.link-closed peer={} remote={} reason=\"{}\"", this.peer, this.channel.remoteAddress(),
 				cause.getMessage());
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
@@ -6,12 +6,14 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import org.jspecify.annotations.Nullable;
@@ -63,6 +65,30 @@
 
 	private static final int MAX_QUEUED_MESSAGES_PER_PEER = 64;
 
+	/**
+	 * Maximum number of open links to one peer. One is enough; some may be dead or have
+	 * been opened by both sides at once.
+	 */
+	private static final int MAX_LINKS_PER_PEER = 8;
+
+	/**
+	 * Maximum number of accepted links without a hello message. Peers send theirs at
+	 * once.
+	 */
+	private static final int MAX_UNINTRODUCED_LINKS = 128;
+
+	/**
+	 * Maximum number of links from peers, more than there are entry processes. The other
+	 * descriptors of the process are for callers and servers.
+	 */
+	private static final int MAX_ACCEPTED_LINKS = 1_024;
+
+	private static final int MIN_READ_BYTES = 64;
+
+	private static final int INITIAL_READ_BYTES = 2_048;
+
+	private static final int MAX_READ_BYTES = 65_536;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(PeerTransport.class);
 
 	private final ProcessIdentity self;
@@ -81,6 +107,14 @@
 
 	private final Map<VmName, PeerState> peers = new HashMap<>();
 
+	private final PartialFrames partialFrames = new PartialFrames();
+
+	/** The accepted links, oldest first. Guarded by the lock on {@link #peers}. */
+	private final Set<PeerLink> accepted = new LinkedHashSet<>();
+
+	/** The ones without a hello message. Guarded by the lock on {@link #peers}. */
+	private final Set<PeerLink> unintroduced = new LinkedHashSet<>();
+
 	private final Disposable maintenanceTimer;
 
 	private Set<VmName> persistentPeers = Set.of();
@@ -125,7 +159,10 @@
 				.port(port)
 				.option(ChannelOption.SO_REUSEADDR, true)
 				.childOption(ChannelOption.TCP_NODELAY, true)
-				.doOnConnection(this::openLink)
+				.childOption(ChannelOption.RECVBUF_ALLOCATOR,
+						new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+							.maxMessagesPerRead(1))
+				.doOnConnection(this::acceptLink)
 				.bindNow();
 			this.localHost = host;
 		}
@@ -233,6 +270,9 @@
 					idleLinks.addAll(state.outbound);
 				}
 			});
+			// Peers choose their names, so what is known of them must not stay for ever.
+			this.peers.entrySet()
+				.removeIf((entry) -> !this.persistentPeers.contains(entry.getKey()) && entry.getValue().isUnused());
 		}
 		unconnected.forEach(this::connect);
 		idleLinks.forEach(PeerLink::close);
@@ -283,9 +323,24 @@
 		}
 	}
 
+	private void acceptLink(Connection connection) {
+		PeerLink link = openLink(connection);
+		PeerLink surplus = null;
+		synchronized (this.peers) {
+			this.accepted.add(link);
+			this.unintroduced.add(link);
+			if (this.unintroduced.size() > MAX_UNINTRODUCED_LINKS || this.accepted.size() > MAX_ACCEPTED_LINKS) {
+				surplus = this.unintroduced.iterator().next();
+			}
+		}
+		if (surplus != null) {
+			surplus.close();
+		}
+	}
+
 	private PeerLink openLink(Connection connection) {
 		Channel channel = connection.channel();
-		PeerLink link = new PeerLink(channel, this.codec, this.counters, this.listener);
+		PeerLink link = new PeerLink(channel, this.codec, this.counters, this.partialFrames, this.listener);
 		link.open(connection, new Hello(PROTOCOL_VERSION, this.deployment.get(), this.self.vm().value(),
 				this.self.incarnation().toString()));
 		return link;
@@ -338,6 +393,10 @@
 			return this.links.isEmpty() ? null : this.links.iterator().next();
 		}
 
+		private boolean isUnused() {
+			return this.links.isEmpty() && this.outbound.isEmpty() && this.queued.isEmpty() && !this.connecting;
+		}
+
 		private boolean beginConnecting() {
 			boolean begin = !this.connecting;
 			this.connecting = true;
@@ -359,6 +418,10 @@
 			ArrayDeque<PeerMessage> queued;
 			synchronized (PeerTransport.this.peers) {
 				PeerState state = stateOf(peer);
+				if (state.links.size() >= MAX_LINKS_PER_PEER) {
+					throw new PeerException("peer " + peer + " has " + MAX_LINKS_PER_PEER + " links", null);
+				}
+				PeerTransport.this.unintroduced.remove(link);
 				state.links.add(link);
 				state.connecting = false;
 				queued = new ArrayDeque<>(state.queued);
@@ -381,6 +444,8 @@
 			VmName lostPeer = null;
 			VmName unreachedPeer = null;
 			synchronized (PeerTransport.this.peers) {
+				PeerTransport.this.accepted.remove(link);
+				PeerTransport.this.unintroduced.remove(link);
 				for (Map.Entry<VmName, PeerState> entry : PeerTransport.this.peers.entrySet()) {
 					PeerState state = entry.getValue();
 					boolean wasOutbound = state.outbound.remove(link);
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
@@ -25,6 +25,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards against messages that change when they are encoded and decoded, and against
@@ -88,6 +89,18 @@
 		return List.of(oversizedString, oversizedArray, nullComponent, missingComponent, unknownType, deeplyNested);
 	}
 
+	@Test
+	void messageOfManySmallValuesIsRefused() {
+		byte[] bytes = new byte[PeerCodec.MAX_MESSAGE_BYTES];
+		Arrays.fill(bytes, (byte) 1);
+		int values = bytes.length - 8;
+		byte[] start = { (byte) 0x92, 20, (byte) 0x91, (byte) 0xdd, (byte) (values >> 24), (byte) (values >> 16),
+				(byte) (values >> 8), (byte) values };
+		System.arraycopy(start, 0, bytes, 0, start.length);
+		assertThatThrownBy(() -> this.codec.decode(bytes)).isInstanceOf(PeerException.class)
+			.hasMessageContaining("values");
+	}
+
 	@Test
 	void messageToSeveralPeersIsEncodedOnce() throws PeerException {
 		PeerMessage message = messages().getFirst();
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerLinkTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerLinkTests.java
@@ -24,7 +24,8 @@
 	@Test
 	void linkIsClosedAfterAFrameThatWasWrittenInPart() {
 		EmbeddedChannel channel = new EmbeddedChannel();
-		PeerLink link = new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), new CountingListener());
+		PeerLink link = new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), new PartialFrames(),
+				new CountingListener());
 		link.open(Connection.from(channel), HELLO);
 		channel.releaseOutbound();
 		channel.pipeline().addFirst(new BodyFailure());
@@ -38,8 +39,8 @@
 	void messagesBehindAMalformedOneAreNotHandled() throws PeerException {
 		EmbeddedChannel channel = new EmbeddedChannel();
 		CountingListener listener = new CountingListener();
-		new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), listener).open(Connection.from(channel),
-				HELLO);
+		new PeerLink(channel, new PeerCodec(), new PeerCounterRecorder(), new PartialFrames(), listener)
+			.open(Connection.from(channel), HELLO);
 		channel.releaseOutbound();
 		byte[] hello = new PeerCodec().encode(HELLO);
 		ByteBuf received = Unpooled.buffer().writeInt(1).writeByte(0).writeInt(hello.length).writeBytes(hello);
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerTransportTests.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -133,6 +135,32 @@
 		assertThat(nextEvent(this.eventsOfB)).isEqualTo(new PeerMessageReceived(A, new SuspectNoticeAck(1)));
 	}
 
+	@Test
+	void closesALinkWhoseFirstFrameIsTooLargeForAHello() throws Exception {
+		assertClosesConnectionAfter(new byte[] { 0, 0, 4, 1 });
+		assertThat(this.b.counters().rejected()).isEqualTo(1);
+	}
+
+	@Test
+	void closesTheOldestOfTooManyLinksWithoutAHello() throws Exception {
+		List<Socket> sockets = new ArrayList<>();
+		try {
+			for (int i = 0; i < 200; i++) {
+				sockets.add(new Socket(LOOPBACK, this.b.port()));
+			}
+			Socket oldest = sockets.getFirst();
+			oldest.setSoTimeout(1_000);
+			assertThat(oldest.getInputStream().readAllBytes()).isNotEmpty();
+			this.a.send(B, new SuspectNoticeAck(1));
+			assertThat(nextEvent(this.eventsOfB)).isInstanceOf(PeerConnected.class);
+		}
+		finally {
+			for (Socket socket : sockets) {
+				socket.close();
+			}
+		}
+	}
+
 	@Test
 	void closesALinkToAnotherDeployment() throws Exception {
 		PeerTransport other = new PeerTransport(new ProcessIdentity(A, new Incarnation(1, 3)), () -> "other",
