Account for pipelined requests when they are accepted or answered

Callers saw: an accepted request with a body, sent behind another one on the same connection, was never read to its end while the process was full. A kept connection without a request could get a 503.

Cause: the reservation of what has arrived of requests that are not accepted was resized only when further bytes were decoded. A request that was taken from the queue after the response before it stayed in it, also after its own response. When the account was full, that connection was evicted as if the request were not accepted: its decoder discarded all further input.

Change: the reservation is resized each time the queue was processed, and eviction leaves a connection alone whose request is accepted and has an incomplete body.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -288,7 +288,8 @@
 	// sent again by the caller if their connection is closed after its response.
 	private void evict() {
 		Exchange current = this.exchange;
-		if (this.closing) {
+		boolean accepted = current != null && !current.isBodyComplete();
+		if (this.closing || accepted) {
 			return;
 		}
 		if (this.discarding) {
@@ -379,7 +380,6 @@
 			this.queuedArrivals.add(this.router.arrivalTime(ctx.channel()));
 		}
 		process();
-		updatePendingMemory();
 	}
 
 	private void process() {
@@ -410,6 +410,8 @@
 		finally {
 			this.processing = false;
 		}
+		// A request may be accepted, or its parts handled, without further bytes.
+		updatePendingMemory();
 		if (isDecodable()) {
 			continueDecoding();
 		}
