Count the first line in the size of a head

Callers saw: not reported on its own. Requests with a long method, and responses with a long reason phrase, took up to 16 KB and 64 KB of the heap that no limit on the sum held.

Cause: the size of a head was that of its headers and the request target.

Change: the method, the protocol version and the reason phrase count as well.

Measured before: a request with a method of 16,000 characters counted as 513 bytes.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HeldSize.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HeldSize.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 
 /**
  * The memory that decoded parts of messages take, with their objects.
@@ -36,13 +37,20 @@
 	 * @return the size in bytes
 	 */
 	static long ofHead(HttpMessage head) {
-		long bytes = HEAD_BYTES + ((head instanceof HttpRequest request) ? request.uri().length() : 0);
+		long bytes = HEAD_BYTES + head.protocolVersion().text().length() + firstLineBytes(head);
 		for (Map.Entry<String, String> header : head.headers()) {
 			bytes += header.getKey().length() + header.getValue().length() + HEADER_BYTES;
 		}
 		return bytes;
 	}
 
+	private static long firstLineBytes(HttpMessage head) {
+		if (head instanceof HttpRequest request) {
+			return (long) request.method().name().length() + request.uri().length();
+		}
+		return (head instanceof HttpResponse response) ? response.status().reasonPhrase().length() : 0;
+	}
+
 	/**
 	 * Returns the size of a part of a message.
 	 * @param part a head or a part of a body
