Resume handling pipelined requests only after it was held back

Each write that ended while requests were queued scheduled another run, which could handle a request outside of its turn. Found by reading; the tests of unread responses pass before and after.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -173,6 +173,9 @@
 	/** Whether another turn of {@link #process()} is scheduled. */
 	private boolean processingLater;
 
+	/** Whether the next request waits until the caller takes earlier responses. */
+	private boolean awaitingCaller;
+
 	private boolean dataReceived;
 
 	/** Whether the head of a request was read whose response has not ended. */
@@ -470,6 +473,7 @@
 			return true;
 		}
 		if (isBlockedByUnreadResponses()) {
+			this.awaitingCaller = true;
 			return false;
 		}
 		HttpObject next = dequeue();
@@ -668,15 +672,15 @@
 	}
 
 	private void updateBacklog() {
-		ChannelHandlerContext open = context();
-		this.backlog.update(open.channel(), now());
+		this.backlog.update(context().channel(), now());
 		Exchange current = this.exchange;
 		if (current != null) {
 			current.callerWritable();
 		}
-		else if (!this.queued.isEmpty() && isWritable()) {
+		else if (this.awaitingCaller && isWritable()) {
+			this.awaitingCaller = false;
 			// A write that has just ended may be a part of handling a response.
-			open.executor().execute(this::process);
+			processLater();
 		}
 	}
 
