Count a backlog before deciding whether it can be evicted

The decision was made with the size before the last write, so a backlog that exceeded the limit by half stayed until the next event of its connection; and while the limit was exceeded by half, a caller that takes data slowly counted as one that takes none. Found by reading.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerBacklog.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerBacklog.java
@@ -71,21 +71,21 @@
 		}
 		this.bytes = pendingBytes;
 		this.progress = newProgress;
-		boolean evictable = isStalled(channel, now);
-		this.moving.resize(evictable ? 0 : pendingBytes);
-		this.stalled.resize(evictable ? pendingBytes : 0);
+		this.stalled.resize(0);
+		this.moving.resize(pendingBytes);
+		if (isEvictable(channel, now)) {
+			this.moving.resize(0);
+			this.stalled.resize(pendingBytes);
+		}
 	}
 
-	private boolean isStalled(Channel channel, long now) {
-		if (this.account.heldBytes() >= this.account.limitBytes() * MAX_HELD_SHARE) {
-			return true;
-		}
+	private boolean isEvictable(Channel channel, long now) {
 		long maxStallMs = this.account.isOverfull() ? OVERFULL_STALL_MS : STALL_MS;
 		if (untakenMs(now) >= maxStallMs) {
 			long sentAgoMs = PendingWrites.sentAgoMs(channel);
 			this.takenAt = Math.max(this.takenAt, now - Math.min(now, sentAgoMs));
 		}
-		return untakenMs(now) >= maxStallMs;
+		return untakenMs(now) >= maxStallMs || this.account.heldBytes() >= this.account.limitBytes() * MAX_HELD_SHARE;
 	}
 
 	/**
