Await the end of a request in the test of callers that take nothing

The test read the held bytes once its connection was inactive, which is before the event that ends the request. The bytes still have to be 0 within 1 s.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/StalledCallerTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/StalledCallerTests.java
@@ -99,6 +99,10 @@
 			Thread.sleep(20);
 		}
 		assertThat(this.gateway.loops().channelsTo(caller.getLocalPort())).isEmpty();
+		// The request is ended by the event that follows the close.
+		for (int i = 0; i < 50 && this.gateway.heldResponseBytes() > 0; i++) {
+			Thread.sleep(20);
+		}
 		assertThat(this.gateway.heldResponseBytes()).isZero();
 	}
 
