Reject a line that ends with LF only before a folded one

Callers saw: not reported on its own. A head that the decoder rejects was accepted if a folded line followed the line with the wrong end.

Cause: folded lines are joined before the decoder sees them, and the LF in front of them was replaced whether or not a CR was before it.

Change: such a section is rejected.

Measured before: is accepted ("a: b", LF, blank, CR LF).

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FieldSectionScanner.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FieldSectionScanner.java
@@ -58,7 +58,8 @@
 	 * @return the size of the section with the empty line at its end, or -1 if that has
 	 * not arrived
 	 * @throws TooLongHttpHeaderException if the section is too large
-	 * @throws IllegalArgumentException if a line has no colon
+	 * @throws IllegalArgumentException if a line has no colon or ends with LF only before
+	 * a folded one
 	 */
 	int findEnd(ByteBuf buffer) {
 		int begin = buffer.readerIndex();
@@ -103,10 +104,13 @@
 	}
 
 	private static void unfold(ByteBuf buffer, int start) {
-		buffer.setByte(start - 1, HttpConstants.SP);
-		if (buffer.getByte(start - 2) == HttpConstants.CR) {
-			buffer.setByte(start - 2, HttpConstants.SP);
+		// A line that ends with LF only is not valid; joined with the next one, it would
+		// be accepted.
+		if (buffer.getByte(start - 2) != HttpConstants.CR) {
+			throw new IllegalArgumentException("header line without CR at its end");
 		}
+		buffer.setByte(start - 1, HttpConstants.SP);
+		buffer.setByte(start - 2, HttpConstants.SP);
 	}
 
 	/**
