Keep responses that arrive in part beside callers that do not read

Callers saw: 502 "no memory for the response" for a request to a sound server, whose response arrived in two parts while other callers did not read theirs.

Cause: when the account of responses is full, all that can be evicted is given up, also if it is small and others fill the account with what cannot be evicted.

Change: a quarter of the limit is kept for what can be evicted, as long as it is within that quarter. The account of requests is unchanged: a head that arrives in part is rejected at once with 503 there.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -15,7 +15,8 @@
  * can be read completely, instead of blocking each other halfway. What was not announced,
  * such as a head that has arrived in part, can be evicted: the largest holders give up
  * theirs first, so that a sound message, which is small, is kept beside any number of
- * large ones.
+ * large ones. A part of the limit may be set up to which all of it is kept, however much
+ * is held otherwise.
  *
  * <p>
  * Invariants: the held bytes exceed the limit at most by bytes that were not announced
@@ -58,6 +59,9 @@
 
 	private final long limitBytes;
 
+	/** Size up to which reservations are not evicted, for all of them together. */
+	private final long keptEvictableBytes;
+
 	private final long[] heldByKind = new long[HeldKind.values().length];
 
 	/** The reservations that can be evicted and are not empty. */
@@ -77,11 +81,26 @@
 	 * @param limitBytes the limit on the held bytes
 	 */
 	public MemoryAccount(Clock clock, long limitBytes) {
+		this(clock, limitBytes, 0);
+	}
+
+	/**
+	 * Creates an account that is empty.
+	 * @param clock the source of the current time
+	 * @param limitBytes the limit on the held bytes
+	 * @param keptEvictableBytes the size up to which what can be evicted is kept, in
+	 * bytes; it may exceed the limit by that
+	 */
+	public MemoryAccount(Clock clock, long limitBytes, long keptEvictableBytes) {
 		if (limitBytes <= 0) {
 			throw new IllegalArgumentException("limit of " + limitBytes + " bytes, expected at least 1");
 		}
+		if (keptEvictableBytes < 0) {
+			throw new IllegalArgumentException("negative size " + keptEvictableBytes);
+		}
 		this.clock = clock;
 		this.limitBytes = limitBytes;
+		this.keptEvictableBytes = keptEvictableBytes;
 	}
 
 	/**
@@ -153,13 +172,14 @@
 
 	/**
 	 * Evicts reservations, the largest first, if the limit is reached, until a tenth of
-	 * it is free or none is left.
+	 * it is free or no more may be evicted.
 	 * @return the number of evicted reservations
 	 */
 	public int evictExcess() {
 		int evicted = 0;
 		if (isFull()) {
-			while (this.heldBytes > this.limitBytes * EVICTION_TARGET_SHARE && !this.evictable.isEmpty()) {
+			while (this.heldBytes > this.limitBytes * EVICTION_TARGET_SHARE
+					&& this.evictableBytes > this.keptEvictableBytes) {
 				MemoryReservation largest = this.evictable.stream()
 					.max(Comparator.comparingLong(MemoryReservation::bytes))
 					.orElseThrow();
--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -136,4 +136,22 @@
 		assertThat(this.account.evictExcess()).isZero();
 	}
 
+	@Example
+	void smallReservationsAreKeptWhereTheyDoNotFillTheAccount() {
+		MemoryAccount keeping = new MemoryAccount(this.clock, LIMIT_BYTES, LIMIT_BYTES / 4);
+		keeping.reserve(HeldKind.RESPONSE_BODY, LIMIT_BYTES);
+		List<MemoryReservation> small = new ArrayList<>();
+		for (int i = 0; i < 100; i++) {
+			small.add(keeping.reserveEvictable(HeldKind.RESPONSE_HEAD, () -> {
+			}));
+			small.getLast().resize(1_000);
+		}
+		MemoryReservation large = keeping.reserveEvictable(HeldKind.RESPONSE_HEAD, () -> {
+		});
+		large.resize(LIMIT_BYTES / 4);
+		assertThat(keeping.evictExcess()).isEqualTo(1);
+		assertThat(large.bytes()).isZero();
+		assertThat(small).allMatch((held) -> held.bytes() == 1_000);
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -96,6 +96,13 @@
 	 */
 	private static final long REPORT_TIMEOUT_MS = 100;
 
+	/**
+	 * Part of the memory for responses up to which responses that have arrived in part
+	 * are kept. Callers that read slowly may fill all of it, and giving up the responses
+	 * to others would free little.
+	 */
+	private static final long KEPT_RESPONSES_DIVISOR = 4;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(GatewayProcess.class);
 
 	private final Clock clock;
@@ -170,7 +177,8 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.memory = new MemoryAccount(clock, memoryLimits.requestBytes());
-		this.responseMemory = new MemoryAccount(clock, memoryLimits.responseBytes());
+		this.responseMemory = new MemoryAccount(clock, memoryLimits.responseBytes(),
+				memoryLimits.responseBytes() / KEPT_RESPONSES_DIVISOR);
 		this.metrics.observe("requests", this.memory);
 		this.metrics.observe("responses", this.responseMemory);
 		this.startedAt = clock.millis();
