Do not nest evictions

Callers saw: not reported on its own. Evictions that evict again take a part of the stack each; the deployed command has 256 KB of it.

Cause: a caller's connection that is evicted discards its input, which ends a turn of decoding, and that evicts what is still in excess. A large request that was just accepted makes many small evictions necessary.

Change: a call by an eviction has no effect, since the outer one goes on.

Seen before: up to three nested calls in FullProcessTests (memory.full with 31, 1 and 1 evictions at the same time), and an overflow of the stack in the new test, whose evictions evict before they release. Both pass with this change.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -71,6 +71,9 @@
 
 	private long evictableBytes;
 
+	/** Whether reservations are being evicted. */
+	private boolean evicting;
+
 	private double releasedBytes;
 
 	private double releasedByteMillis;
@@ -172,12 +175,17 @@
 
 	/**
 	 * Evicts reservations, the largest first, if the limit is reached, until a tenth of
-	 * it is free or no more may be evicted.
+	 * it is free or no more may be evicted. A call by an eviction has no effect, since
+	 * each of thousands of evictions would take a part of the stack.
 	 * @return the number of evicted reservations
 	 */
 	public int evictExcess() {
+		if (this.evicting || !isFull()) {
+			return 0;
+		}
 		int evicted = 0;
-		if (isFull()) {
+		this.evicting = true;
+		try {
 			while (this.heldBytes > this.limitBytes * EVICTION_TARGET_SHARE
 					&& this.evictableBytes > this.keptEvictableBytes) {
 				MemoryReservation largest = this.evictable.stream()
@@ -187,6 +195,9 @@
 				evicted++;
 			}
 		}
+		finally {
+			this.evicting = false;
+		}
 		return evicted;
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -154,4 +154,20 @@
 		assertThat(small).allMatch((held) -> held.bytes() == 1_000);
 	}
 
+	@Example
+	void evictionsThatEvictAgainAreNotNested() {
+		int[] depth = new int[2];
+		for (int i = 0; i < 1_000; i++) {
+			this.account.reserveEvictable(HeldKind.REQUEST_HEAD, () -> {
+				depth[1] = Math.max(depth[1], ++depth[0]);
+				this.account.evictExcess();
+				depth[0]--;
+			}).resize(LIMIT_BYTES / 1_000);
+		}
+		this.account.reserve(HeldKind.REQUEST_BODY, LIMIT_BYTES / 2);
+		this.account.evictExcess();
+		assertThat(this.account.heldBytes()).isLessThanOrEqualTo(LIMIT_BYTES);
+		assertThat(depth[1]).isEqualTo(1);
+	}
+
 }
