--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -136,4 +136,38 @@
 		assertThat(this.account.evictExcess()).isZero();
 	}
 
+	@Example
+	void smallReservationsAreKeptWhereTheyDoNotFillTheAccount() {
+		MemoryAccount keeping = new MemoryAccount(this.clock, LIMIT_BYTES, LIMIT_BYTES / 4);
+		keeping.reserve(HeldKind.RESPONSE_BODY, LIMIT_BYTES);
+		List<MemoryReservation> small = new ArrayList<>();
+		for (int i = 0; i < 100; i++) {
+			small.add(keeping.reserveEvictable(HeldKind.RESPONSE_HEAD, () -> {
+			}));
+			small.getLast().resize(1_000);
+		}
+		MemoryReservation large = keeping.reserveEvictable(HeldKind.RESPONSE_HEAD, () -> {
+		});
+		large.resize(LIMIT_BYTES / 4);
+		assertThat(keeping.evictExcess()).isEqualTo(1);
+		assertThat(large.bytes()).isZero();
+		assertThat(small).allMatch((held) -> held.bytes() == 1_000);
+	}
+
+	@Example
+	void evictionsThatEvictAgainAreNotNested() {
+		int[] depth = new int[2];
+		for (int i = 0; i < 1_000; i++) {
+			this.account.reserveEvictable(HeldKind.REQUEST_HEAD, () -> {
+				depth[1] = Math.max(depth[1], ++depth[0]);
+				this.account.evictExcess();
+				depth[0]--;
+			}).resize(LIMIT_BYTES / 1_000);
+		}
+		this.account.reserve(HeldKind.REQUEST_BODY, LIMIT_BYTES / 2);
+		this.account.evictExcess();
+		assertThat(this.account.heldBytes()).isLessThanOrEqualTo(LIMIT_BYTES);
+		assertThat(depth[1]).isEqualTo(1);
+	}
+
 }
