Count connections in RelayStopTests only once the handler is in place

nonIdempotentRequestIsNotRelayedOnAConnectionThatWasIdleForLong counted 1 connection instead of 2 in a run of the module at a load average of 26 to 35. Both requests were relayed on connections of their own by the log. The counter is added on the thread of the test, and Netty calls it only after a task on the event loop; a connection accepted in the same turn was not counted. The test now waits for that task.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
@@ -98,6 +98,9 @@
 	void nonIdempotentRequestIsNotRelayedOnAConnectionThatWasIdleForLong() throws Exception {
 		AcceptCounter accepted = new AcceptCounter();
 		this.homeGateway.listening().pipeline().addFirst(accepted);
+		// A handler is called only once the event loop has added it.
+		this.homeGateway.process().loop().submit(() -> {
+		}).syncUninterruptibly();
 		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
 			.startsWith("HTTP/1.1 200");
 		Thread.sleep(2_400);
