Close the port of the callers directly after an accept

Callers saw: resets of connections whose handshakes ended at the close of the port during a planned stop. SlowHandshakeTests failed with them beside busy loops (load average 15 to 35): 1 of 22 runs on untouched code of the port, 4 of 25 with the peers on the event loop of the callers.

Cause, suspected: the close was a task of the event loop, which runs behind the reads of the same turn. Connections whose handshakes ended after the accept of that turn were reset. A test that delays these reads did not fail before (0 of 5), so this is not shown.

Change: the port is closed by the accept that empties its queue, or 50 ms later if there is none.

Measured: SlowHandshakeTests, 0 of 23 runs with resets or failures at the same loads.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -442,7 +442,7 @@
 
 	// With a short stop time, the handshakes and the last connections come first.
 	private static long acceptingMs(long stopMs, long timeMs) {
-		long lastMs = FrontendServer.HANDSHAKE_MS + CLOSING_TICKS * TICK_INTERVAL_MS;
+		long lastMs = FrontendServer.CLOSE_MS + CLOSING_TICKS * TICK_INTERVAL_MS;
 		return Math.max(0, Math.min((long) (stopMs * ACCEPTING_SHARE), timeMs - lastMs));
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -49,11 +49,17 @@
 	public static final long HANDSHAKE_MS = 400;
 
 	/**
-	 * Time after which the port is closed even if no further connection arrives, if new
-	 * connections cannot be refused, in milliseconds.
+	 * Time after which the port is closed even if no further connection arrives, in
+	 * milliseconds.
 	 */
 	private static final long CLOSE_WITHOUT_CONNECTION_MS = 50;
 
+	/**
+	 * Maximum time from the refusal of new connections to the close of the port, in
+	 * milliseconds.
+	 */
+	public static final long CLOSE_MS = HANDSHAKE_MS + CLOSE_WITHOUT_CONNECTION_MS;
+
 	/**
 	 * Time between the decision to close the port and the close, in milliseconds.
 	 */
@@ -73,7 +79,10 @@
 
 	private boolean stopping;
 
-	/** Whether new connections may arrive until the port is closed. */
+	/** Whether new connections are refused until the port is closed. */
+	private boolean refusing;
+
+	/** Whether the port is closed after the next connections are accepted. */
 	private boolean closeAfterAccept;
 
 	/** Number of connections that were accepted after the server began to stop. */
@@ -204,13 +213,21 @@
 		if (channel == null) {
 			return;
 		}
-		boolean refusing = ConnectionRefusal.refuseNewConnections(channel);
-		this.closeAfterAccept = !refusing;
-		long closeInMs = refusing ? HANDSHAKE_MS : CLOSE_WITHOUT_CONNECTION_MS;
+		this.refusing = ConnectionRefusal.refuseNewConnections(channel);
+		if (this.refusing) {
+			this.loop.schedule(this::closeAfterAccept, HANDSHAKE_MS, TimeUnit.MILLISECONDS);
+		}
+		else {
+			closeAfterAccept();
+		}
+	}
+
+	private void closeAfterAccept() {
+		this.closeAfterAccept = true;
 		// The event loop accepts what arrived during a delay before it runs the inner
 		// task.
 		this.loop.schedule(() -> this.loop.schedule(this::closePort, ACCEPT_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS),
-				closeInMs, TimeUnit.MILLISECONDS);
+				CLOSE_WITHOUT_CONNECTION_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void closePort() {
@@ -221,7 +238,7 @@
 		channel.close();
 		LOGGER.info("{}",
 				LogLine.event("port.closed")
-					.with("refused", !this.closeAfterAccept)
+					.with("refused", this.refusing)
 					.with("accepted", this.acceptedWhileStopping));
 	}
 
@@ -243,8 +260,8 @@
 	}
 
 	/**
-	 * Closes the port directly after all waiting connections were accepted, if new ones
-	 * cannot be refused.
+	 * Closes the port directly after all waiting connections were accepted. Later in the
+	 * same turn of the event loop, further ones may wait, which the close would reset.
 	 *
 	 * <p>
 	 * Confined to the event loop.
