Close a different link for each one above the limit

closesTheOldestOfTooManyLinksWithoutAHello failed in 1 of 2 runs: the first of 200 links was still open after 1 s. A closed link leaves the set of links without a hello message only when its close has taken effect, so links that were accepted meanwhile chose it again. It is now removed when it is chosen.

--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerTransport.java
@@ -330,7 +330,10 @@
 			this.accepted.add(link);
 			this.unintroduced.add(link);
 			if (this.unintroduced.size() > MAX_UNINTRODUCED_LINKS || this.accepted.size() > MAX_ACCEPTED_LINKS) {
+				// Removed at once, since the close takes effect later.
 				surplus = this.unintroduced.iterator().next();
+				this.unintroduced.remove(surplus);
+				this.accepted.remove(surplus);
 			}
 		}
 		if (surplus != null) {
