Refuse status codes of servers that do not exist in the node module

000, 099, 600 and 999 were passed on to callers as they are; 4 of 12 cases of SingleResponseDecoderTests failed before. Codes from 100 to 599 exist; others are now a malformed response, as codes of another length were.

--- a/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
+++ b/lovagevale-node/src/main/java/org/lovagevale/node/http/SingleResponseDecoder.java
@@ -33,6 +33,9 @@
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}( |$)");
 
+	/** There are no other codes, and callers may not accept them. */
+	private static final Pattern STATUS_CODE = Pattern.compile("[1-5]\\d\\d");
+
 	private @Nullable HttpMethod pendingMethod;
 
 	private boolean interim;
@@ -112,7 +115,7 @@
 	protected HttpMessage createMessage(String[] initialLine) {
 		String version = initialLine[0];
 		boolean isKnown = version.equals("HTTP/1.1") || version.equals("HTTP/1.0");
-		if (!isKnown || initialLine[1].length() != 3 || containsStatusLine(initialLine[2])) {
+		if (!isKnown || !STATUS_CODE.matcher(initialLine[1]).matches() || containsStatusLine(initialLine[2])) {
 			throw new IllegalArgumentException("malformed status line");
 		}
 		if (initialLine[1].equals("101")) {
