Do not use a connection again after a request with a long ID

Callers saw: not reported on its own. Requests with long IDs took heap that nothing accounted for: each connection to a server keeps the last 16 IDs and callers choose them, so 80 idle connections with IDs of 16 KB keep 20 MB (computed) of a heap of 48 MB.

Cause: the number of kept IDs was limited, and their size was not.

Change: a connection is closed after the response to a request whose ID is longer than 256 characters.

Measured with the same test before: 8 requests with IDs of 6,000 characters used 2 connections. The test passes with this change, and so do BrokenOffHeadTests and LastResponseTests. SecondResponseTests failed once of 4 runs: failureBehindAWholeSecondResponseIsNotASuccess got 502 in place of 500.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -61,6 +61,12 @@
 	 */
 	private static final int MAX_EARLIER_IDS = 16;
 
+	/**
+	 * Maximum length of the ID of a request after which a connection is used again, in
+	 * characters. Callers choose the IDs, and each idle connection keeps some of them.
+	 */
+	private static final int MAX_KEPT_ID_CHARS = 256;
+
 	/** Maximum size of the bodies of such responses, in bytes. */
 	private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
@@ -288,7 +294,7 @@
 		this.responseStarted = false;
 		this.skipping = false;
 		this.informational = false;
-		this.reusable = true;
+		this.reusable = requestId.length() <= MAX_KEPT_ID_CHARS;
 		this.skipped = 0;
 		this.skippedBytes = 0;
 		this.informationalCount = 0;
