Send the body of a rejection of an incomplete head after a HEAD request

Callers saw: a rejection with a Content-Length and without its body, 408 or 503, for a request behind one with the method HEAD, so that it looks broken off.

Cause: the method of the last request was taken for that of the one whose head is incomplete.

Change: the method counts only while the request is open.

Measured with the same test before: 408 with a length of 43 bytes and no body. It passes with this change.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -584,6 +584,8 @@
 					.with("why", reason));
 		this.router.countRejected(status);
 		this.keepAlive = false;
+		// The method of a request whose head is incomplete is not known.
+		this.isHeadRequest = this.isHeadRequest && this.requestOpen;
 		reply(status, reason, headers);
 	}
 
