--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnection.java
@@ -376,15 +376,7 @@
 		this.decodingSuspended = used.parts().isSuspended();
 		channel().config().setAutoRead(this.reading && !this.decodingSuspended);
 		updateHeadMemory();
-		int evicted = this.memory.evictExcess();
-		if (evicted > 0) {
-			this.metrics.countEvictions("responses", evicted);
-			LOGGER.warn("{}",
-					LogLine.event("memory.full")
-						.with("account", "responses")
-						.with("evicted", evicted)
-						.with("heldBytes", this.memory.heldBytes()));
-		}
+		MemoryEviction.evictExcess("responses", this.memory, this.metrics);
 	}
 
 	private void updateHeadMemory() {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -148,16 +148,7 @@
 	 * it up, if the process is full.
 	 */
 	void evictExcess() {
-		MemoryAccount memory = this.services.memory();
-		int evicted = memory.evictExcess();
-		if (evicted > 0) {
-			this.services.metrics().countEvictions("requests", evicted);
-			LOGGER.warn("{}",
-					LogLine.event("memory.full")
-						.with("account", "requests")
-						.with("evicted", evicted)
-						.with("heldBytes", memory.heldBytes()));
-		}
+		MemoryEviction.evictExcess("requests", this.services.memory(), this.services.metrics());
 	}
 
 	/**
@@ -183,16 +174,7 @@
 	 * is full.
 	 */
 	void evictExcessResponses() {
-		MemoryAccount memory = this.services.responseMemory();
-		int evicted = memory.evictExcess();
-		if (evicted > 0) {
-			this.services.metrics().countEvictions("responses", evicted);
-			LOGGER.warn("{}",
-					LogLine.event("memory.full")
-						.with("account", "responses")
-						.with("evicted", evicted)
-						.with("heldBytes", memory.heldBytes()));
-		}
+		MemoryEviction.evictExcess("responses", this.services.responseMemory(), this.services.metrics());
 	}
 
 	boolean isMemoryFull() {
