Keep a connection open whose requests wait to be decoded

Cause: a connection whose received requests wait for a turn of decoding counted as idle, so a planned stop could close it after 300 ms. Change: it counts as busy.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -945,7 +945,7 @@
 
 	private boolean isIdle() {
 		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding
-				|| !this.queued.isEmpty();
+				|| !this.queued.isEmpty() || this.decodingSuspended;
 		return !busy && now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
 	}
 
