--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -321,8 +321,8 @@
 	}
 
 	private void continueDecoding() {
-		ArrivalHandler arrivals = context().pipeline().get(ArrivalHandler.class);
-		if (this.decodingSuspended && arrivals != null) {
+		ArrivalHandler arrivals = this.decodingSuspended ? context().pipeline().get(ArrivalHandler.class) : null;
+		if (arrivals != null) {
 			arrivals.turns().continueLater();
 		}
 	}
