Split Exchange along the request lifecycle

It is now 687 lines that decide what follows each event; the phases are classes of their own: RequestPlacing (slots, relays, pauses), RequestSending (body, memory, head), ResponseDelivery (what the caller gets) and ResponseClassifier. PlacingListener is what placing reports. Behaviour is unchanged: the order of log line and first write of an attempt is the only difference, the log line now comes first.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -1,54 +1,42 @@
 package org.lovagevale.gateway.http;
 
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
-import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
-import org.lovagevale.core.catalog.RequestKind;
-import org.lovagevale.core.memory.HeldKind;
-import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.core.placing.AttemptPolicy;
 import org.lovagevale.core.placing.NextStep;
-import org.lovagevale.core.placing.RefusalCause;
 import org.lovagevale.core.placing.ServerLoad;
-import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
-import org.lovagevale.core.placing.SlotRelease;
-import org.lovagevale.core.placing.SlotRequest;
 import org.lovagevale.gateway.fleet.SlotGrant;
-import org.lovagevale.gateway.fleet.SlotListener;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Handles one request of a caller, from its head to the end of its response.
+ * Handles one request of a caller, from its head to the end of its response: decides what
+ * follows each event of its phases, which are {@link RequestPlacing},
+ * {@link RequestSending} and {@link ResponseDelivery}.
  *
  * <p>
  * Invariants: the caller gets at most one response; each slot is released exactly once; a
  * rejection that states that the request was not run is sent only if no server can have
  * run it. Confined to the event loop.
  */
-final class Exchange implements SlotListener {
+final class Exchange implements PlacingListener {
+
+	/**
+	 * Time in milliseconds that the exchange waits beyond the timeout of the request, so
+	 * that a response which the server sends when the timeout expires still arrives.
+	 */
+	static final long TIMEOUT_SLACK_MS = 40;
 
 	/**
 	 * Maximum size of a response, in bytes, that is buffered until it is complete, so
@@ -62,12 +50,6 @@
 	 */
 	private static final long RESPONSE_BUFFER_DELAY_MS = 30;
 
-	/**
-	 * Time in milliseconds that the exchange waits beyond the timeout of the request, so
-	 * that a response which the server sends when the timeout expires still arrives.
-	 */
-	private static final long TIMEOUT_SLACK_MS = 40;
-
 	/**
 	 * Maximum idle time of a connection that is reused for an idempotent request, in
 	 * milliseconds.
@@ -93,12 +75,6 @@
 	 */
 	private static final long UNATTENDED_RESPONSE_MS = 500;
 
-	/**
-	 * Time without further data after which a response that is late counts as stalled, in
-	 * milliseconds.
-	 */
-	private static final long STALL_MS = 200;
-
 	/**
 	 * Time without a response after which a server counts as silent, as a multiple of the
 	 * usual processing time.
@@ -119,60 +95,35 @@
 
 	private final ExchangeServices services;
 
-	private final CallerConnection caller;
-
 	private final CallerRequest request;
 
 	private final AttemptPolicy policy;
 
 	private final RequestContent content = new RequestContent();
 
-	private final MemoryReservation headMemory;
+	private final RequestPlacing placing;
 
-	private final MemoryReservation bodyMemory;
+	private final RequestSending sending;
 
-	private final Set<ServerName> triedServers = new HashSet<>();
+	private final ResponseDelivery delivery;
 
-	private final RelayAttempts relayAttempts = new RelayAttempts();
+	private final ResponseClassifier classifier;
 
 	private @Nullable ScheduledFuture<?> timeoutTimer;
 
-	private @Nullable SlotId pendingSlotId;
-
 	private @Nullable SendAttempt attempt;
 
 	/** The attempt whose response is passed on after a delay. */
 	private @Nullable SendAttempt delayedAttempt;
 
-	private @Nullable String lastFailure;
-
 	/** Whether the request was at a server when its timeout expired. */
 	private boolean timedOutAtServer;
 
-	/** Whether received parts of the body are sent later in this turn of the loop. */
-	private boolean sendScheduled;
-
-	/** Whether the end of the body was sent in the current attempt. */
-	private boolean bodySent;
-
-	private boolean responseStarted;
-
-	/** Whether the response is not read because the caller does not take it. */
-	private boolean responsePaused;
-
 	private boolean done;
 
-	private long slotRequestedAt;
-
-	/** Monotonic time in milliseconds of the last part of a response. */
-	private long lastContentAt;
-
 	Exchange(ExchangeServices services, CallerConnection caller, CallerRequest request) {
 		this.services = services;
-		this.caller = caller;
 		this.request = request;
-		this.headMemory = services.memory().reserve(HeldKind.REQUEST_HEAD, request.size().headBytes());
-		this.bodyMemory = services.memory().reserve(HeldKind.REQUEST_BODY, request.size().bodyBytes());
 		this.policy = new AttemptPolicy(request.route().kind(), request.route().maxAttempts());
 		HttpRequest head = request.head();
 		if (request.relayed()) {
@@ -180,6 +131,10 @@
 		}
 		this.content.updateHash(
 				head.method() + " " + head.headers().get(HttpHeaderNames.HOST) + head.uri() + " " + request.caller());
+		this.placing = new RequestPlacing(services, request, this.policy, this.content, this);
+		this.sending = new RequestSending(services, caller, request, this.content);
+		this.delivery = new ResponseDelivery(services.clock(), caller, head.method().name().equals("HEAD"));
+		this.classifier = new ResponseClassifier(services.protocol());
 	}
 
 	void begin() {
@@ -195,10 +150,16 @@
 		return this.request.route().kind().isRepeatable();
 	}
 
-	boolean isDone() {
+	@Override
+	public boolean isDone() {
 		return this.done;
 	}
 
+	@Override
+	public boolean hasAttempt() {
+		return this.attempt != null;
+	}
+
 	String requestId() {
 		return this.request.id();
 	}
@@ -213,8 +174,12 @@
 	 * {@code WAITING}
 	 */
 	RequestProgress progress() {
+		return (connection() != null) ? RequestProgress.SENT : RequestProgress.WAITING;
+	}
+
+	private @Nullable BackendConnection connection() {
 		SendAttempt current = this.attempt;
-		return (current != null && current.connection() != null) ? RequestProgress.SENT : RequestProgress.WAITING;
+		return (current != null) ? current.connection() : null;
 	}
 
 	boolean isBodyComplete() {
@@ -230,225 +195,57 @@
 			part.release();
 			return;
 		}
-		this.content.add(part);
-		updateBodyMemory();
+		this.sending.add(part);
 		if (this.content.size() > this.request.limits().maxBodyBytes()) {
 			requestFailed(CONTENT_TOO_LARGE, "body-too-large");
 			return;
 		}
-		SendAttempt current = this.attempt;
-		BackendConnection connection = (current != null) ? current.connection() : null;
-		if (connection != null) {
-			scheduleSend();
+		if (connection() != null) {
+			this.sending.scheduleSend();
 		}
-		else if (this.pendingSlotId == null && current == null && isBodyReady()) {
-			place();
+		else if (!this.placing.isSlotPending() && this.attempt == null && this.sending.isBodyReady()) {
+			this.placing.place();
 		}
-		else if (this.content.size() > RequestContent.MAX_REPLAYABLE_BYTES) {
-			this.caller.setReading(false);
+		else {
+			this.sending.pauseIfTooLarge();
 		}
 	}
 
-	// What a server has not taken yet is a part of the body, unless that was dropped.
-	private void updateBodyMemory() {
-		boolean expected = !this.done && !this.content.isComplete() && this.content.isReplayable();
-		long expectedBytes = expected ? this.request.size().bodyBytes() : 0;
-		SendAttempt current = this.attempt;
-		BackendConnection connection = (current != null) ? current.connection() : null;
-		long pendingBytes = (connection != null) ? PendingWrites.bytesOf(connection.channel()) : 0;
-		this.bodyMemory.resize(Math.max(expectedBytes, Math.max(this.content.heldBytes(), pendingBytes)));
-	}
-
 	/**
 	 * Tells whether the next bytes of the body were accounted for when the request was
 	 * accepted.
 	 * @return {@code true} if they may be read although the process is full
 	 */
 	boolean isNextContentReserved() {
-		return !this.content.isComplete()
-				&& (!this.content.isReplayable() || this.content.size() < this.request.size().bodyBytes());
-	}
-
-	private boolean isBodyReady() {
-		return this.content.isComplete() || this.content.size() > RequestContent.BUFFERED_BEFORE_SLOT_BYTES;
-	}
-
-	/**
-	 * Relays the request to another region if it must not be served in this one, and
-	 * otherwise requests a slot. Rejects it if it could not be completed before this
-	 * process ends.
-	 */
-	private void place() {
-		if (!isFinishable()) {
-			rejectForStop();
-			return;
-		}
-		if (!this.services.relay().isOutsideHomeRegions(this.request) || !tryRelay()) {
-			requestSlot();
-		}
-	}
-
-	/**
-	 * Relays the request to an entry VM of another region.
-	 * @return {@code false} if there is no entry VM to relay to
-	 */
-	private boolean tryRelay() {
-		BackendInstance entry = (this.relayAttempts.isExhausted() || !isFinishable()) ? null
-				: this.services.relay().findEntryVm(this.request, this.relayAttempts.triedRegions());
-		if (entry == null) {
-			return false;
-		}
-		this.relayAttempts.started(entry.region());
-		SendAttempt newAttempt = new SendAttempt(this, null, entry, this.services.responseMemory(), now());
-		this.attempt = newAttempt;
-		this.services.connectionPool().acquireEntryVm(entry, maxIdleMs(), newAttempt);
-		return true;
-	}
-
-	// This process itself places a request on a server of another region only if no entry
-	// VM of that region can place it.
-	private boolean isLocalOnly() {
-		return this.request.relayed() || !this.services.relay().isOutsideHomeRegions(this.request)
-				&& (this.relayAttempts.isRejected() || this.services.relay().hasCandidateRegion(this.request));
-	}
-
-	private void requestSlot() {
-		long now = now();
-		SlotId id = this.services.slots().nextId();
-		this.pendingSlotId = id;
-		this.slotRequestedAt = now;
-		int workMs = this.services.estimates().forRoute(this.request.route()).millis();
-		Set<ServerName> excluded = new HashSet<>(this.triedServers);
-		excluded.addAll(pausedServers().keySet());
-		this.services.slots()
-			.requestSlot(new SlotRequest(id, this.request.service(), this.services.settings().domain(),
-					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
-					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
-					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint()), this);
-	}
-
-	// Other entry VMs may go on using these servers, so their dispatcher does not know.
-	private Map<ServerName, Long> pausedServers() {
-		return this.services.announcements()
-			.paused(this.request.service(), (name) -> this.services.catalog().server(name));
+		return this.sending.isNextContentReserved();
 	}
 
 	@Override
-	public void granted(SlotGrant grant) {
-		this.pendingSlotId = null;
-		this.services.metrics().recordSlotWait(this.request.service().value(), now() - this.slotRequestedAt);
-		if (this.done) {
-			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
-			return;
-		}
-		if (!isFinishable()) {
-			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
-			rejectForStop();
-			return;
-		}
-		BackendInstance server = this.services.catalog().server(grant.server());
-		if (server == null || server.draining() || this.services.announcements().isLeaving(server)) {
-			this.triedServers.add(grant.server());
-			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
-			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is not listed here or leaving");
-			return;
-		}
-		if (!this.services.announcements().isAvailable(server)) {
-			release(grant, SlotOutcome.UNUSED, ServerLoad.UNKNOWN, 0);
-			attemptFailed(SlotOutcome.UNUSED, "server " + grant.server() + " is paused");
-			return;
-		}
+	public void placed(@Nullable SlotGrant grant, BackendInstance server) {
 		SendAttempt newAttempt = new SendAttempt(this, grant, server, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
-		this.services.connectionPool().acquire(server, maxIdleMs(), newAttempt);
+		long maxIdleMs = isRepeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
+		if (grant != null) {
+			this.services.connectionPool().acquire(server, maxIdleMs, newAttempt);
+		}
+		else {
+			this.services.connectionPool().acquireEntryVm(server, maxIdleMs, newAttempt);
+		}
 	}
 
-	private long maxIdleMs() {
-		return isRepeatable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
+	@Override
+	public void serverUnusable(String reason) {
+		attemptFailed(SlotOutcome.UNUSED, reason);
 	}
 
 	@Override
-	public void refused(RefusalCause cause, int retryAfterMs) {
-		this.pendingSlotId = null;
-		this.services.metrics().countRefusal(this.request.service().value(), cause.name());
-		if (!this.done) {
-			String failure = this.lastFailure;
-			String reason = cause + ", retry after " + retryAfterMs + " ms";
-			if (mayOverflow(cause)) {
-				this.relayAttempts.rejected(retryAfterMs);
-				this.lastFailure = reason;
-				if (tryRelay()) {
-					return;
-				}
-			}
-			long pauseLeftMs = firstPauseLeftMs();
-			if (cause == RefusalCause.NO_SERVER && pauseLeftMs > 0) {
-				awaitPauseEnd(pauseLeftMs, reason);
-				return;
-			}
-			respondRefused((failure != null) ? reason + ", after " + failure : reason, retryAfterMs);
+	public void notPlaced(String reason, int retryAfterMs) {
+		if (this.policy.mayHaveRun()) {
+			respondLocally(BAD_GATEWAY, reason, 0);
 		}
-	}
-
-	/**
-	 * Returns the time until the first pause ends of a server that the request may be
-	 * sent to.
-	 * @return the time in milliseconds, 0 if there is no such server
-	 */
-	private long firstPauseLeftMs() {
-		return pausedServers().entrySet()
-			.stream()
-			.filter((entry) -> isPermitted(entry.getKey()))
-			.mapToLong(Map.Entry::getValue)
-			.min()
-			.orElse(0);
-	}
-
-	private boolean isPermitted(ServerName id) {
-		BackendInstance server = this.services.catalog().server(id);
-		return server != null && !this.triedServers.contains(id) && !server.draining()
-				&& !this.services.announcements().isLeaving(server)
-				&& !this.services.catalog().catalog().evacuated().contains(server.domain())
-				&& this.request.route().isAllowedIn(server.region())
-				&& (!isLocalOnly() || server.region().equals(this.services.roster().self().region()));
-	}
-
-	// All servers are paused. The request waits for the first one if there is time enough
-	// to run it then, and is otherwise rejected at once.
-	private void awaitPauseEnd(long pauseLeftMs, String reason) {
-		int workMs = this.services.estimates().forRoute(this.request.route()).millis();
-		if (now() + pauseLeftMs + workMs > this.request.timeoutAt()) {
-			respondRefused(reason, (int) pauseLeftMs);
-			return;
+		else {
+			respondLocally(SERVICE_UNAVAILABLE, reason, retryAfterMs);
 		}
-		this.services.loop().schedule(() -> {
-			if (!this.done && this.attempt == null && this.pendingSlotId == null) {
-				place();
-			}
-		}, pauseLeftMs, TimeUnit.MILLISECONDS);
-	}
-
-	/**
-	 * Tells whether a request for which this region has no capacity may be relayed.
-	 * @param cause the reason for which no slot was granted
-	 * @return {@code true} if another region may serve the request
-	 */
-	private boolean mayOverflow(RefusalCause cause) {
-		boolean noCapacity = cause == RefusalCause.NO_SERVER
-				|| cause == RefusalCause.OVERLOAD && this.request.route().kind() != RequestKind.DOWNLOAD;
-		return noCapacity && this.policy.sends() == 0 && !this.services.relay().isOutsideHomeRegions(this.request)
-				&& this.content.isReplayable();
-	}
-
-	/**
-	 * Tells whether the request will be over before a planned stop of this process ends.
-	 * @return {@code true} if it will, or if no planned stop is in progress
-	 */
-	private boolean isFinishable() {
-		return this.services.plannedStop()
-			.allows(now(), this.request.timeoutAt() + TIMEOUT_SLACK_MS,
-					this.services.estimates().forRoute(this.request.route()).millis());
 	}
 
 	/**
@@ -456,18 +253,19 @@
 	 * completed before a planned stop of this process ends.
 	 */
 	void rejectIfUnfinishable() {
-		if (!this.done && this.attempt == null && !isFinishable()) {
-			rejectForStop();
+		if (!this.done && this.attempt == null && !this.placing.isFinishable()) {
+			stopping();
 		}
 	}
 
 	// Another entry VM can take the request at once; without one, the caller has to wait
 	// until this process has been replaced.
-	private void rejectForStop() {
+	@Override
+	public void stopping() {
 		cancelPending(true);
 		boolean elsewhere = !this.services.roster().serving().isEmpty() || this.services.relay().hasContacts();
 		int retryAfterMs = elsewhere ? 0 : (int) this.services.plannedStop().timeLeftMs(now());
-		respondRefused("this process is stopping", retryAfterMs);
+		notPlaced("this process is stopping", retryAfterMs);
 	}
 
 	/**
@@ -480,11 +278,10 @@
 		if (this.done) {
 			return;
 		}
-		SendAttempt current = this.attempt;
-		boolean mayHaveRun = this.policy.mayHaveRun() || current != null && current.connection() != null;
+		boolean mayHaveRun = this.policy.mayHaveRun() || connection() != null;
 		cancelPending(true);
-		if (this.responseStarted) {
-			this.caller.abort(reason);
+		if (this.delivery.isStarted()) {
+			this.delivery.abort(reason);
 			complete(0, "caller", reason);
 			return;
 		}
@@ -493,15 +290,6 @@
 		respondLocally((mayHaveRun && promise) ? GATEWAY_TIMEOUT : status, reason, 0);
 	}
 
-	private void respondRefused(String reason, int retryAfterMs) {
-		if (this.policy.mayHaveRun()) {
-			respondLocally(BAD_GATEWAY, reason, 0);
-		}
-		else {
-			respondLocally(SERVICE_UNAVAILABLE, reason, retryAfterMs);
-		}
-	}
-
 	void connected(SendAttempt current, BackendConnection connection) {
 		long leftMs = this.request.timeoutAt() - now();
 		SlotGrant grant = current.grant();
@@ -515,15 +303,10 @@
 		}
 		if (grant != null) {
 			this.policy.recordSend();
-			this.triedServers.add(current.server().id());
+			this.placing.recordTried(current.server().id());
 		}
-		connection.setAcknowledgementTimeout(this.content.isComplete() ? this.content.size() : Long.MAX_VALUE, leftMs);
-		// A rejection by another entry VM does not carry the request ID.
-		connection.beginRequest(current, requestHead(current, leftMs), this.request.id(), grant != null);
 		logAttempt(current, grant, leftMs);
-		this.content.rewind();
-		this.bodySent = false;
-		sendUnsent(connection);
+		this.sending.begin(current, connection, leftMs, this.policy.totalSends());
 	}
 
 	private void logAttempt(SendAttempt current, @Nullable SlotGrant grant, long leftMs) {
@@ -536,7 +319,7 @@
 			.with("server", current.server().id());
 		if (grant != null) {
 			line = line.with("dispatcher", grant.dispatcher())
-				.with("slotMs", current.startedAt() - this.slotRequestedAt);
+				.with("slotMs", current.startedAt() - this.placing.slotRequestedAt());
 		}
 		line = line.with("connectMs", now() - current.startedAt())
 			.with("leftMs", leftMs)
@@ -544,78 +327,17 @@
 		LOGGER.info("{}", (grant != null) ? line.with("why", grant.why()) : line);
 	}
 
-	private HttpRequest requestHead(SendAttempt current, long leftMs) {
-		HttpRequest received = this.request.head();
-		HttpHeaders headers = HopByHopHeaders.copyWithout(received.headers(), (name) -> name.equals("expect"));
-		if (this.content.isComplete()) {
-			boolean framed = HttpUtil.isContentLengthSet(received) || HttpUtil.isTransferEncodingChunked(received);
-			if (framed) {
-				headers.set(HttpHeaderNames.CONTENT_LENGTH, this.content.size());
-			}
-		}
-		else if (!HttpUtil.isContentLengthSet(received)) {
-			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
-		}
-		if (current.isRelay()) {
-			this.services.protocol().setRelayHeaders(headers, leftMs, this.request.caller());
-			this.services.protocol().setEarlierSends(headers, this.policy.totalSends());
-		}
-		else {
-			this.services.protocol().setServerHeaders(headers, leftMs, current.server().id());
-		}
-		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
-	}
-
-	// Sends the parts of the body together that arrive in one turn of the event loop.
-	private void scheduleSend() {
-		if (!this.sendScheduled) {
-			this.sendScheduled = true;
-			this.services.loop().execute(this::sendReceived);
-		}
-	}
-
-	private void sendReceived() {
-		boolean scheduled = this.sendScheduled;
-		this.sendScheduled = false;
-		SendAttempt current = this.attempt;
-		BackendConnection connection = (current != null) ? current.connection() : null;
-		if (scheduled && !this.done && connection != null) {
-			sendUnsent(connection);
-		}
-	}
-
-	private void sendUnsent(BackendConnection connection) {
-		for (ByteBuf part : this.content.takeUnsent()) {
-			connection.write(new DefaultHttpContent(part));
-		}
-		if (this.content.isComplete() && !this.bodySent) {
-			this.bodySent = true;
-			connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
-		}
-		this.content.dropIfTooLarge();
-		updateBodyMemory();
-		this.caller.setReading(this.content.isComplete() || connection.channel().isWritable());
-	}
-
 	void serverWritable() {
-		updateBodyMemory();
-		if (!this.done) {
-			this.caller.setReading(true);
-		}
+		this.sending.serverWritable();
 	}
 
 	void unreachable(SendAttempt current, String reason) {
+		endAttempt(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
 		if (current.isRelay()) {
-			this.relayAttempts.unreachable(current.server().region());
-			endAttempt(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
-			this.lastFailure = reason;
-			if (!tryRelay()) {
-				requestSlot();
-			}
+			this.placing.relayUnreachable(current.server().region(), reason);
 			return;
 		}
-		this.triedServers.add(current.server().id());
-		endAttempt(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
+		this.placing.recordTried(current.server().id());
 		attemptFailed(SlotOutcome.UNREACHABLE, reason);
 	}
 
@@ -626,10 +348,10 @@
 			}
 			return;
 		}
-		this.lastContentAt = now();
+		this.delivery.recordContent();
 		if (current.buffer(part) > MAX_BUFFERED_RESPONSE_BYTES) {
-			if (this.responseStarted) {
-				passOnReceived(current);
+			if (this.delivery.isStarted()) {
+				this.delivery.passOnReceived(current);
 			}
 			else {
 				bufferExceeded(current);
@@ -637,37 +359,22 @@
 		}
 	}
 
-	// Reads no more of the response if the caller takes it more slowly.
-	private void passOnReceived(SendAttempt current) {
-		passOnBuffered(current);
-		this.caller.flush();
-		BackendConnection connection = current.connection();
-		if (connection != null && !this.caller.isWritable()) {
-			this.responsePaused = true;
-			connection.setReading(false);
-		}
-	}
-
-	private void passOnBuffered(SendAttempt current) {
-		ByteBuf buffered = current.takeBuffered();
-		if (buffered != null) {
-			this.caller.writeContent(buffered);
-		}
-	}
-
 	// A body that is not passed on is not read to its end, since it may have none.
 	private void bufferExceeded(SendAttempt current) {
-		HttpResponse response = current.response();
-		SlotOutcome outcome = classify(current);
-		boolean genuineFailure = outcome == SlotOutcome.FAILED && response != null && isGenuine(response);
-		if (outcome == SlotOutcome.SERVED || genuineFailure) {
-			startResponse(current, false);
+		SlotOutcome outcome = this.classifier.classify(current);
+		if (outcome == SlotOutcome.SERVED || isGenuineFailure(current, outcome)) {
+			this.delivery.start(current, false);
 			return;
 		}
 		current.cancel();
 		responseEnded(current);
 	}
 
+	private boolean isGenuineFailure(SendAttempt current, SlotOutcome outcome) {
+		HttpResponse response = current.response();
+		return outcome == SlotOutcome.FAILED && response != null && this.classifier.isGenuine(response);
+	}
+
 	private void abandon(SendAttempt current) {
 		if (!current.isEnded()) {
 			boolean silent = isSilent(current);
@@ -687,8 +394,8 @@
 		if (this.done) {
 			return;
 		}
-		if (this.responseStarted) {
-			passOnReceived(current);
+		if (this.delivery.isStarted()) {
+			this.delivery.passOnReceived(current);
 			return;
 		}
 		current.accountBuffered();
@@ -697,10 +404,10 @@
 		}
 		this.delayedAttempt = current;
 		this.services.loop().schedule(() -> {
-			if (!this.done && !this.responseStarted && this.attempt == current && current.response() != null
-					&& classify(current) == SlotOutcome.SERVED) {
-				startResponse(current, false);
-				this.caller.flush();
+			if (!this.done && !this.delivery.isStarted() && this.attempt == current && current.response() != null
+					&& this.classifier.classify(current) == SlotOutcome.SERVED) {
+				this.delivery.start(current, false);
+				this.delivery.flush();
 			}
 		}, RESPONSE_BUFFER_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
@@ -710,75 +417,11 @@
 	 * of it.
 	 */
 	void callerWritable() {
-		if (this.responsePaused && this.caller.isWritable()) {
-			// While the caller took no data, none was read from the server.
-			this.lastContentAt = now();
-			resumeReadingResponse();
-		}
-	}
-
-	private void resumeReadingResponse() {
-		this.responsePaused = false;
-		SendAttempt current = this.attempt;
-		BackendConnection connection = (current != null) ? current.connection() : null;
-		if (connection != null) {
-			connection.setReading(true);
-		}
-	}
-
-	/**
-	 * Classifies a response by its head.
-	 * @param current the attempt that received the response
-	 * @return the outcome
-	 */
-	private SlotOutcome classify(SendAttempt current) {
-		HttpResponse response = current.response();
-		if (response == null) {
-			return SlotOutcome.LOST;
-		}
-		int status = response.status().code();
-		HttpHeaders headers = response.headers();
-		if (current.isRelay() && !this.services.protocol().isSigned(headers)) {
-			return RelayAttempts.outcomeOf(status);
-		}
-		if (this.services.protocol().isReplaced(status)) {
-			return SlotOutcome.REPLACED;
-		}
-		if (this.services.protocol().isNotExecuted(status, headers)) {
-			return SlotOutcome.NOT_EXECUTED;
-		}
-		boolean error = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-		return (isGenuine(response) && !error) ? SlotOutcome.SERVED : SlotOutcome.FAILED;
-	}
-
-	// No content encoding is requested, so an encoded response was changed after it left
-	// the server.
-	private boolean isGenuine(HttpResponse response) {
-		return this.services.protocol().isSigned(response.headers())
-				&& !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
-	}
-
-	private void startResponse(SendAttempt current, boolean complete) {
-		HttpResponse response = current.response();
-		if (response == null) {
-			throw new IllegalStateException("no response to pass on");
-		}
-		this.responseStarted = true;
-		this.lastContentAt = now();
-		HttpHeaders headers = HopByHopHeaders.copyWithout(response.headers(), (name) -> false);
-		if (complete && !isHeadRequest() && !HttpUtil.isContentLengthSet(response)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, current.bufferedBytes());
-		}
-		this.caller.writeHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers));
-		passOnBuffered(current);
-	}
-
-	private boolean isHeadRequest() {
-		return this.request.head().method().name().equals("HEAD");
+		this.delivery.callerWritable(connection());
 	}
 
 	void responseEnded(SendAttempt current) {
-		SlotOutcome outcome = classify(current);
+		SlotOutcome outcome = this.classifier.classify(current);
 		HttpResponse response = current.response();
 		ServerLoad load = (response != null) ? this.services.protocol().load(response.headers()) : ServerLoad.UNKNOWN;
 		endAttempt(current, outcome, load);
@@ -789,7 +432,7 @@
 			current.releaseBuffered();
 			return;
 		}
-		if (this.responseStarted) {
+		if (this.delivery.isStarted()) {
 			finish(current);
 			return;
 		}
@@ -797,7 +440,7 @@
 			if (!current.isRelay()) {
 				this.services.estimates().forRoute(this.request.route()).recordDuration(now() - current.startedAt());
 			}
-			startResponse(current, true);
+			this.delivery.start(current, true);
 			finish(current);
 			return;
 		}
@@ -808,8 +451,8 @@
 		NextStep step = this.policy.nextStep(outcome, this.content.isReplayable(), this.request.timeoutAt() - now());
 		String reason = "status " + ((response != null) ? response.status().code() : 0) + " of "
 				+ current.server().id();
-		if (step != NextStep.SEND_AGAIN && outcome == SlotOutcome.FAILED && response != null && isGenuine(response)) {
-			startResponse(current, true);
+		if (step != NextStep.SEND_AGAIN && isGenuineFailure(current, outcome)) {
+			this.delivery.start(current, true);
 			finish(current);
 			return;
 		}
@@ -839,8 +482,8 @@
 		if (outcome == SlotOutcome.FAILED) {
 			// Called only to record that the request may have run.
 			this.policy.nextStep(outcome, false, 0);
-			if (isGenuine(response)) {
-				startResponse(current, true);
+			if (this.classifier.isGenuine(response)) {
+				this.delivery.start(current, true);
 				finish(current);
 				return;
 			}
@@ -850,27 +493,23 @@
 		}
 		current.releaseBuffered();
 		this.policy.recordSendsByOthers(this.services.protocol().earlierSends(response.headers()));
-		this.relayAttempts.rejected(this.services.protocol().retryAfterMs(response.headers()));
-		this.services.relay().rejected(current.server().region());
-		this.lastFailure = reason;
-		if (!this.content.isReplayable() || !tryRelay()) {
-			respondLocally(SERVICE_UNAVAILABLE, reason, this.relayAttempts.retryAfterMs(DEFAULT_RETRY_AFTER_MS));
+		long retryAfterMs = this.services.protocol().retryAfterMs(response.headers());
+		if (!this.placing.relayRejected(current.server().region(), retryAfterMs, reason)) {
+			respondLocally(SERVICE_UNAVAILABLE, reason, this.placing.relayRetryAfterMs(DEFAULT_RETRY_AFTER_MS));
 		}
 	}
 
 	private void finish(SendAttempt current) {
-		passOnBuffered(current);
 		HttpResponse response = current.response();
 		int status = (response != null) ? response.status().code() : 0;
-		this.caller.finish();
+		this.delivery.finish(current);
 		complete(status, "server", "server=" + current.server().id());
 	}
 
 	void connectionLost(SendAttempt current, String reason) {
 		endAttempt(current, SlotOutcome.LOST, ServerLoad.UNKNOWN);
-		if (!this.done && this.responseStarted) {
-			passOnBuffered(current);
-			this.caller.abort(reason);
+		if (!this.done && this.delivery.isStarted()) {
+			this.delivery.abortAfter(current, reason);
 			complete(0, "entry", "response aborted: " + reason);
 			return;
 		}
@@ -892,9 +531,8 @@
 	}
 
 	private void apply(NextStep step, String reason) {
-		this.lastFailure = reason;
 		switch (step) {
-			case SEND_AGAIN -> place();
+			case SEND_AGAIN -> this.placing.placeAgain(reason);
 			case ANSWER_NOT_RUN -> respondLocally(SERVICE_UNAVAILABLE, reason, DEFAULT_RETRY_AFTER_MS);
 			case ANSWER_FAILED -> respondLocally(BAD_GATEWAY, reason, 0);
 		}
@@ -904,12 +542,11 @@
 		if (this.done) {
 			return;
 		}
-		if (this.responseStarted) {
+		if (this.delivery.isStarted()) {
 			endIfStalled();
 			return;
 		}
-		SendAttempt pending = this.attempt;
-		this.timedOutAtServer = pending != null && pending.connection() != null;
+		this.timedOutAtServer = connection() != null;
 		boolean sent = this.timedOutAtServer || this.policy.mayHaveRun();
 		cancelPending(isRepeatable());
 		if (sent) {
@@ -929,13 +566,14 @@
 		if (this.done || current == null) {
 			return;
 		}
-		if (!this.caller.isWritable() || now() - this.lastContentAt < STALL_MS) {
-			this.timeoutTimer = this.services.loop().schedule(this::endIfStalled, STALL_MS, TimeUnit.MILLISECONDS);
+		if (!this.delivery.isStalled()) {
+			this.timeoutTimer = this.services.loop()
+				.schedule(this::endIfStalled, ResponseDelivery.STALL_MS, TimeUnit.MILLISECONDS);
 			return;
 		}
 		current.cancel();
 		endAttempt(current, SlotOutcome.FAILED, ServerLoad.UNKNOWN);
-		this.caller.abort("response stalled");
+		this.delivery.abort("response stalled");
 		complete(0, "entry", "response stalled");
 	}
 
@@ -947,7 +585,7 @@
 			cancelPending(isRepeatable());
 			complete(0, "caller", "caller closed its connection");
 			// A response that is not cancelled is read to the limit of unattended ones.
-			resumeReadingResponse();
+			this.delivery.resumeReading(connection());
 		}
 	}
 
@@ -957,16 +595,12 @@
 	 * completely
 	 */
 	private void cancelPending(boolean cancelSent) {
-		SlotId slotId = this.pendingSlotId;
-		if (slotId != null) {
-			this.services.slots().cancel(slotId);
-			this.pendingSlotId = null;
-		}
+		this.placing.cancel();
 		SendAttempt current = this.attempt;
 		if (current == null) {
 			return;
 		}
-		sendReceived();
+		this.sending.sendReceived();
 		// A non-repeatable request that was sent completely is left to run to its end, as
 		// long as its server has time left. Another entry VM decides by itself what to
 		// cancel when the connection to it is closed.
@@ -991,22 +625,23 @@
 		if (this.request.relayed()) {
 			this.services.protocol().setEarlierSends(headers, this.policy.sends());
 		}
-		this.caller.reply(status, reason, headers);
+		this.delivery.reply(status, reason, headers);
 		complete(status, "entry", reason);
 	}
 
 	private void endAttempt(SendAttempt current, SlotOutcome outcome, ServerLoad load) {
 		if (this.attempt == current) {
 			this.attempt = null;
+			this.sending.attemptEnded();
 		}
 		current.markEnded();
 		if (this.done) {
-			this.bodyMemory.release();
+			this.sending.releaseBody();
 		}
 		SlotGrant grant = current.grant();
 		if (grant != null) {
 			this.services.metrics().countSend(this.request.service().value(), outcome.name());
-			release(grant, outcome, load, (int) (now() - current.startedAt()));
+			this.placing.release(grant, outcome, load, (int) (now() - current.startedAt()));
 			return;
 		}
 		this.services.metrics().countRelay(this.request.service().value(), outcome.name());
@@ -1018,29 +653,18 @@
 		}
 	}
 
-	private void release(SlotGrant grant, SlotOutcome outcome, ServerLoad load, int tookMs) {
-		this.services.slots()
-			.release(grant, new SlotRelease(grant.request().id(), grant.server(), outcome, tookMs,
-					grant.request().workMs(), load, this.content.fingerprint()));
-	}
-
 	private void complete(int status, String origin, String reason) {
 		this.done = true;
 		ScheduledFuture<?> timer = this.timeoutTimer;
 		if (timer != null) {
 			timer.cancel(false);
 		}
-		this.content.release();
-		this.headMemory.release();
 		SendAttempt unattended = this.attempt;
-		if (unattended == null) {
-			this.bodyMemory.release();
-		}
-		else {
+		if (unattended != null) {
 			unattended.releaseBuffered();
-			// The server may not have taken the body yet.
-			updateBodyMemory();
 		}
+		// The server of an unattended attempt may not have taken the body yet.
+		this.sending.close(unattended != null);
 		long tookMs = now() - this.request.arrivedAt();
 		this.services.metrics().countAnswer(this.request.route().name(), status, origin, tookMs);
 		if (LOGGER.isInfoEnabled()) {
