Offer second slots to requests at slow servers, within a limit

Cause: a slow period that begins between the last load report and the start of the work is not seen when a request is placed, and its work takes 5 times as long. At 20 % of the capacity this is most of the last 1 % of the responses.

Change: HedgePlanner follows first attempts that may be hedged, requests a load report shortly after the grant, and offers a slot at another server if the report shows that the first one is slow, or if the attempt is old and its server unexplained. Nothing is offered while requests are queued, by a process that is not the sole owner, or at a slow, cold, remote or almost full server. SlotDispatcher only calls HedgePlanner; with a share of 0 it places as before.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspects.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspects.java
@@ -54,6 +54,16 @@
 		return known != null && known.count() >= STRIKES_TO_QUARANTINE && now - known.lastAt() <= QUARANTINE_MS;
 	}
 
+	/**
+	 * Tells whether a connection was lost while the request was running, so that it may
+	 * have crashed a server.
+	 * @param fingerprint the fingerprint of the request
+	 * @return {@code true} if there is a strike
+	 */
+	public boolean isSuspect(long fingerprint) {
+		return this.byFingerprint.containsKey(fingerprint);
+	}
+
 	/**
 	 * Clears the strikes of a request that got a response.
 	 * @param fingerprint the fingerprint of the request
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ExtraSendBudget.java
@@ -45,6 +45,9 @@
 	 */
 	private static final long MAX_OBSERVATION_GAP_MS = 1_000;
 
+	/** Share of the budget that hedged requests leave for retries. */
+	private static final double RETRY_RESERVE_SHARE = 0.5;
+
 	private final PlacingLimits limits;
 
 	private final ArrayDeque<Long> recentFirstSends = new ArrayDeque<>();
@@ -72,7 +75,7 @@
 	 * @param now the monotonic time in milliseconds
 	 */
 	void observeOwnership(boolean owner, long now) {
-		double max = this.limits.retryExtra() / Math.max(1, this.limits.regions()) * CONSTANT_SHARE;
+		double max = maxConstantCredit();
 		double perMs = max / this.limits.retryWindowMs();
 		long elapsedMs = now - this.observedAt;
 		long ownedMs = (owner && this.soleOwner) ? Math.min(elapsedMs, MAX_OBSERVATION_GAP_MS) : 0;
@@ -111,6 +114,18 @@
 		return false;
 	}
 
+	/**
+	 * Consumes the budget for one hedged request if more than the part reserved for
+	 * retries is left.
+	 * @param now the monotonic time in milliseconds
+	 * @return {@code true} if the hedged request is permitted
+	 */
+	boolean tryAcquireSpare(long now) {
+		limitRatioCredit(now);
+		double max = maxRatioCredit() + (this.soleOwner ? maxConstantCredit() : 0);
+		return left() - 1 >= max * RETRY_RESERVE_SHARE && tryAcquire(now);
+	}
+
 	/**
 	 * Takes back a send that was recorded but not made.
 	 * @param purpose the purpose of the send
@@ -122,7 +137,7 @@
 				this.recentFirstSends.removeLastOccurrence(recordedAt);
 				this.ratioCredit = Math.max(0, this.ratioCredit - this.limits.retryRatio() * RATIO_SHARE);
 			}
-			case RETRY -> this.ratioCredit++;
+			case RETRY, HEDGE -> this.ratioCredit++;
 		}
 	}
 
@@ -139,8 +154,15 @@
 		while (!this.recentFirstSends.isEmpty() && this.recentFirstSends.element() < keptSince) {
 			this.recentFirstSends.remove();
 		}
-		double max = Math.max(1, this.recentFirstSends.size() * this.limits.retryRatio() * RATIO_SHARE);
-		this.ratioCredit = Math.min(max, this.ratioCredit);
+		this.ratioCredit = Math.min(maxRatioCredit(), this.ratioCredit);
+	}
+
+	private double maxRatioCredit() {
+		return Math.max(1, this.recentFirstSends.size() * this.limits.retryRatio() * RATIO_SHARE);
+	}
+
+	private double maxConstantCredit() {
+		return this.limits.retryExtra() / Math.max(1, this.limits.regions()) * CONSTANT_SHARE;
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -199,6 +199,14 @@
 		return average + (this.load.slownessPercent() / PERCENT - average) * weight;
 	}
 
+	/**
+	 * Returns the slowness in the last load report.
+	 * @return the processing time as a factor of the usual time, 1 if there is no report
+	 */
+	double reportedSlowness() {
+		return this.load.slownessPercent() / PERCENT;
+	}
+
 	/**
 	 * Tells whether the last load report of the server shows a free slot.
 	 * @return {@code false} if it shows none or there is no report
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SendPurpose.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SendPurpose.java
@@ -12,6 +12,9 @@
 	FIRST,
 
 	/** Earlier attempts brought no usable response. */
-	RETRY
+	RETRY,
+
+	/** The first attempt is in progress at another server. */
+	HEDGE
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
@@ -219,7 +219,7 @@
 		return local || server.grantCount() < MAX_REMOTE_REQUESTS;
 	}
 
-	private double expectedCostMs(SlotRequest request, PooledServer server, double factor, long now) {
+	double expectedCostMs(SlotRequest request, PooledServer server, double factor, long now) {
 		double work = request.workMs() * factor * Math.max(1, server.responseTimeFactor());
 		work *= 1 + UTILIZATION_FACTOR * server.outstanding(now) / server.slots();
 		if (server.isCold(now)) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -38,13 +38,16 @@
 
 	private final ExtraSendBudget budget;
 
+	private final FirstAttempts firstAttempts;
+
 	private @Nullable ServiceSpec spec;
 
 	// A time far in the past that can be subtracted from any time without overflow.
 	private long lastRequestedAt = Long.MIN_VALUE / 2;
 
-	ServicePool(ExtraSendBudget budget) {
-		this.budget = budget;
+	ServicePool(PlacingLimits limits) {
+		this.budget = new ExtraSendBudget(limits);
+		this.firstAttempts = new FirstAttempts(new HedgeLimit(limits.secondSendShare()));
 	}
 
 	long lastRequestedAt() {
@@ -75,6 +78,30 @@
 		return this.budget;
 	}
 
+	FirstAttempts firstAttempts() {
+		return this.firstAttempts;
+	}
+
+	void recordFirstSend(long now) {
+		this.budget.recordFirstSend(now);
+		this.firstAttempts.limit().recordFirstSend();
+	}
+
+	/**
+	 * Takes back a send that was recorded but not made.
+	 * @param purpose the purpose of the send
+	 * @param recordedAt the monotonic time at which it was recorded, in milliseconds
+	 */
+	void recordUnused(SendPurpose purpose, long recordedAt) {
+		this.budget.recordUnused(purpose, recordedAt);
+		switch (purpose) {
+			case FIRST -> this.firstAttempts.limit().recordUnusedFirstSend();
+			case HEDGE -> this.firstAttempts.limit().recordUnused();
+			case RETRY -> {
+			}
+		}
+	}
+
 	@Nullable ServiceSpec spec() {
 		return this.spec;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -41,7 +41,7 @@
 	 * Time after the timeout of a request at which its unreleased grant expires, in
 	 * milliseconds.
 	 */
-	private static final long GRANT_EXPIRY_GRACE_MS = 1_000;
+	static final long GRANT_EXPIRY_GRACE_MS = 1_000;
 
 	private final Clock clock;
 
@@ -57,6 +57,8 @@
 
 	private final Map<ServiceName, ServicePool> pools = new HashMap<>();
 
+	private final HedgePlanner hedging;
+
 	private final CrashSuspects suspects = new CrashSuspects();
 
 	private final Predicate<ServiceName> isSoleOwner;
@@ -83,6 +85,7 @@
 		this.announcements = announcements;
 		this.leavingReports = new LeavingReports(announcements);
 		this.selector = new ServerSelector(region, random, announcements);
+		this.hedging = new HedgePlanner(this.selector, isSoleOwner, replies);
 	}
 
 	/**
@@ -109,6 +112,7 @@
 		Set<FailureDomain> returned = new HashSet<>(this.evacuated);
 		returned.removeAll(next);
 		this.evacuated = next;
+		this.hedging.setEvacuated(next);
 		for (ServicePool pool : this.pools.values()) {
 			for (PooledServer server : pool.servers()) {
 				if (returned.contains(server.instance().domain())) {
@@ -132,7 +136,7 @@
 		}
 		pool.budget().observeOwnership(this.isSoleOwner.test(request.service()), now);
 		if (request.purpose() == SendPurpose.FIRST) {
-			pool.budget().recordFirstSend(now);
+			pool.recordFirstSend(now);
 		}
 		else if (!pool.budget().tryAcquire(now)) {
 			// Only the expected wait, as a retry by the caller is not limited by this
@@ -157,7 +161,7 @@
 			return;
 		}
 		if (request.purpose() == SendPurpose.RETRY) {
-			pool.budget().recordUnused(SendPurpose.RETRY, now);
+			pool.recordUnused(SendPurpose.RETRY, now);
 		}
 		this.replies.refused(request.id(), verdict.cause(), verdict.retryAfterMs());
 	}
@@ -185,6 +189,7 @@
 		if (pool != null && server != null) {
 			PooledServer.Grant grant = server.release(release.id());
 			recordOutcome(pool, server, grant, release, now);
+			this.hedging.released(pool, release.id(), release.server());
 		}
 		if (release.outcome() == SlotOutcome.LOST) {
 			this.suspects.strike(release.fingerprint(), now);
@@ -194,6 +199,14 @@
 		}
 		if (pool != null) {
 			serveQueue(pool, now);
+			reportLoad(pool, server, release.load(), now);
+		}
+	}
+
+	// Queued requests take precedence over hedged ones.
+	private void reportLoad(ServicePool pool, @Nullable PooledServer server, ServerLoad load, long now) {
+		if (server != null && load.isKnown()) {
+			this.hedging.loadReported(pool, server, now);
 		}
 	}
 
@@ -233,7 +246,7 @@
 	// The request did not reach the server and may be placed again.
 	private static void recordUnused(ServicePool pool, PooledServer.@Nullable Grant grant) {
 		if (grant != null) {
-			pool.budget().recordUnused(grant.purpose(), grant.requestedAt());
+			pool.recordUnused(grant.purpose(), grant.requestedAt());
 		}
 	}
 
@@ -257,6 +270,7 @@
 				server.setRemainingWarmup(warmupLeftMs, now);
 			}
 			serveQueue(pool, now);
+			reportLoad(pool, server, load, now);
 		}
 	}
 
@@ -311,14 +325,16 @@
 		this.leavingReports.forget(vm);
 		for (ServicePool pool : this.pools.values()) {
 			pool.servers().forEach((server) -> server.releaseAllOf(vm));
+			this.hedging.removeVm(pool, vm);
 			pool.queue().removeIf((queued) -> queued.request().id().vm().equals(vm));
 		}
 		serveAllQueues();
 	}
 
 	/**
-	 * Refuses the requests that were queued too long, and grants slots that became free.
-	 * To be called periodically.
+	 * Refuses the requests that were queued too long, grants slots that became free, and
+	 * hedges requests that are late. To be called periodically while
+	 * {@link #isTickNeeded} returns {@code true}.
 	 */
 	public void tick() {
 		long now = this.clock.millis();
@@ -329,6 +345,7 @@
 						pool.drainMs(this.selector, this.evacuated, now));
 			}
 			serveQueue(pool, now);
+			this.hedging.tick(pool, now);
 		}
 	}
 
@@ -340,6 +357,14 @@
 		return this.pools.values().stream().anyMatch((pool) -> pool.queue().size() > 0);
 	}
 
+	/**
+	 * Tells whether {@link #tick()} has anything to do.
+	 * @return {@code true} while requests are queued or may be hedged
+	 */
+	public boolean isTickNeeded() {
+		return hasWaitingRequests() || this.pools.values().stream().anyMatch(this.hedging::isFollowing);
+	}
+
 	/**
 	 * Returns the time of the last slot request for a service.
 	 * @param service the service
@@ -432,11 +457,14 @@
 		}
 		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
 				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
+		if (!this.suspects.isSuspect(request.fingerprint())) {
+			this.hedging.attemptGranted(pool, request, server, now);
+		}
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
 
 	private ServicePool pool(ServiceName service) {
-		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(new ExtraSendBudget(this.limits)));
+		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(this.limits));
 	}
 
 	/**
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
@@ -38,4 +38,23 @@
 	 */
 	void loadWanted(ServerName server);
 
+	/**
+	 * Called when a second slot is offered to a request whose first attempt is late. It
+	 * is released like the first one, or expires with it if the offer is ignored.
+	 * @param request the slot request of the first attempt
+	 * @param server the second server
+	 * @param why the figures behind the decision, for the log
+	 */
+	default void hedgeOffered(SlotRequest request, ServerName server, String why) {
+	}
+
+	/**
+	 * Called when the first attempt of a request has ended that was late and was not
+	 * hedged.
+	 * @param request the slot request of the first attempt
+	 * @param cause the last reason
+	 */
+	default void hedgeRefused(SlotRequest request, HedgeRefusal cause) {
+	}
+
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlownessEstimate.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlownessEstimate.java
@@ -66,14 +66,21 @@
 		return workMs * (factor - average()) > MAX_DISTURBANCE_MS;
 	}
 
+	/**
+	 * Tells whether the servers of the service hardly ever report that they are slow.
+	 * @return {@code true} if they do not, or report no load at all
+	 */
+	boolean isSteady() {
+		return !this.hasReports || average() < STEADY_FACTOR;
+	}
+
 	/**
 	 * Returns the maximum age of the load report of a server that a request is placed on.
 	 * @param waitedMs the time that the request has waited, in milliseconds
 	 * @return the age in milliseconds, {@link Long#MAX_VALUE} if it does not matter
 	 */
 	long maxLoadAgeMs(long waitedMs) {
-		boolean steady = !this.hasReports || average() < STEADY_FACTOR;
-		return (steady || waitedMs >= MAX_FRESH_LOAD_WAIT_MS) ? Long.MAX_VALUE : FRESH_LOAD_MS;
+		return (isSteady() || waitedMs >= MAX_FRESH_LOAD_WAIT_MS) ? Long.MAX_VALUE : FRESH_LOAD_MS;
 	}
 
 }
