Use HedgeDecision for the hedged requests of lovagevale-node

When a request is hedged was decided twice. RetryHandler now asks the class that the dispatcher of the gateway uses; the conditions are the same as before. Tested: AdmissionTests (13), CrashTests (6) and GeneratedSequenceTests (400 sequences) passed.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/RetryHandler.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/RetryHandler.java
@@ -2,6 +2,8 @@
 
 import org.lovagevale.base.Clock;
 import org.lovagevale.core.RefusalReason;
+import org.lovagevale.core.placing.HedgeCandidate;
+import org.lovagevale.core.placing.HedgeDecision;
 
 /**
  * Decides whether a request is retried after a failed attempt, or hedged during a slow
@@ -75,12 +77,7 @@
 	 * @param now the monotonic time in milliseconds
 	 */
 	void hedge(ActiveRequest request, long now) {
-		long afterMs = request.policy().hedgeAfterMs();
-		if (afterMs <= 0 || !request.isIdempotent() || request.dispatchCount() != 1 || request.attempts().size() != 1) {
-			return;
-		}
-		boolean isDue = now - request.attempts().get(0).startedAt() >= afterMs && now < request.deadline();
-		if (!isDue || !isRepeatable(request) || !request.head().hasResendableBody() || request.isOnTrial()
+		if (request.attempts().isEmpty() || !isHedgeDue(request, now) || !isRepeatable(request) || request.isOnTrial()
 				|| !this.guard.mayDispatch(request)) {
 			return;
 		}
@@ -90,4 +87,11 @@
 		}
 	}
 
+	private static boolean isHedgeDue(ActiveRequest request, long now) {
+		HedgeCandidate candidate = new HedgeCandidate(request.isIdempotent(), request.head().hasResendableBody(),
+				request.dispatchCount(), request.attempts().size(), MAX_ATTEMPTS,
+				now - request.attempts().get(0).startedAt(), request.deadline() - now);
+		return HedgeDecision.afterDelay(request.policy().hedgeAfterMs()).isDue(candidate);
+	}
+
 }
