Send hedged requests from the gateway

SlotAsk states whether a request may be hedged; message 26, SlotOffered, offers a second slot under the number of the slot request. SlotClient passes an offer on only while the first slot is in use and otherwise releases it unused. Exchange sends the request to the second server, passes the first good response on, and in the same turn of the event loop closes the connection of the other attempt and releases its slot. After the failure of one attempt it waits for the other one.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
@@ -21,8 +21,9 @@
  * @param timeLeftMs the time left until the request times out, in milliseconds
  * @param tried the servers to which the request was already sent
  * @param fingerprint a hash of the request as sent by the caller
+ * @param hedgeable whether the request may be hedged while its first attempt runs
  */
 public record SlotAsk(long number, String service, String domain, List<String> homes, boolean localOnly, int priority,
 		boolean large, String purpose, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
-		long fingerprint) implements RegionMessage {
+		long fingerprint, boolean hedgeable) implements RegionMessage {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -10,8 +10,11 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufAllocatorMetricProvider;
+import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.memory.HeldKind;
 import org.lovagevale.core.memory.MemoryAccount;
+import org.lovagevale.core.placing.HedgeRefusal;
+import org.lovagevale.gateway.fleet.HedgeObserver;
 
 /**
  * The metrics of an entry process.
@@ -21,7 +24,7 @@
  * outcomes, never paths or identities of requests, so that the number of time series
  * stays bounded. Thread-safe.
  */
-public final class GatewayMetrics {
+public final class GatewayMetrics implements HedgeObserver {
 
 	private static final String SERVICE_TAG = "service";
 
@@ -48,6 +51,14 @@
 		.description("Requests without a server by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> hedges = Counter.builder("lovagevale.gateway.hedges")
+		.description("Hedged requests by event")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> hedgeRefusals = Counter.builder("lovagevale.gateway.hedges.refused")
+		.description("Requests that were late because of their server and were not hedged, by cause")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
@@ -201,6 +212,25 @@
 		this.refusals.withTags(SERVICE_TAG, service, "cause", cause).increment();
 	}
 
+	/**
+	 * Counts an event of a hedged request.
+	 * @param service the name of the service
+	 * @param event what happened
+	 */
+	public void countHedge(String service, String event) {
+		this.hedges.withTags(SERVICE_TAG, service, "event", event).increment();
+	}
+
+	@Override
+	public void offered(ServiceName service) {
+		countHedge(service.value(), "offered");
+	}
+
+	@Override
+	public void refused(ServiceName service, HedgeRefusal cause) {
+		this.hedgeRefusals.withTags(SERVICE_TAG, service.value(), "cause", cause.name()).increment();
+	}
+
 	/**
 	 * Records the time that a request waited until its slot was granted or refused.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -208,6 +208,7 @@
 				this.roster, this.plannedStop, announcements, this.readDelay, this.memory, this.responseMemory,
 				scheduler);
 		this.healthChecks = new HealthChecks(services, this.roster);
+		this.slotClient.observeHedges(this.metrics);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
 				new RequestRouter(services, random));
@@ -259,6 +260,7 @@
 					.with("callers", this.settings.callerAddress())
 					.with("peers", this.settings.peerAddress())
 					.with("seeds", this.settings.seeds())
+					.with("secondSendShare", this.settings.limits().secondSendShare())
 					.with("transport", Epoll.isAvailable() ? "epoll" : "nio")
 					.with("incarnation", this.roster.self().incarnation()));
 	}
@@ -324,10 +326,10 @@
 		if (this.slotClient.hasPendingRequests()) {
 			this.slotClient.tick();
 		}
-		if (this.slotClient.dispatcher().hasWaitingRequests()) {
+		if (this.slotClient.dispatcher().isTickNeeded()) {
 			this.slotClient.dispatcher().tick();
 		}
-		if (this.slotClient.hasPendingRequests() || this.slotClient.dispatcher().hasWaitingRequests()) {
+		if (this.slotClient.hasPendingRequests() || this.slotClient.dispatcher().isTickNeeded()) {
 			scheduleSlotTick();
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -38,6 +38,7 @@
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotOffered;
 import org.lovagevale.core.message.SlotQueued;
 import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SlotReturned;
@@ -420,6 +421,7 @@
 				case SlotRefused refused -> client.handleRefusal(from, refused);
 				case SlotCancelled cancelled -> client.dispatcher().cancel(new SlotId(from, cancelled.number()));
 				case SlotReturned returned -> client.handleRelease(from, returned);
+				case SlotOffered offered -> client.handleOffer(from, offered);
 				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
 			}
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -19,9 +19,11 @@
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotOffered;
 import org.lovagevale.core.message.SlotQueued;
 import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SlotReturned;
+import org.lovagevale.core.placing.HedgeRefusal;
 import org.lovagevale.core.placing.RefusalCause;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.ServerRun;
@@ -45,7 +47,8 @@
  * <p>
  * Invariant: a listener is called at most once. A request that the responsible process
  * does not confirm within {@link #CONFIRMATION_TIMEOUT_MS} is decided by the dispatcher
- * of this process, with the load reports that are known here. Not thread-safe; all
+ * of this process, with the load reports that are known here. A second slot is passed on
+ * only while the first one is in use, and released otherwise. Not thread-safe; all
  * methods must be called on the event loop.
  */
 public final class SlotClient implements SlotReplies {
@@ -81,6 +84,9 @@
 
 	private final Map<Long, PendingRequest> pending = new HashMap<>();
 
+	/** The slots in use of the requests that may be hedged, by number. */
+	private final Map<Long, HedgeableGrant> hedgeableGrants = new HashMap<>();
+
 	private final Map<VmName, Long> bypassedUntil = new HashMap<>();
 
 	private Runnable waitingListener = () -> {
@@ -89,6 +95,8 @@
 	private Consumer<ServerName> loadListener = (server) -> {
 	};
 
+	private HedgeObserver hedgeObserver = HedgeObserver.NONE;
+
 	private long lastRequestNumber;
 
 	/**
@@ -153,14 +161,14 @@
 	}
 
 	private void notifyIfWaiting() {
-		if (this.dispatcher.hasWaitingRequests()) {
+		if (this.dispatcher.isTickNeeded()) {
 			this.waitingListener.run();
 		}
 	}
 
 	/**
-	 * Sets the listener that is called when requests are waiting, which means that
-	 * {@link #tick()} and {@link SlotDispatcher#tick()} must be called periodically.
+	 * Sets the listener that is called when requests are waiting or may be hedged, so
+	 * that {@link #tick()} and {@link SlotDispatcher#tick()} must be called periodically.
 	 * @param listener the listener, called on the event loop
 	 */
 	public void onWaiting(Runnable listener) {
@@ -190,6 +198,10 @@
 	 * @param release the outcome of the request that used the slot
 	 */
 	public void release(SlotGrant grant, SlotRelease release) {
+		HedgeableGrant open = this.hedgeableGrants.get(release.id().number());
+		if (open != null && open.grant().server().equals(release.server())) {
+			this.hedgeableGrants.remove(release.id().number());
+		}
 		if (isSelf(grant.dispatcher())) {
 			this.dispatcher.release(release);
 			return;
@@ -354,7 +366,33 @@
 			return;
 		}
 		this.pending.remove(granted.number());
-		pendingRequest.listener.granted(new SlotGrant(pendingRequest.request, server, from, granted.why()));
+		passOn(new SlotGrant(pendingRequest.request, server, from, granted.why()), pendingRequest.listener);
+	}
+
+	private void passOn(SlotGrant grant, SlotListener listener) {
+		if (grant.request().hedgeable()) {
+			this.hedgeableGrants.put(grant.request().id().number(), new HedgeableGrant(grant, listener));
+		}
+		listener.granted(grant);
+	}
+
+	/**
+	 * Handles the offer of a second slot by another process. It is released if the first
+	 * one is not in use or was granted by a different process.
+	 * @param from the VM of the sender
+	 * @param offered the second slot
+	 */
+	public void handleOffer(VmName from, SlotOffered offered) {
+		ServerName server = new ServerName(offered.server());
+		if (!isOfferUsed(offered.number(), server, from, offered.reason())) {
+			send(from, SlotMessages.toMessage(unusedRelease(offered.number(), server)));
+		}
+	}
+
+	private boolean isOfferUsed(long number, ServerName server, VmName from, String why) {
+		HedgeableGrant open = this.hedgeableGrants.get(number);
+		return open != null && from.equals(open.grant().dispatcher())
+				&& open.listener().hedgeOffered(new SlotGrant(open.grant().request(), server, from, why));
 	}
 
 	private SlotRelease unusedRelease(long number, ServerName server) {
@@ -406,7 +444,7 @@
 		}
 		PendingRequest pendingRequest = this.pending.remove(id.number());
 		if (pendingRequest != null) {
-			pendingRequest.listener.granted(new SlotGrant(pendingRequest.request, server, id.vm(), why));
+			passOn(new SlotGrant(pendingRequest.request, server, id.vm(), why), pendingRequest.listener);
 		}
 	}
 
@@ -429,6 +467,31 @@
 		}
 	}
 
+	@Override
+	public void hedgeOffered(SlotRequest request, ServerName server, String why) {
+		this.hedgeObserver.offered(request.service());
+		SlotId id = request.id();
+		if (!isSelf(id.vm())) {
+			send(id.vm(), new SlotOffered(id.number(), server.value(), why));
+		}
+		else if (!isOfferUsed(id.number(), server, id.vm(), why)) {
+			this.dispatcher.release(unusedRelease(id.number(), server));
+		}
+	}
+
+	@Override
+	public void hedgeRefused(SlotRequest request, HedgeRefusal cause) {
+		this.hedgeObserver.refused(request.service(), cause);
+	}
+
+	/**
+	 * Sets the observer of the decisions on hedged requests.
+	 * @param observer the observer
+	 */
+	public void observeHedges(HedgeObserver observer) {
+		this.hedgeObserver = observer;
+	}
+
 	@Override
 	public void loadWanted(ServerName server) {
 		this.loadListener.accept(server);
@@ -447,6 +510,15 @@
 		return this.roster.self().vm().equals(vm);
 	}
 
+	/**
+	 * A slot in use of a request that may be hedged.
+	 *
+	 * @param grant the slot
+	 * @param listener receives the offer of a second slot
+	 */
+	private record HedgeableGrant(SlotGrant grant, SlotListener listener) {
+	}
+
 	/**
 	 * A request that has not been decided yet.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
@@ -6,7 +6,8 @@
  * Receives the decision on one slot request.
  *
  * <p>
- * At most one of the methods is called, once, on the event loop.
+ * Either {@link #granted} or {@link #refused} is called, at most once;
+ * {@link #hedgeOffered} may follow a grant. All are called on the event loop.
  */
 public interface SlotListener {
 
@@ -23,4 +24,14 @@
 	 */
 	void refused(RefusalCause cause, int retryAfterMs);
 
+	/**
+	 * Called when a second slot is offered for the request, which still uses the first
+	 * one.
+	 * @param grant the second slot
+	 * @return {@code true} if the listener uses the slot and will release it
+	 */
+	default boolean hedgeOffered(SlotGrant grant) {
+		return false;
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
@@ -34,7 +34,8 @@
 		List<String> triedServers = request.triedServers().stream().map(ServerName::value).toList();
 		return new SlotAsk(request.id().number(), request.service().value(), request.domain().value(), homeRegions,
 				request.localOnly(), request.priority(), request.largeResponse(), request.purpose().name(),
-				request.workMs(), request.targetLeftMs(), request.timeLeftMs(), triedServers, request.fingerprint());
+				request.workMs(), request.targetLeftMs(), request.timeLeftMs(), triedServers, request.fingerprint(),
+				request.hedgeable());
 	}
 
 	/**
@@ -50,7 +51,7 @@
 		return new SlotRequest(new SlotId(from, ask.number()), new ServiceName(ask.service()),
 				new FailureDomain(ask.domain()), homeRegions, ask.localOnly(), ask.priority(), ask.large(),
 				SendPurpose.valueOf(ask.purpose()), ask.workMs(), ask.targetLeftMs(), ask.timeLeftMs(), triedServers,
-				ask.fingerprint());
+				ask.fingerprint(), ask.hedgeable());
 	}
 
 	static SlotReturned toMessage(SlotRelease release) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -13,6 +13,7 @@
 import org.lovagevale.base.LogLine;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.placing.AttemptPolicy;
+import org.lovagevale.core.placing.HedgeCandidate;
 import org.lovagevale.core.placing.NextStep;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotOutcome;
@@ -113,6 +114,9 @@
 
 	private @Nullable SendAttempt attempt;
 
+	/** The current attempt and the second one, while both are in progress. */
+	private @Nullable HedgedAttempts hedge;
+
 	/** The attempt whose response is passed on after a delay. */
 	private @Nullable SendAttempt delayedAttempt;
 
@@ -233,6 +237,27 @@
 		}
 	}
 
+	@Override
+	public boolean hedgeOffered(SlotGrant grant, BackendInstance server) {
+		SendAttempt first = this.attempt;
+		if (this.done || this.hedge != null || first == null || first.isRelay() || first.connection() == null
+				|| first.response() != null || !isHedgeable(first)) {
+			return false;
+		}
+		SendAttempt second = new SendAttempt(this, grant, server, this.services.responseMemory(), now());
+		this.hedge = new HedgedAttempts(this.services.metrics(), this.request, first, second);
+		this.services.connectionPool().acquire(server, REPEATABLE_MAX_IDLE_MS, second);
+		return true;
+	}
+
+	private boolean isHedgeable(SendAttempt first) {
+		boolean resendable = this.content.isComplete() && this.content.isReplayable();
+		long now = now();
+		return new HedgeCandidate(isRepeatable(), resendable, this.policy.totalSends(), 1,
+				this.request.route().maxAttempts(), now - first.startedAt(), this.request.timeoutAt() - now)
+			.isHedgeable();
+	}
+
 	@Override
 	public void serverUnusable(String reason) {
 		attemptFailed(SlotOutcome.UNUSED, reason);
@@ -297,6 +322,9 @@
 		if (leftMs <= 0 || !available) {
 			connection.channel().close();
 			endAttempt(current, SlotOutcome.UNUSED, ServerLoad.UNKNOWN);
+			if (isOtherInProgress(current, SlotOutcome.UNUSED)) {
+				return;
+			}
 			attemptFailed(SlotOutcome.UNUSED, available ? "no time left when the connection was open"
 					: "server " + current.server().id() + " is leaving or paused");
 			return;
@@ -305,7 +333,13 @@
 			this.policy.recordSend();
 			this.placing.recordTried(current.server().id());
 		}
-		logAttempt(current, grant, leftMs);
+		HedgedAttempts pair = this.hedge;
+		if (pair != null) {
+			pair.recordSent(now());
+		}
+		else {
+			logAttempt(current, grant, leftMs);
+		}
 		this.sending.begin(current, connection, leftMs, this.policy.totalSends());
 	}
 
@@ -338,7 +372,9 @@
 			return;
 		}
 		this.placing.recordTried(current.server().id());
-		attemptFailed(SlotOutcome.UNREACHABLE, reason);
+		if (!isOtherInProgress(current, SlotOutcome.UNREACHABLE)) {
+			attemptFailed(SlotOutcome.UNREACHABLE, reason);
+		}
 	}
 
 	void contentReceived(SendAttempt current, HttpContent part) {
@@ -362,7 +398,8 @@
 	// A body that is not passed on is not read to its end, since it may have none.
 	private void bufferExceeded(SendAttempt current) {
 		SlotOutcome outcome = this.classifier.classify(current);
-		if (outcome == SlotOutcome.SERVED || isGenuineFailure(current, outcome)) {
+		if (outcome == SlotOutcome.SERVED || this.hedge == null && isGenuineFailure(current, outcome)) {
+			selectResponse(current);
 			this.delivery.start(current, false);
 			return;
 		}
@@ -375,6 +412,42 @@
 		return outcome == SlotOutcome.FAILED && response != null && this.classifier.isGenuine(response);
 	}
 
+	/**
+	 * Cancels the other attempt of a hedged request.
+	 * @param winner the attempt whose response is passed on
+	 */
+	private void selectResponse(SendAttempt winner) {
+		HedgedAttempts pair = this.hedge;
+		if (pair != null) {
+			this.hedge = null;
+			this.attempt = winner;
+			this.sending.attemptEnded(winner.connection());
+			pair.recordWinner(winner, now());
+			abandon(pair.otherThan(winner));
+		}
+	}
+
+	/**
+	 * Tells whether the other attempt of a hedged request goes on after one has failed.
+	 * @param failed the failed attempt, which has ended
+	 * @param outcome its outcome
+	 * @return {@code true} if its response is awaited
+	 */
+	private boolean isOtherInProgress(SendAttempt failed, SlotOutcome outcome) {
+		if (this.attempt == null) {
+			return false;
+		}
+		failed.releaseBuffered();
+		// Called only to record that the request may have run.
+		this.policy.nextStep(outcome, false, 0);
+		return true;
+	}
+
+	private boolean isInProgress(SendAttempt candidate) {
+		HedgedAttempts pair = this.hedge;
+		return this.attempt == candidate || pair != null && pair.contains(candidate);
+	}
+
 	private void abandon(SendAttempt current) {
 		if (!current.isEnded()) {
 			boolean silent = isSilent(current);
@@ -404,8 +477,9 @@
 		}
 		this.delayedAttempt = current;
 		this.services.loop().schedule(() -> {
-			if (!this.done && !this.delivery.isStarted() && this.attempt == current && current.response() != null
+			if (!this.done && !this.delivery.isStarted() && isInProgress(current) && current.response() != null
 					&& this.classifier.classify(current) == SlotOutcome.SERVED) {
+				selectResponse(current);
 				this.delivery.start(current, false);
 				this.delivery.flush();
 			}
@@ -424,6 +498,9 @@
 		SlotOutcome outcome = this.classifier.classify(current);
 		HttpResponse response = current.response();
 		ServerLoad load = (response != null) ? this.services.protocol().load(response.headers()) : ServerLoad.UNKNOWN;
+		if (outcome == SlotOutcome.SERVED) {
+			selectResponse(current);
+		}
 		endAttempt(current, outcome, load);
 		if (outcome != SlotOutcome.SERVED) {
 			logUnsuccessful(current, outcome);
@@ -444,6 +521,9 @@
 			finish(current);
 			return;
 		}
+		if (isOtherInProgress(current, outcome)) {
+			return;
+		}
 		if (current.isRelay() && response != null) {
 			relayEnded(current, outcome, response);
 			return;
@@ -514,7 +594,7 @@
 			return;
 		}
 		current.releaseBuffered();
-		if (this.done) {
+		if (this.done || isOtherInProgress(current, SlotOutcome.LOST)) {
 			return;
 		}
 		if (current.isRelay()) {
@@ -590,12 +670,18 @@
 	}
 
 	/**
-	 * Cancels the pending slot request and the current attempt.
+	 * Cancels the pending slot request, the second attempt and the current one.
 	 * @param cancelSent whether to cancel also a request that a server has received
 	 * completely
 	 */
 	private void cancelPending(boolean cancelSent) {
 		this.placing.cancel();
+		HedgedAttempts pair = this.hedge;
+		if (pair != null) {
+			this.hedge = null;
+			pair.recordWinner(null, now());
+			abandon(pair.second());
+		}
 		SendAttempt current = this.attempt;
 		if (current == null) {
 			return;
@@ -630,9 +716,17 @@
 	}
 
 	private void endAttempt(SendAttempt current, SlotOutcome outcome, ServerLoad load) {
-		if (this.attempt == current) {
+		HedgedAttempts pair = this.hedge;
+		if (pair != null && pair.contains(current)) {
+			this.hedge = null;
+			pair.recordFailure(current, outcome, now());
+			SendAttempt other = pair.otherThan(current);
+			this.attempt = other;
+			this.sending.attemptEnded(other.connection());
+		}
+		else if (this.attempt == current) {
 			this.attempt = null;
-			this.sending.attemptEnded();
+			this.sending.attemptEnded(null);
 		}
 		current.markEnded();
 		if (this.done) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/PlacingListener.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/PlacingListener.java
@@ -32,6 +32,14 @@
 	 */
 	void placed(@Nullable SlotGrant grant, BackendInstance server);
 
+	/**
+	 * Called when a second slot is offered for the request.
+	 * @param grant the slot
+	 * @param server its server
+	 * @return {@code true} if the listener uses the slot and will release it
+	 */
+	boolean hedgeOffered(SlotGrant grant, BackendInstance server);
+
 	/**
 	 * Called when a granted server cannot be used; its slot is released.
 	 * @param reason the reason
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -11,6 +11,7 @@
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.RequestKind;
 import org.lovagevale.core.placing.AttemptPolicy;
+import org.lovagevale.core.placing.HedgeCandidate;
 import org.lovagevale.core.placing.RefusalCause;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotId;
@@ -170,7 +171,16 @@
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint()), this);
+					this.content.fingerprint(), isHedgeable(now)), this);
+	}
+
+	// The transfer of a large response takes longer than the work that is hedged.
+	private boolean isHedgeable(long now) {
+		boolean resendable = this.content.isComplete() && this.content.isReplayable();
+		HedgeCandidate candidate = new HedgeCandidate(this.request.route().kind().isRepeatable(), resendable,
+				this.policy.totalSends() + 1, 1, this.request.route().maxAttempts(), 0, this.request.timeoutAt() - now);
+		return candidate.isHedgeable() && this.request.route().kind() != RequestKind.DOWNLOAD
+				&& !this.request.relayed();
 	}
 
 	/**
@@ -218,6 +228,13 @@
 		this.listener.placed(grant, server);
 	}
 
+	@Override
+	public boolean hedgeOffered(SlotGrant grant) {
+		BackendInstance server = this.services.catalog().server(grant.server());
+		return server != null && !server.draining() && !this.triedServers.contains(server.id())
+				&& this.services.announcements().isAvailable(server) && this.listener.hedgeOffered(grant, server);
+	}
+
 	@Override
 	public void refused(RefusalCause cause, int retryAfterMs) {
 		this.pendingSlotId = null;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
@@ -185,10 +185,11 @@
 	}
 
 	/**
-	 * Handles the end of the current attempt.
+	 * Handles the end of an attempt.
+	 * @param remaining the connection of the attempt that remains in progress, if any
 	 */
-	void attemptEnded() {
-		this.connection = null;
+	void attemptEnded(@Nullable BackendConnection remaining) {
+		this.connection = remaining;
 	}
 
 	/**
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -90,15 +90,35 @@
 
 	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
 			MemoryLimits memoryLimits) throws GatewayException {
+		this(host, domain, region, seeds, stopMs, memoryLimits, 0);
+	}
+
+	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
+			MemoryLimits memoryLimits, double secondSendShare) throws GatewayException {
 		this.callerAddress = TestAddresses.next(host);
 		this.peerAddress = TestAddresses.next(host);
+		// The part of the retry budget that is earned by time alone would delay the first
+		// hedged request.
+		double retryExtra = (secondSendShare > 0) ? 0 : 60;
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
-				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, 60, 1, 1.5, 5), stopMs, 1_000);
+				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, retryExtra, 1, 1.5, 5, secondSendShare), stopMs,
+				1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				(silenceMs) -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
 				new TestProtocol(), memoryLimits);
 	}
 
+	/**
+	 * Creates a gateway that hedges requests.
+	 * @param share the permitted hedged requests per first attempt
+	 * @return the gateway
+	 * @throws GatewayException if it cannot be created
+	 */
+	static TestGateway withSecondSendShare(double share) throws GatewayException {
+		return new TestGateway(TestAddresses.host(1), DOMAIN, REGION, List.of(), STOP_MS, MemoryLimits.forThisJvm(),
+				share);
+	}
+
 	private synchronized CatalogState readCatalog() {
 		List<PublishedItem> items = new ArrayList<>();
 		this.published.keySet().forEach((key) -> items.add(new PublishedItem(key, this.revision, "")));
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -55,7 +55,13 @@
 
 	@Override
 	public ServerLoad load(HttpHeaders headers) {
-		return ServerLoad.UNKNOWN;
+		String load = headers.get("Test-Load");
+		if (load == null) {
+			return ServerLoad.UNKNOWN;
+		}
+		String[] figures = load.split("/");
+		return new ServerLoad(Integer.parseInt(figures[0]), Integer.parseInt(figures[1]), Integer.parseInt(figures[2]),
+				Integer.parseInt(figures[3]));
 	}
 
 	@Override
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
@@ -25,15 +25,18 @@
 import org.lovagevale.core.message.ServerLeaving;
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotOffered;
 import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SlotReturned;
 import org.lovagevale.core.placing.PlacingLimits;
 import org.lovagevale.core.placing.RefusalCause;
 import org.lovagevale.core.placing.SendPurpose;
 import org.lovagevale.core.placing.ServerAnnouncements;
+import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotDispatcher;
 import org.lovagevale.core.placing.SlotId;
 import org.lovagevale.core.placing.SlotOutcome;
+import org.lovagevale.core.placing.SlotRelease;
 import org.lovagevale.core.placing.SlotRequest;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
@@ -68,6 +71,8 @@
 
 	private final List<String> replies = new ArrayList<>();
 
+	private final List<SlotGrant> grants = new ArrayList<>();
+
 	private static RosterMember member(VmName vm, Incarnation incarnation, RosterPhase phase) {
 		return new RosterMember(vm, "127.0.0.1", 1, 2, DOMAIN, WEST, 100, incarnation, 1, phase);
 	}
@@ -159,6 +164,95 @@
 		assertThat(client.hasPendingRequests()).isFalse();
 	}
 
+	private SlotId requestHedgeable(SlotClient client, boolean used) {
+		SlotId id = client.nextId();
+		SlotListener granted = listener();
+		client.requestSlot(new SlotRequest(id, SERVICE, DOMAIN, Set.of(), false, 1, false, SendPurpose.FIRST, 100, 400,
+				2_000, Set.of(), 1, true), new SlotListener() {
+
+					@Override
+					public void granted(SlotGrant grant) {
+						SlotClientTests.this.grants.add(grant);
+						granted.granted(grant);
+					}
+
+					@Override
+					public void refused(RefusalCause cause, int retryAfterMs) {
+						granted.refused(cause, retryAfterMs);
+					}
+
+					@Override
+					public boolean hedgeOffered(SlotGrant grant) {
+						SlotClientTests.this.replies.add("offered " + grant.server());
+						return used;
+					}
+
+				});
+		return id;
+	}
+
+	private void assertReleasedUnused(SlotId id, String server) {
+		assertThat(this.sent.getLast()).isInstanceOfSatisfying(SlotReturned.class, (returned) -> {
+			assertThat(returned.number()).isEqualTo(id.number());
+			assertThat(returned.server()).isEqualTo(server);
+			assertThat(returned.outcome()).isEqualTo(SlotOutcome.UNUSED.name());
+		});
+	}
+
+	@Test
+	void slotRequestStatesWhetherItMayBeHedged() {
+		SlotClient client = client(new Incarnation(1, 7));
+		requestHedgeable(client, true);
+		assertThat(this.sent.getLast()).isInstanceOfSatisfying(SlotAsk.class,
+				(ask) -> assertThat(SlotMessages.toRequest(DISPATCHER, ask).hedgeable()).isTrue());
+		request(client);
+		assertThat(this.sent.getLast()).isInstanceOfSatisfying(SlotAsk.class,
+				(ask) -> assertThat(ask.hedgeable()).isFalse());
+	}
+
+	@Test
+	void offerReachesTheRequestThatUsesTheFirstSlot() {
+		SlotClient client = client(new Incarnation(1, 7));
+		SlotId id = requestHedgeable(client, true);
+		client.handleGrant(DISPATCHER, new SlotGranted(id.number(), "a", ""));
+		this.sent.clear();
+		client.handleOffer(DISPATCHER, new SlotOffered(id.number(), "b", ""));
+		assertThat(this.replies).containsExactly("granted a", "offered b");
+		assertThat(this.sent).isEmpty();
+	}
+
+	// Guards against slots that stay taken until they expire.
+	@Test
+	void offerThatIsNotUsedIsReleased() {
+		SlotClient client = client(new Incarnation(1, 7));
+		SlotId id = requestHedgeable(client, false);
+		client.handleGrant(DISPATCHER, new SlotGranted(id.number(), "a", ""));
+		client.handleOffer(DISPATCHER, new SlotOffered(id.number(), "b", ""));
+		assertReleasedUnused(id, "b");
+	}
+
+	@Test
+	void offerAfterTheFirstSlotWasReleasedIsReleased() {
+		SlotClient client = client(new Incarnation(1, 7));
+		SlotId id = requestHedgeable(client, true);
+		client.handleGrant(DISPATCHER, new SlotGranted(id.number(), "a", ""));
+		client.release(this.grants.getFirst(),
+				new SlotRelease(id, new ServerName("a"), SlotOutcome.SERVED, 10, 100, ServerLoad.UNKNOWN, 1));
+		client.handleOffer(DISPATCHER, new SlotOffered(id.number(), "b", ""));
+		assertThat(this.replies).containsExactly("granted a");
+		assertReleasedUnused(id, "b");
+	}
+
+	@Test
+	void offerOfAProcessThatDidNotGrantTheFirstSlotIsReleased() {
+		SlotClient client = client(new Incarnation(1, 7));
+		SlotId id = requestHedgeable(client, true);
+		client.handleGrant(DISPATCHER, new SlotGranted(id.number(), "a", ""));
+		client.handleOffer(OTHER, new SlotOffered(id.number(), "b", ""));
+		assertThat(this.replies).containsExactly("granted a");
+		assertReleasedUnused(id, "b");
+	}
+
 	// A process reads the announcement at a server where it placed a request by itself.
 	@Test
 	void leavingServerIsReportedToADispatcherThatIsBypassed() {
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -19,6 +19,7 @@
 import org.lovagevale.core.message.SlotAsk;
 import org.lovagevale.core.message.SlotCancelled;
 import org.lovagevale.core.message.SlotGranted;
+import org.lovagevale.core.message.SlotOffered;
 import org.lovagevale.core.message.SlotQueued;
 import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SlotReturned;
@@ -75,7 +76,9 @@
 
 	ROSTER_REQUEST(21, RosterRequest.class),
 
-	SERVER_LEAVING(22, ServerLeaving.class);
+	SERVER_LEAVING(22, ServerLeaving.class),
+
+	SLOT_OFFERED(26, SlotOffered.class);
 
 	private final int code;
 
@@ -110,6 +113,7 @@
 			case RosterSummary summary -> ROSTER_SUMMARY;
 			case RosterRequest request -> ROSTER_REQUEST;
 			case ServerLeaving leaving -> SERVER_LEAVING;
+			case SlotOffered offered -> SLOT_OFFERED;
 		};
 	}
 
