--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
@@ -25,6 +25,17 @@
 			levels are intersected. `out` is inherited downwards from region to failure domain to VM and server.
 			""";
 
+	private static final String GATEWAY_ARGUMENTS = """
+
+			## Arguments of lovagevale-gateway
+
+			Place: the command of the process, behind the program. The tree does not contain them.
+
+			| name | type | unit | range | default | meaning |
+			| --- | --- | --- | --- | --- | --- |
+			| `--second-send-share` | a number | - | 0 to 0.2 | 0 | The permitted hedged requests per first attempt of a service, 0 for none. |
+			""";
+
 	private SettingsReference() {
 	}
 
@@ -36,7 +47,7 @@
 		StringBuilder page = new StringBuilder(
 				String.format(Locale.ROOT, INTRODUCTION, TreeParser.MAX_BYTES, TreeParser.MAX_DEPTH));
 		SettingsTable.groups().forEach((group) -> appendGroup(page, group));
-		return page.toString();
+		return page.append(GATEWAY_ARGUMENTS).toString();
 	}
 
 	private static void appendGroup(StringBuilder page, SettingGroup group) {
