Request the initial catalog from a process of the region

Cause: each process that starts read the whole platform.

Change: a process that knows a serving one requests the catalog there and cancels its own read; it reads the platform after 500 ms without a response, at once if the connection is lost or the catalog is old.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -7,7 +7,13 @@
  * One process of a region, the reader, reads every {@link #INTERVAL_MS} and passes the
  * state on to the others. These read only when they received no state for a time that
  * grows with their rank, so a reader that is cut off is replaced within a second or two.
- * A process whose reads fail is ranked behind the others. Not thread-safe.
+ * A process whose reads fail is ranked behind the others.
+ *
+ * <p>
+ * A process that starts requests the state from another process of its region once one is
+ * known, since a complete read by each of them takes long on slow links and is billed
+ * between regions. It reads the platform only while no other process is known or if the
+ * state does not arrive. Not thread-safe.
  */
 public final class ReadSchedule {
 
@@ -47,6 +53,18 @@
 	 */
 	static final long LONG_SILENCE_MS = 3_000;
 
+	/**
+	 * Time for which a process without a state waits for the one that it requested, in
+	 * milliseconds. A large catalog takes about 100 ms at 7 Mbit/s when compressed.
+	 */
+	static final long REQUESTED_STATE_TIMEOUT_MS = 500;
+
+	/**
+	 * Age from which the state of another process is not adopted by a process without
+	 * one, in milliseconds: nobody in its region reads the platform then.
+	 */
+	static final long MAX_INITIAL_STATE_AGE_MS = TAKEOVER_AGE_MS;
+
 	/** Ranks by which a process whose reads fail is moved back. */
 	private static final int FAILURE_RANK_PENALTY = 3;
 
@@ -58,6 +76,10 @@
 
 	private boolean reading;
 
+	private boolean stateRequested;
+
+	private long stateRequestedAt;
+
 	/**
 	 * Tells whether to start a read now.
 	 * @param ageMs the age of the known state in milliseconds, {@link Long#MAX_VALUE} if
@@ -75,7 +97,7 @@
 			return false;
 		}
 		if (ageMs == Long.MAX_VALUE) {
-			return true;
+			return !this.stateRequested || now - this.stateRequestedAt >= REQUESTED_STATE_TIMEOUT_MS;
 		}
 		if (this.reader) {
 			return ageMs >= INTERVAL_MS;
@@ -84,6 +106,43 @@
 		return ageMs >= TAKEOVER_AGE_MS + effectiveRank * RANK_DELAY_MS;
 	}
 
+	/**
+	 * Tells whether a process that has no state is to request one from another process.
+	 * It is requested once.
+	 * @return {@code true} if none was requested yet
+	 */
+	public boolean mayRequestState() {
+		return !this.stateRequested;
+	}
+
+	/**
+	 * Records that the state was requested from another process. A read in progress is
+	 * cancelled by the caller of this method.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public void recordStateRequested(long now) {
+		this.stateRequested = true;
+		this.stateRequestedAt = now;
+		this.reading = false;
+	}
+
+	/**
+	 * Records that the requested state will not arrive, so that the platform is read.
+	 */
+	public void recordRequestFailed() {
+		this.stateRequestedAt -= REQUESTED_STATE_TIMEOUT_MS;
+	}
+
+	/**
+	 * Tells whether a process that has no state adopts the one of another process. An old
+	 * one is adopted only if the platform could not be read.
+	 * @param ageMs the age of that state in milliseconds
+	 * @return {@code true} if it is adopted
+	 */
+	public boolean isInitialStateAccepted(long ageMs) {
+		return this.failures > 0 || ageMs < MAX_INITIAL_STATE_AGE_MS;
+	}
+
 	/**
 	 * Returns for how long the next read waits for data. A platform that has lost a
 	 * response is asked again soon, and one that is slower than that gets more time the
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -52,6 +52,34 @@
 		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, ReadSchedule.MAX_READ_MS)).isTrue();
 	}
 
+	// Guards against a complete read by each process of a region that starts.
+	@Test
+	void requestedStateIsAwaitedBeforeARead() {
+		this.schedule.recordStart(0);
+		assertThat(this.schedule.mayRequestState()).isTrue();
+		this.schedule.recordStateRequested(100);
+		assertThat(this.schedule.mayRequestState()).isFalse();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 100 + ReadSchedule.REQUESTED_STATE_TIMEOUT_MS - 1)).isFalse();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 100 + ReadSchedule.REQUESTED_STATE_TIMEOUT_MS)).isTrue();
+	}
+
+	@Test
+	void readIsDueAtOnceIfTheRequestedStateCannotArrive() {
+		this.schedule.recordStateRequested(100);
+		this.schedule.recordRequestFailed();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 101)).isTrue();
+	}
+
+	// Guards against servers that had left and are used again after a start.
+	@Test
+	void oldInitialStateIsAdoptedOnlyIfThePlatformCannotBeRead() {
+		assertThat(this.schedule.isInitialStateAccepted(700)).isTrue();
+		assertThat(this.schedule.isInitialStateAccepted(3_000)).isFalse();
+		this.schedule.recordStart(0);
+		this.schedule.recordFailure();
+		assertThat(this.schedule.isInitialStateAccepted(3_000)).isTrue();
+	}
+
 	@Test
 	void processWhoseReadsFailIsRankedBehindOthers() {
 		this.schedule.recordStart(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -29,6 +29,7 @@
 import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
 
 /**
  * Keeps the catalog of this process up to date. Depending on the rank of this process
@@ -42,6 +43,12 @@
  */
 public final class CatalogUpdater {
 
+	/**
+	 * Time for which the same message with the complete catalog is sent to processes that
+	 * request it, in milliseconds. Its stated age is too low by up to this time.
+	 */
+	private static final long COMPLETE_NEWS_REUSE_MS = 50;
+
 	/** Maximum number of changed keys in one log line. */
 	private static final int MAX_LOGGED_KEYS = 8;
 
@@ -70,6 +77,16 @@
 
 	private Map<ServerName, BackendInstance> servers = Map.of();
 
+	private @Nullable Disposable readInProgress;
+
+	/** The process that the initial catalog was requested from. */
+	private @Nullable VmName requestedFrom;
+
+	/** The last complete catalog that was sent, encoded once for several receivers. */
+	private @Nullable CatalogNews completeNews;
+
+	private long completeNewsAt;
+
 	/**
 	 * Creates an updater with an empty catalog.
 	 * @param loop the event loop on which results of reads are processed
@@ -149,15 +166,49 @@
 	public void tick() {
 		long now = this.clock.millis();
 		long ageMs = this.catalog.ageMs(now);
+		if (ageMs == Long.MAX_VALUE && this.schedule.mayRequestState()) {
+			requestInitialCatalog(now);
+		}
 		// The rank is computed only if the first rank would read.
 		if (this.schedule.isDue(ageMs, 0, now) && this.schedule.isDue(ageMs, this.roster.readerRank(), now)) {
 			read(now);
 		}
 	}
 
+	private void requestInitialCatalog(long now) {
+		List<RosterMember> serving = this.roster.serving()
+			.stream()
+			.filter((member) -> !member.vm().equals(this.roster.self().vm()))
+			.toList();
+		if (serving.isEmpty()) {
+			return;
+		}
+		Disposable read = this.readInProgress;
+		if (read != null) {
+			read.dispose();
+		}
+		// Spreads the processes that start together over those that serve.
+		VmName chosen = serving.get(Math.floorMod(this.roster.self().vm().hashCode(), serving.size())).vm();
+		this.schedule.recordStateRequested(now);
+		this.requestedFrom = chosen;
+		LOGGER.info("{}", LogLine.event("catalog.requested").with("from", chosen));
+		this.sender.send(chosen, new CatalogRequest(0));
+	}
+
+	/**
+	 * Handles the loss of the connection to another process.
+	 * @param vm the VM of the other process
+	 */
+	public void handleConnectionLost(VmName vm) {
+		if (vm.equals(this.requestedFrom)) {
+			this.requestedFrom = null;
+			this.schedule.recordRequestFailed();
+		}
+	}
+
 	private void read(long now) {
 		this.schedule.recordStart(now);
-		this.source.read(this.schedule.silenceMs())
+		this.readInProgress = this.source.read(this.schedule.silenceMs())
 			.subscribe((state) -> this.loop.execute(() -> handleReadSuccess(state, now)),
 					(error) -> this.loop.execute(() -> handleReadFailure(error, now)));
 	}
@@ -225,6 +276,10 @@
 	 * @param news the complete catalog or a change
 	 */
 	public void handleNews(VmName from, CatalogNews news) {
+		if (this.catalog.revision() == 0 && !this.schedule.isInitialStateAccepted(news.ageMs())) {
+			this.schedule.recordRequestFailed();
+			return;
+		}
 		long observedAt = this.clock.millis() - news.ageMs();
 		long knownRevision = this.catalog.revision();
 		CatalogChange change = news.complete() ? this.catalog.replace(news.items(), news.asOf(), observedAt)
@@ -255,9 +310,22 @@
 	 */
 	public void handleRequest(VmName from, CatalogRequest request) {
 		if (this.catalog.revision() > request.knownRevision()) {
-			this.sender.send(from, new CatalogNews(true, 0, this.catalog.revision(), ageMs(),
-					List.copyOf(this.catalog.items()), List.of()));
+			this.sender.send(from, completeNews());
+		}
+	}
+
+	private CatalogNews completeNews() {
+		long now = this.clock.millis();
+		CatalogNews known = this.completeNews;
+		if (known != null && known.asOf() == this.catalog.revision()
+				&& now - this.completeNewsAt < COMPLETE_NEWS_REUSE_MS) {
+			return known;
 		}
+		CatalogNews news = new CatalogNews(true, 0, this.catalog.revision(), ageMs(), List.copyOf(this.catalog.items()),
+				List.of());
+		this.completeNews = news;
+		this.completeNewsAt = now;
+		return news;
 	}
 
 	private void logRestore(long knownRevision, String from) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -398,6 +398,10 @@
 		if (client != null) {
 			client.handleConnectionLost(vm);
 		}
+		CatalogUpdater updater = this.catalogUpdater;
+		if (updater != null) {
+			updater.handleConnectionLost(vm);
+		}
 	}
 
 	private void handleMessage(VmName from, PeerMessage message) {
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
@@ -24,11 +24,11 @@
  *
  * <p>
  * A message is encoded as an array of two elements: its type code and an array of the
- * components of its record in order of declaration. Components appended by a newer
- * version are ignored, so that processes of different versions can communicate during an
- * upgrade. Invariant: {@link #decode(byte[])} either returns a message without null
- * components or throws {@link PeerException}; it allocates no more than a small multiple
- * of the input. Thread-safe.
+ * components of its record in order of declaration. Large messages are compressed.
+ * Components appended by a newer version are ignored, so that processes of different
+ * versions can communicate during an upgrade. Invariant: {@link #decode(byte[])} either
+ * returns a message without null components or throws {@link PeerException}; it allocates
+ * no more than a small multiple of the input. Thread-safe.
  */
 public final class PeerCodec {
 
@@ -94,6 +94,7 @@
 			throw new PeerException(
 					type + " has " + bytes.length + " bytes, at most " + MAX_MESSAGE_BYTES + " are allowed", null);
 		}
+		bytes = MessageCompression.compress(bytes);
 		if (bytes.length <= MAX_KEPT_BYTES) {
 			this.lastEncoded = new EncodedMessage(message, bytes);
 		}
@@ -107,8 +108,9 @@
 	 * @throws PeerException if the bytes are not exactly one message of a known type
 	 */
 	public PeerMessage decode(byte[] bytes) throws PeerException {
-		MessagePackValidator.validate(bytes);
-		try (JsonParser parser = this.mapper.createParser(bytes)) {
+		byte[] encoded = MessageCompression.decompress(bytes);
+		MessagePackValidator.validate(encoded);
+		try (JsonParser parser = this.mapper.createParser(encoded)) {
 			expect(parser.nextToken() == JsonToken.START_ARRAY, "array");
 			expect(parser.nextToken() == JsonToken.VALUE_NUMBER_INT, "type code");
 			int code = parser.getIntValue();
