Let small VMs hear from their peers before they read the platform

Change: a VM with less than one core gets as much longer, as it is smaller, to hear from a peer before its first read: 140 ms with 0.3 cores.

Tests: InitialCatalogTests, ReadScheduleTests, GatewayProcessTests, RegionRelayTests and SlotClientTests pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -12,8 +12,8 @@
  * <p>
  * A process that starts requests the state from another process of its region once one is
  * known, since a complete read by each of them takes long on slow links and is billed
- * between regions. It reads the platform only while no other process is known or if the
- * state does not arrive. Not thread-safe.
+ * between regions. It reads the platform only if no other process is known after a short
+ * time or if the state does not arrive. Not thread-safe.
  */
 public final class ReadSchedule {
 
@@ -68,6 +68,17 @@
 	/** Ranks by which a process whose reads fail is moved back. */
 	private static final int FAILURE_RANK_PENALTY = 3;
 
+	/**
+	 * Processor time after which a process has heard from its peers, in milliseconds of a
+	 * whole core. A VM with less than one core is given that longer before its first
+	 * read, since the read would take the processor from it.
+	 */
+	private static final long PEER_DISCOVERY_MS = 60;
+
+	private static final int PERCENT_PER_CORE = 100;
+
+	private final long initialReadAt;
+
 	private boolean reader;
 
 	private int failures;
@@ -80,6 +91,16 @@
 
 	private long stateRequestedAt;
 
+	/**
+	 * Creates the schedule of a process that starts.
+	 * @param now the monotonic time in milliseconds
+	 * @param capacityPercent the processing capacity of the VM in percent of a core
+	 */
+	public ReadSchedule(long now, int capacityPercent) {
+		long discoveryMs = PEER_DISCOVERY_MS * PERCENT_PER_CORE / Math.max(1, capacityPercent);
+		this.initialReadAt = now + Math.max(0, discoveryMs - PEER_DISCOVERY_MS);
+	}
+
 	/**
 	 * Tells whether to start a read now.
 	 * @param ageMs the age of the known state in milliseconds, {@link Long#MAX_VALUE} if
@@ -97,7 +118,8 @@
 			return false;
 		}
 		if (ageMs == Long.MAX_VALUE) {
-			return !this.stateRequested || now - this.stateRequestedAt >= REQUESTED_STATE_TIMEOUT_MS;
+			return this.stateRequested ? now - this.stateRequestedAt >= REQUESTED_STATE_TIMEOUT_MS
+					: now >= this.initialReadAt;
 		}
 		if (this.reader) {
 			return ageMs >= INTERVAL_MS;
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -6,7 +6,7 @@
 
 class ReadScheduleTests {
 
-	private final ReadSchedule schedule = new ReadSchedule();
+	private final ReadSchedule schedule = new ReadSchedule(-1_000, 100);
 
 	@Test
 	void processWithoutStateReadsAtAnyRank() {
@@ -52,6 +52,15 @@
 		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, ReadSchedule.MAX_READ_MS)).isTrue();
 	}
 
+	// Guards against a read on a small VM that takes the time in which peers are found.
+	@Test
+	void smallVmWaitsLongerForOtherProcessesBeforeTheFirstRead() {
+		ReadSchedule small = new ReadSchedule(0, 30);
+		assertThat(small.isDue(Long.MAX_VALUE, 0, 139)).isFalse();
+		assertThat(small.isDue(Long.MAX_VALUE, 0, 140)).isTrue();
+		assertThat(new ReadSchedule(0, 150).isDue(Long.MAX_VALUE, 0, 0)).isTrue();
+	}
+
 	// Guards against a complete read by each process of a region that starts.
 	@Test
 	void requestedStateIsAwaitedBeforeARead() {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -70,7 +70,7 @@
 
 	private final GatewayMetrics metrics;
 
-	private final ReadSchedule schedule = new ReadSchedule();
+	private final ReadSchedule schedule;
 
 	private Runnable changeListener = () -> {
 	};
@@ -108,6 +108,7 @@
 		this.source = source;
 		this.catalog = new Catalog(decoder);
 		this.metrics = metrics;
+		this.schedule = new ReadSchedule(clock.millis(), roster.self().capacity());
 	}
 
 	/**
