--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/ServingConfiguration.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/ServingConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.ServiceName;
 
 /**
@@ -14,9 +15,10 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits the limits on requests from callers
+ * @param accounts the client accounts; {@code null} if requests need no credential
  */
 public record ServingConfiguration(long version, RouteTable routes, Map<ServiceName, ServiceSpec> services,
-		RequestLimits limits) {
+		RequestLimits limits, @Nullable AccountTable accounts) {
 
 	/**
 	 * Copies the services.
@@ -25,4 +27,16 @@
 		services = Map.copyOf(services);
 	}
 
+	/**
+	 * Creates a configuration without client accounts.
+	 * @param version the version, higher is newer
+	 * @param routes the routes
+	 * @param services the services by name
+	 * @param limits the limits on requests from callers
+	 */
+	public ServingConfiguration(long version, RouteTable routes, Map<ServiceName, ServiceSpec> services,
+			RequestLimits limits) {
+		this(version, routes, services, limits, null);
+	}
+
 }
