Authenticate requests and name their account to backend servers

Requests had no credential. Each one is now looked up in the account table when it is accepted, so a removed credential stops working on open connections; the route that it is handled by has the priority and home regions of the account. The credential is removed before a request is sent to a backend server and kept for a relay.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/RemoteContacts.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/RemoteContacts.java
@@ -114,6 +114,16 @@
 		}
 	}
 
+	/**
+	 * Returns the contact on a VM.
+	 * @param vm the VM
+	 * @return the entry VM, or {@code null} if it is not known
+	 */
+	public @Nullable RosterMember find(VmName vm) {
+		Contact known = this.contacts.get(vm);
+		return (known != null) ? known.member : null;
+	}
+
 	/**
 	 * Returns the contacts that may be used now.
 	 * @return the entry VMs
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -17,9 +17,9 @@
  * The metrics of an entry process.
  *
  * <p>
- * Invariant: tag values are limited to services, routes, statuses, origins, causes and
- * outcomes, never paths or identities of requests, so that the number of time series
- * stays bounded. Thread-safe.
+ * Invariant: tag values are limited to services, routes, accounts, statuses, origins,
+ * causes and outcomes, never paths or identities of requests, so that the number of time
+ * series stays bounded. Thread-safe.
  */
 public final class GatewayMetrics {
 
@@ -48,6 +48,10 @@
 		.description("Requests without a server by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> denials = Counter.builder("lovagevale.gateway.accounts.denials")
+		.description("Requests denied because of their credential or client account by cause")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
@@ -201,6 +205,15 @@
 		this.refusals.withTags(SERVICE_TAG, service, "cause", cause).increment();
 	}
 
+	/**
+	 * Counts a request that was denied because of its credential or client account.
+	 * @param account the name of the account, empty if it is not known
+	 * @param cause the cause of the denial
+	 */
+	public void countDenial(String account, String cause) {
+		this.denials.withTags("account", account, "cause", cause).increment();
+	}
+
 	/**
 	 * Records the time that a request waited until its slot was granted or refused.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.placing.ServerLoad;
 
@@ -35,12 +36,21 @@
 	long callerTimeoutMs(HttpHeaders headers);
 
 	/**
-	 * Sets the headers of a request that is sent to a backend server.
+	 * Returns the credential of a request.
+	 * @param headers the headers of the request
+	 * @return the credential, or {@code null} if there is none or more than one
+	 */
+	@Nullable String credential(HttpHeaders headers);
+
+	/**
+	 * Sets the headers of a request that is sent to a backend server. Removes the
+	 * credential, and the name of an account that the caller stated.
 	 * @param headers the headers of the request
 	 * @param timeLeftMs the time left for the response, in milliseconds
 	 * @param server the server that the request is for; any other must not run it
+	 * @param account the client account of the request, or {@code null} if there is none
 	 */
-	void setServerHeaders(HttpHeaders headers, long timeLeftMs, ServerName server);
+	void setServerHeaders(HttpHeaders headers, long timeLeftMs, ServerName server, @Nullable AccountName account);
 
 	/**
 	 * Returns whether a response has the signature header of a backend server.
@@ -120,12 +130,23 @@
 	long retryAfterMs(HttpHeaders headers);
 
 	/**
-	 * Sets the headers of a request that is relayed to another entry VM.
+	 * Sets the headers of a request that is relayed to another entry VM. The credential
+	 * is kept.
 	 * @param headers the headers of the request
 	 * @param timeLeftMs the time left for the response, in milliseconds
 	 * @param caller the address of the caller
+	 * @param receiver the incarnation of the process that receives the request; empty if
+	 * it is not known
+	 */
+	void setRelayHeaders(HttpHeaders headers, long timeLeftMs, String caller, String receiver);
+
+	/**
+	 * Returns the incarnation of the process that a relayed request is for, which only
+	 * entry processes know.
+	 * @param headers the headers of the request
+	 * @return the incarnation, or {@code null} if it is not stated
 	 */
-	void setRelayHeaders(HttpHeaders headers, long timeLeftMs, String caller);
+	@Nullable String relayReceiver(HttpHeaders headers);
 
 	/**
 	 * Returns the original caller of a request that another entry VM relayed.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
@@ -1,6 +1,8 @@
 package org.lovagevale.gateway.http;
 
 import io.netty.handler.codec.http.HttpRequest;
+import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.core.catalog.Route;
@@ -14,7 +16,8 @@
  * @param head the head of the request as received
  * @param size the bytes for which the request is accounted
  * @param id the request ID assigned by the caller
- * @param route the route of the request
+ * @param route the route of the request, as it applies to the client account
+ * @param account the client account; {@code null} if the request needs no credential
  * @param service the service selected by the traffic split of the route
  * @param limits the limits on requests of callers
  * @param configurationVersion the version of the configuration used to route the request
@@ -23,9 +26,9 @@
  * @param arrivedAt the monotonic time at which the head was received, in milliseconds
  * @param deadlineAt the monotonic time at which the caller stops waiting, in milliseconds
  */
-record CallerRequest(HttpRequest head, RequestSize size, String id, Route route, ServiceName service,
-		RequestLimits limits, long configurationVersion, String caller, boolean relayed, long arrivedAt,
-		long deadlineAt) {
+record CallerRequest(HttpRequest head, RequestSize size, String id, Route route, @Nullable AccountName account,
+		ServiceName service, RequestLimits limits, long configurationVersion, String caller, boolean relayed,
+		long arrivedAt, long deadlineAt) {
 
 	/**
 	 * Returns when the request times out, by its deadline or by the timeout of its route.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -557,11 +557,13 @@
 			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
 		}
 		if (current.isRelay()) {
-			this.services.protocol().setRelayHeaders(headers, leftMs, this.request.caller());
+			this.services.protocol()
+				.setRelayHeaders(headers, leftMs, this.request.caller(),
+						this.services.relay().receiver(current.server()));
 			this.services.protocol().setEarlierSends(headers, this.policy.totalSends());
 		}
 		else {
-			this.services.protocol().setServerHeaders(headers, leftMs, current.server().id());
+			this.services.protocol().setServerHeaders(headers, leftMs, current.server().id(), this.request.account());
 		}
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
@@ -121,6 +121,16 @@
 				member.callerPort(), member.domain(), member.region(), 1, false, 0, 0);
 	}
 
+	/**
+	 * Returns the incarnation of the process on an entry VM.
+	 * @param entryVm the entry VM
+	 * @return the incarnation, empty if the entry VM is no longer known
+	 */
+	String receiver(BackendInstance entryVm) {
+		RosterMember member = this.contacts.find(new VmName(entryVm.id().value()));
+		return (member != null) ? member.incarnation().toString() : "";
+	}
+
 	/**
 	 * Records that a region rejected a request. For {@link #REJECTION_BACKOFF_MS}, no
 	 * requests that can be placed in the local region are relayed to that region.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.RandomSource;
+import org.lovagevale.core.catalog.ClientAccount;
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.core.catalog.Route;
 import org.lovagevale.core.catalog.ServingConfiguration;
@@ -52,8 +53,16 @@
 	/** Number of initial positions within the traffic shares to choose from. */
 	private static final int INITIAL_POSITIONS = 1 << 20;
 
+	/**
+	 * Retry delay for callers whose credential cannot be confirmed at present, in
+	 * milliseconds. It is longer than the interval between reads of the platform.
+	 */
+	private static final long DENIAL_RETRY_AFTER_MS = 1_000;
+
 	private static final int BAD_REQUEST = 400;
 
+	private static final int UNAUTHORIZED = 401;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int CONTENT_TOO_LARGE = 413;
@@ -66,6 +75,8 @@
 
 	private final ExchangeServices services;
 
+	private final RequestAdmission admission;
+
 	private final Set<FrontendConnection> openConnections = new HashSet<>();
 
 	/** The connections that are not read because the process is full, oldest first. */
@@ -80,6 +91,7 @@
 	 */
 	public RequestRouter(ExchangeServices services, RandomSource random) {
 		this.services = services;
+		this.admission = new RequestAdmission(services.settings().accountPolicy());
 		this.sharePosition = random.nextInt(INITIAL_POSITIONS) / (double) INITIAL_POSITIONS;
 	}
 
@@ -245,26 +257,48 @@
 			replyEarly(connection, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
 		}
-		CallerRequest request = request(head, route, configuration, caller, arrivedAt);
+		long catalogAgeMs = this.services.catalog().ageMs();
+		switch (this.admission.admit(this.services.protocol().credential(head.headers()), route, configuration,
+				catalogAgeMs)) {
+			case Admission.Admitted admitted ->
+				handle(connection, request(head, admitted, configuration, caller, arrivedAt));
+			case Admission.Denied denied -> deny(connection, head, denied, DENIAL_RETRY_AFTER_MS);
+		}
+	}
+
+	private void deny(FrontendConnection connection, HttpRequest head, Admission.Denied denied, long retryAfterMs) {
+		DenialCause cause = denied.cause();
+		HttpHeaders headers = new DefaultHttpHeaders();
+		if (cause.status() != UNAUTHORIZED) {
+			this.services.protocol().setRetryAfter(headers, retryAfterMs);
+		}
+		this.services.metrics().countDenial(denied.account(), cause.name());
+		replyEarly(connection, head, cause.status(), cause.reason(), headers);
+	}
+
+	private void handle(FrontendConnection connection, CallerRequest request) {
 		MemoryAccount memory = this.services.memory();
-		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), route.priority())) {
+		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), request.route().priority())) {
 			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
+			replyEarly(connection, request.head(), SERVICE_UNAVAILABLE, "no memory for the request",
+					memoryRetryHeaders());
 			return;
 		}
 		connection.handle(new Exchange(this.services, connection, request));
 	}
 
-	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller,
-			long arrivedAt) {
+	private CallerRequest request(HttpRequest head, Admission.Admitted admitted, ServingConfiguration configuration,
+			String caller, long arrivedAt) {
+		Route route = admitted.route();
+		ClientAccount account = admitted.account();
 		long callerTimeMs = this.services.protocol().callerTimeoutMs(head.headers());
 		long deadline = arrivedAt + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
 		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
 		String relayedFor = this.services.protocol().relayedCaller(head.headers());
-		return new CallerRequest(head, RequestSize.of(head), id, route, route.serviceAt(this.sharePosition),
-				configuration.limits(), configuration.version(), (relayedFor != null) ? relayedFor : caller,
-				relayedFor != null, arrivedAt, deadline);
+		return new CallerRequest(head, RequestSize.of(head), id, route, (account != null) ? account.name() : null,
+				route.serviceAt(this.sharePosition), configuration.limits(), configuration.version(),
+				(relayedFor != null) ? relayedFor : caller, relayedFor != null, arrivedAt, deadline);
 	}
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -12,14 +12,17 @@
 import java.util.Set;
 
 import io.netty.channel.Channel;
+import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.SeededRandom;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.base.SystemClock;
+import org.lovagevale.core.catalog.AccountTable;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.CatalogItem;
+import org.lovagevale.core.catalog.ClientAccount;
 import org.lovagevale.core.catalog.PublishedItem;
 import org.lovagevale.core.catalog.RequestKind;
 import org.lovagevale.core.catalog.RequestLimits;
@@ -63,6 +66,10 @@
 
 	private Set<Region> homeRegions = Set.of();
 
+	private @Nullable AccountTable accounts;
+
+	private volatile boolean storeDown;
+
 	private long maxBodyBytes = 100_000;
 
 	private long revision;
@@ -100,6 +107,9 @@
 	}
 
 	private synchronized CatalogState readCatalog() {
+		if (this.storeDown) {
+			throw new IllegalStateException("store is down");
+		}
 		List<PublishedItem> items = new ArrayList<>();
 		this.published.keySet().forEach((key) -> items.add(new PublishedItem(key, this.revision, "")));
 		return new CatalogState(items, this.revision);
@@ -116,10 +126,10 @@
 		Route readRoute = route("read", "/read/", RequestKind.IDEMPOTENT, timeoutMs);
 		Route writeRoute = route("write", "/write/", RequestKind.NON_IDEMPOTENT, timeoutMs);
 		this.published.put("config",
-				new CatalogItem.PublishedConfiguration(
-						new ServingConfiguration(this.revision, RouteTable.of(List.of(readRoute, writeRoute)),
-								Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 100, 0, 4)),
-								new RequestLimits(8_192, this.maxBodyBytes, 400, 3_000))));
+				new CatalogItem.PublishedConfiguration(new ServingConfiguration(this.revision,
+						RouteTable.of(List.of(readRoute, writeRoute, publicRoute(timeoutMs))),
+						Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 100, 0, 4)),
+						new RequestLimits(8_192, this.maxBodyBytes, 400, 3_000), this.accounts)));
 		return this;
 	}
 
@@ -151,6 +161,29 @@
 		return this;
 	}
 
+	/**
+	 * Sets the client accounts of the next configuration.
+	 * @param newAccounts the accounts
+	 * @return this gateway
+	 */
+	TestGateway setAccounts(ClientAccount... newAccounts) {
+		this.accounts = AccountTable.of(List.of(newAccounts));
+		return this;
+	}
+
+	/**
+	 * Sets whether reads of the store fail.
+	 * @param down whether they fail
+	 */
+	void setStoreDown(boolean down) {
+		this.storeDown = down;
+	}
+
+	private Route publicRoute(long timeoutMs) {
+		return new Route("public", "a.example", "/public/", RequestKind.IDEMPOTENT, timeoutMs, 400, 1, 2,
+				List.of(new TrafficShare(SERVICE, 1)), this.homeRegions, true);
+	}
+
 	private Route route(String name, String prefix, RequestKind kind, long timeoutMs) {
 		return new Route(name, "a.example", prefix, kind, timeoutMs, 400, 1, 2, List.of(new TrafficShare(SERVICE, 1)),
 				this.homeRegions);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.base.AccountName;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.placing.ServerLoad;
 
@@ -22,7 +23,19 @@
 	}
 
 	@Override
-	public void setServerHeaders(HttpHeaders headers, long timeLeftMs, ServerName server) {
+	public @Nullable String credential(HttpHeaders headers) {
+		return headers.get("Test-Credential");
+	}
+
+	@Override
+	public void setServerHeaders(HttpHeaders headers, long timeLeftMs, ServerName server,
+			@Nullable AccountName account) {
+		headers.remove("Test-Credential");
+		headers.remove("Test-Account");
+		headers.remove("Test-Receiver");
+		if (account != null) {
+			headers.set("Test-Account", account.value());
+		}
 		headers.set("Test-Time", Long.toString(timeLeftMs));
 		headers.set("Test-Server", server.value());
 		headers.remove("Test-Caller");
@@ -80,7 +93,13 @@
 	}
 
 	@Override
-	public void setRelayHeaders(HttpHeaders headers, long timeLeftMs, String caller) {
+	public @Nullable String relayReceiver(HttpHeaders headers) {
+		return headers.get("Test-Receiver");
+	}
+
+	@Override
+	public void setRelayHeaders(HttpHeaders headers, long timeLeftMs, String caller, String receiver) {
+		headers.set("Test-Receiver", receiver);
 		headers.set("Test-Time", Long.toString(timeLeftMs));
 		headers.set("Test-Caller", caller);
 	}
