Add the limiter of account rates with its messages

Limits in each process would refuse uneven demand. The limiter of a region leases tokens to its entry VMs; the limiters divide rate and burst by the demand that all of them acknowledged, so the sum stays below the bound. The token bucket moves from core.request to core.limit and is used by both products. Messages 23 to 25.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/request/AccountRateLimiter.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/request/AccountRateLimiter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.lovagevale.base.AccountName;
+import org.lovagevale.core.limit.TokenBucket;
 import org.lovagevale.settings.model.AccountSettings;
 
 /**
@@ -36,8 +37,9 @@
 			return 0;
 		}
 		TokenBucket bucket = this.buckets.get(account.name());
-		if (bucket == null || !bucket.hasLimits(account.ratePerSecond(), account.burst())) {
-			bucket = new TokenBucket(account.ratePerSecond(), account.burst(), now);
+		int capacity = account.burst() + 1;
+		if (bucket == null || !bucket.hasLimits(account.ratePerSecond(), capacity)) {
+			bucket = new TokenBucket(account.ratePerSecond(), capacity, capacity, now);
 			this.buckets.put(account.name(), bucket);
 		}
 		return (bucket.tryTake(now)) ? 0 : bucket.waitMs();
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
@@ -12,6 +12,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.message.DemandEntry;
+import org.lovagevale.core.message.HeardReport;
 import org.lovagevale.core.message.MemberEntry;
 import org.lovagevale.core.message.PeerMessage;
 import org.lovagevale.core.message.RosterEntry;
@@ -67,6 +69,8 @@
 		useArrayFormat(SuspectEntry.class);
 		useArrayFormat(RosterEntry.class);
 		useArrayFormat(PublishedItem.class);
+		useArrayFormat(HeardReport.class);
+		useArrayFormat(DemandEntry.class);
 	}
 
 	/**
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -1,6 +1,9 @@
 package org.lovagevale.peer;
 
 import org.jspecify.annotations.Nullable;
+import org.lovagevale.core.message.AccountAsk;
+import org.lovagevale.core.message.AccountDemand;
+import org.lovagevale.core.message.AccountGrant;
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
 import org.lovagevale.core.message.Digest;
@@ -75,7 +78,13 @@
 
 	ROSTER_REQUEST(21, RosterRequest.class),
 
-	SERVER_LEAVING(22, ServerLeaving.class);
+	SERVER_LEAVING(22, ServerLeaving.class),
+
+	ACCOUNT_ASK(23, AccountAsk.class),
+
+	ACCOUNT_GRANT(24, AccountGrant.class),
+
+	ACCOUNT_DEMAND(25, AccountDemand.class);
 
 	private final int code;
 
@@ -110,6 +119,9 @@
 			case RosterSummary summary -> ROSTER_SUMMARY;
 			case RosterRequest request -> ROSTER_REQUEST;
 			case ServerLeaving leaving -> SERVER_LEAVING;
+			case AccountAsk ask -> ACCOUNT_ASK;
+			case AccountGrant grant -> ACCOUNT_GRANT;
+			case AccountDemand demand -> ACCOUNT_DEMAND;
 		};
 	}
 
