Limit the request rates of client accounts in the gateway

Requests beyond the limit of their account reached backend servers. A relay names the incarnation of its receiver, so that a forged header of a relay avoids no limit. Addresses of contacts are recorded, since reports are sent to contacts that never sent a message themselves.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/Roster.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/Roster.java
@@ -95,6 +95,8 @@
 
 	private final DutyScores readerScores = new DutyScores("reader");
 
+	private final DutyScores limiterScores = new DutyScores("account limits");
+
 	private final Map<ServiceName, DutyScores> dispatcherScores = new HashMap<>();
 
 	/**
@@ -279,6 +281,15 @@
 		return this.dispatchers.computeIfAbsent(service, this::chooseDispatcher);
 	}
 
+	/**
+	 * Returns the entry VM that limits the rates of client accounts in this region.
+	 * @return the entry VM, or {@code null} if there is no hub
+	 */
+	public @Nullable RosterMember limiter() {
+		refreshDuties();
+		return this.hubs.stream().min(this.limiterScores.order()).orElse(null);
+	}
+
 	private RosterMember chooseDispatcher(ServiceName service) {
 		DutyScores scores = this.dispatcherScores.computeIfAbsent(service, (name) -> new DutyScores("slots " + name));
 		return this.hubs.stream().min(scores.order()).orElse(this.self);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -52,6 +52,10 @@
 		.description("Requests denied because of their credential or client account by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> limitDecisions = Counter.builder("lovagevale.gateway.accounts.limited")
+		.description("Requests of client accounts that have a rate limit by decision")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
@@ -214,6 +218,15 @@
 		this.denials.withTags("account", account, "cause", cause).increment();
 	}
 
+	/**
+	 * Counts a request of a client account that has a rate limit.
+	 * @param account the name of the account
+	 * @param decision how the request was decided
+	 */
+	public void countLimitDecision(String account, String decision) {
+		this.limitDecisions.withTags("account", account, "decision", decision).increment();
+	}
+
 	/**
 	 * Records the time that a request waited until its slot was granted or refused.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.Incarnation;
 import org.lovagevale.core.catalog.CatalogDecoder;
+import org.lovagevale.core.limit.LimitPlan;
 import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.placing.HomeRegionChooser;
 import org.lovagevale.core.placing.PlannedStop;
@@ -29,9 +30,11 @@
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
 import org.lovagevale.core.roster.RosterPhase;
+import org.lovagevale.gateway.fleet.AccountLimitClient;
 import org.lovagevale.gateway.fleet.CatalogUpdater;
 import org.lovagevale.gateway.fleet.RegionPeers;
 import org.lovagevale.gateway.fleet.SlotClient;
+import org.lovagevale.gateway.http.AccountLimits;
 import org.lovagevale.gateway.http.BackendConnectionPool;
 import org.lovagevale.gateway.http.ConnectionCounts;
 import org.lovagevale.gateway.http.ExchangeServices;
@@ -117,6 +120,8 @@
 
 	private final SlotClient slotClient;
 
+	private final AccountLimitClient limitClient;
+
 	private final BackendConnectionPool connectionPool;
 
 	private final RegionRelay relay;
@@ -196,6 +201,9 @@
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
 		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
 				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
+		this.limitClient = new AccountLimitClient(clock, this.roster, contacts, this.peers, this.metrics,
+				new LimitPlan(settings.accountPolicy(), Math.max(1, settings.limits().regions())), random,
+				isOnlySeed(settings));
 		TurnScheduler scheduler = new TurnScheduler(this.loop, clock);
 		this.connectionPool = new BackendConnectionPool(this.loop, () -> loops.onChannel(SocketChannel.class, group),
 				protocol, clock, this.metrics, announcements, this.responseMemory, scheduler,
@@ -210,19 +218,24 @@
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
-				new RequestRouter(services, random));
+				new RequestRouter(services, random, new AccountLimits(this.limitClient, this.roster)));
 		this.serversTask = new PeriodicTask(this.healthChecks::tick);
 		this.callersTask = new PeriodicTask(this.frontend::tick);
-		this.peers.setMessageHandlers(this.slotClient, this.catalogUpdater);
+		this.peers.setMessageHandlers(this.slotClient, this.catalogUpdater, this.limitClient);
 		this.catalogUpdater.onChange(this::handleCatalogChange);
 	}
 
+	private static boolean isOnlySeed(GatewaySettings settings) {
+		return settings.seeds().stream().allMatch(settings.peerAddress()::equals);
+	}
+
 	private boolean isSoleDispatcher(ServiceName service) {
 		return this.roster.dispatcher(service).vm().equals(this.roster.self().vm()) && this.roster.isSettledMajority();
 	}
 
 	private void handleCatalogChange() {
 		this.slotClient.dispatcher().update(this.catalogUpdater.catalog());
+		this.limitClient.update(this.catalogUpdater.configuration());
 		Set<ServerName> knownServers = new HashSet<>(this.catalogUpdater.serverNames());
 		knownServers.addAll(this.relay.connectionNames());
 		this.connectionPool.evictIdle(knownServers);
@@ -239,6 +252,7 @@
 		this.loop.execute(this.readDelay::recordTick);
 		// Requests may arrive as soon as the ports are open.
 		this.slotClient.onWaiting(this::scheduleSlotTick);
+		this.limitClient.onWaiting(this::scheduleSlotTick);
 		synchronized (this.portLock) {
 			if (this.stopping) {
 				return;
@@ -292,6 +306,7 @@
 	private void tick() {
 		this.peers.tick();
 		this.catalogUpdater.tick();
+		this.limitClient.tick();
 		if (!this.ready && this.roster.self().phase() == RosterPhase.STARTING && canServe()) {
 			this.ready = true;
 			this.roster.enterPhase(RosterPhase.SERVING);
@@ -327,7 +342,11 @@
 		if (this.slotClient.dispatcher().hasWaitingRequests()) {
 			this.slotClient.dispatcher().tick();
 		}
-		if (this.slotClient.hasPendingRequests() || this.slotClient.dispatcher().hasWaitingRequests()) {
+		if (this.limitClient.isWaiting()) {
+			this.limitClient.tickWaiting();
+		}
+		if (this.slotClient.hasPendingRequests() || this.slotClient.dispatcher().hasWaitingRequests()
+				|| this.limitClient.isWaiting()) {
 			scheduleSlotTick();
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -25,6 +25,9 @@
 import org.lovagevale.core.event.PeerLost;
 import org.lovagevale.core.event.PeerMessageReceived;
 import org.lovagevale.core.event.PeerRefused;
+import org.lovagevale.core.message.AccountAsk;
+import org.lovagevale.core.message.AccountDemand;
+import org.lovagevale.core.message.AccountGrant;
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
 import org.lovagevale.core.message.PeerMessage;
@@ -149,6 +152,8 @@
 
 	private @Nullable CatalogUpdater catalogUpdater;
 
+	private @Nullable AccountLimitClient limitClient;
+
 	/** {@link Long#MIN_VALUE} if the seeds are to be contacted at the next tick. */
 	private long lastSeedContactAt = Long.MIN_VALUE;
 
@@ -201,10 +206,12 @@
 	 * ignored.
 	 * @param slotClient handles messages about slots
 	 * @param updater handles messages about the catalog
+	 * @param limits handles messages about client accounts
 	 */
-	public void setMessageHandlers(SlotClient slotClient, CatalogUpdater updater) {
+	public void setMessageHandlers(SlotClient slotClient, CatalogUpdater updater, AccountLimitClient limits) {
 		this.slotClient = slotClient;
 		this.catalogUpdater = updater;
+		this.limitClient = limits;
 	}
 
 	/**
@@ -398,12 +405,17 @@
 		if (client != null) {
 			client.handleConnectionLost(vm);
 		}
+		AccountLimitClient limits = this.limitClient;
+		if (limits != null) {
+			limits.handleConnectionLost(vm);
+		}
 	}
 
 	private void handleMessage(VmName from, PeerMessage message) {
 		SlotClient client = this.slotClient;
 		CatalogUpdater updater = this.catalogUpdater;
-		if (client == null || updater == null || !(message instanceof RegionMessage regionMessage)) {
+		AccountLimitClient limits = this.limitClient;
+		if (client == null || updater == null || limits == null || !(message instanceof RegionMessage regionMessage)) {
 			return;
 		}
 		try {
@@ -421,6 +433,9 @@
 				case SlotCancelled cancelled -> client.dispatcher().cancel(new SlotId(from, cancelled.number()));
 				case SlotReturned returned -> client.handleRelease(from, returned);
 				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
+				case AccountAsk ask -> limits.handleAsk(from, ask);
+				case AccountGrant grant -> limits.handleGrant(grant);
+				case AccountDemand demand -> limits.handleDemand(from, demand);
 			}
 		}
 		catch (IllegalArgumentException ex) {
@@ -436,6 +451,10 @@
 		RosterMember member = toMember(entry);
 		if (!member.region().equals(this.roster.self().region())) {
 			this.contacts.update(member);
+			// Messages are sent to contacts that have not sent any themselves.
+			if (this.contacts.find(member.vm()) != null) {
+				recordAddress(member.host(), member.peerPort());
+			}
 			return;
 		}
 		if (this.roster.find(member.vm()) == null && this.roster.known().size() >= MAX_LISTED_MEMBERS) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Admission.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Admission.java
@@ -19,6 +19,11 @@
 	 * @param account the account; {@code null} if the request needs no credential
 	 */
 	record Admitted(Route route, @Nullable ClientAccount account) implements Admission {
+
+		Denied denied(DenialCause cause) {
+			return new Denied(cause, (this.account != null) ? this.account.name().value() : "");
+		}
+
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
@@ -6,6 +6,7 @@
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.core.catalog.Route;
+import org.lovagevale.core.limit.LimitDecision;
 
 /**
  * An accepted request of a caller.
@@ -19,6 +20,7 @@
  * @param route the route of the request, as it applies to the client account
  * @param account the client account; {@code null} if the request needs no credential
  * @param service the service selected by the traffic split of the route
+ * @param limitDecision whether the request is within the rate limit of the account
  * @param limits the limits on requests of callers
  * @param configurationVersion the version of the configuration used to route the request
  * @param caller the address of the caller
@@ -27,8 +29,8 @@
  * @param deadlineAt the monotonic time at which the caller stops waiting, in milliseconds
  */
 record CallerRequest(HttpRequest head, RequestSize size, String id, Route route, @Nullable AccountName account,
-		ServiceName service, RequestLimits limits, long configurationVersion, String caller, boolean relayed,
-		long arrivedAt, long deadlineAt) {
+		ServiceName service, LimitDecision limitDecision, RequestLimits limits, long configurationVersion,
+		String caller, boolean relayed, long arrivedAt, long deadlineAt) {
 
 	/**
 	 * Returns when the request times out, by its deadline or by the timeout of its route.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -25,6 +25,7 @@
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.RequestKind;
+import org.lovagevale.core.limit.LimitDecision;
 import org.lovagevale.core.memory.HeldKind;
 import org.lovagevale.core.memory.MemoryReservation;
 import org.lovagevale.core.placing.AttemptPolicy;
@@ -115,6 +116,8 @@
 
 	private static final int CONTENT_TOO_LARGE = 413;
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
 
 	private final ExchangeServices services;
@@ -185,6 +188,18 @@
 	void begin() {
 		long leftMs = this.request.timeoutAt() - now() + TIMEOUT_SLACK_MS;
 		this.timeoutTimer = this.services.loop().schedule(this::timedOut, leftMs, TimeUnit.MILLISECONDS);
+		this.request.limitDecision().onDecided(this::limitDecided);
+	}
+
+	private void limitDecided() {
+		LimitDecision decision = this.request.limitDecision();
+		if (!this.done && decision.isRefused()) {
+			this.services.metrics().countDenial(String.valueOf(this.request.account()), DenialCause.RATE_LIMIT.name());
+			respondLocally(TOO_MANY_REQUESTS, DenialCause.RATE_LIMIT.reason(), (int) decision.retryAfterMs());
+		}
+		else if (!this.done && isBodyReady()) {
+			place();
+		}
 	}
 
 	private long now() {
@@ -279,6 +294,12 @@
 	 * process ends.
 	 */
 	private void place() {
+		if (!this.request.limitDecision().isAdmitted()) {
+			if (this.content.size() > RequestContent.MAX_REPLAYABLE_BYTES) {
+				this.caller.setReading(false);
+			}
+			return;
+		}
 		if (!isFinishable()) {
 			rejectForStop();
 			return;
@@ -987,7 +1008,7 @@
 			return;
 		}
 		HttpHeaders headers = new DefaultHttpHeaders();
-		if (status == SERVICE_UNAVAILABLE) {
+		if (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS) {
 			this.services.protocol().setRetryAfter(headers, Math.max(DEFAULT_RETRY_AFTER_MS / 2, retryAfterMs));
 		}
 		if (this.request.relayed()) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -16,10 +16,12 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.base.RandomSource;
+import org.lovagevale.base.ServiceName;
 import org.lovagevale.core.catalog.ClientAccount;
 import org.lovagevale.core.catalog.RequestLimits;
 import org.lovagevale.core.catalog.Route;
 import org.lovagevale.core.catalog.ServingConfiguration;
+import org.lovagevale.core.limit.LimitDecision;
 import org.lovagevale.core.memory.HeldKind;
 import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.memory.MemoryReservation;
@@ -77,6 +79,8 @@
 
 	private final RequestAdmission admission;
 
+	private final AccountLimits limits;
+
 	private final Set<FrontendConnection> openConnections = new HashSet<>();
 
 	/** The connections that are not read because the process is full, oldest first. */
@@ -88,8 +92,10 @@
 	 * Creates a router.
 	 * @param services the components shared by all exchanges
 	 * @param random chooses the initial position within the traffic shares
+	 * @param limits charges requests to the limits of their client accounts
 	 */
-	public RequestRouter(ExchangeServices services, RandomSource random) {
+	public RequestRouter(ExchangeServices services, RandomSource random, AccountLimits limits) {
+		this.limits = limits;
 		this.services = services;
 		this.admission = new RequestAdmission(services.settings().accountPolicy());
 		this.sharePosition = random.nextInt(INITIAL_POSITIONS) / (double) INITIAL_POSITIONS;
@@ -260,12 +266,30 @@
 		long catalogAgeMs = this.services.catalog().ageMs();
 		switch (this.admission.admit(this.services.protocol().credential(head.headers()), route, configuration,
 				catalogAgeMs)) {
-			case Admission.Admitted admitted ->
-				handle(connection, request(head, admitted, configuration, caller, arrivedAt));
+			case Admission.Admitted admitted -> charge(connection, head, admitted, configuration, caller, arrivedAt);
 			case Admission.Denied denied -> deny(connection, head, denied, DENIAL_RETRY_AFTER_MS);
 		}
 	}
 
+	// A request for which there is no memory is not charged.
+	private void charge(FrontendConnection connection, HttpRequest head, Admission.Admitted admitted,
+			ServingConfiguration configuration, String caller, long arrivedAt) {
+		RequestSize size = RequestSize.of(head);
+		if (!this.services.memory().accepts(size.headBytes() + size.bodyBytes(), admitted.route().priority())) {
+			this.services.metrics().countRefusal(serviceOf(admitted.route()).value(), "MEMORY");
+			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
+			return;
+		}
+		LimitDecision decision = this.limits.charge(admitted.account(),
+				this.services.protocol().relayReceiver(head.headers()));
+		if (decision.isRefused()) {
+			deny(connection, head, admitted.denied(DenialCause.RATE_LIMIT), decision.retryAfterMs());
+			return;
+		}
+		CallerRequest request = request(head, size, admitted, configuration, caller, arrivedAt, decision);
+		connection.handle(new Exchange(this.services, connection, request));
+	}
+
 	private void deny(FrontendConnection connection, HttpRequest head, Admission.Denied denied, long retryAfterMs) {
 		DenialCause cause = denied.cause();
 		HttpHeaders headers = new DefaultHttpHeaders();
@@ -276,29 +300,22 @@
 		replyEarly(connection, head, cause.status(), cause.reason(), headers);
 	}
 
-	private void handle(FrontendConnection connection, CallerRequest request) {
-		MemoryAccount memory = this.services.memory();
-		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), request.route().priority())) {
-			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
-			replyEarly(connection, request.head(), SERVICE_UNAVAILABLE, "no memory for the request",
-					memoryRetryHeaders());
-			return;
-		}
-		connection.handle(new Exchange(this.services, connection, request));
+	private ServiceName serviceOf(Route route) {
+		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
+		return route.serviceAt(this.sharePosition);
 	}
 
-	private CallerRequest request(HttpRequest head, Admission.Admitted admitted, ServingConfiguration configuration,
-			String caller, long arrivedAt) {
+	private CallerRequest request(HttpRequest head, RequestSize size, Admission.Admitted admitted,
+			ServingConfiguration configuration, String caller, long arrivedAt, LimitDecision decision) {
 		Route route = admitted.route();
 		ClientAccount account = admitted.account();
 		long callerTimeMs = this.services.protocol().callerTimeoutMs(head.headers());
 		long deadline = arrivedAt + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
-		this.sharePosition = (this.sharePosition + GOLDEN_RATIO_STEP) % 1;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
 		String relayedFor = this.services.protocol().relayedCaller(head.headers());
-		return new CallerRequest(head, RequestSize.of(head), id, route, (account != null) ? account.name() : null,
-				route.serviceAt(this.sharePosition), configuration.limits(), configuration.version(),
-				(relayedFor != null) ? relayedFor : caller, relayedFor != null, arrivedAt, deadline);
+		return new CallerRequest(head, size, id, route, (account != null) ? account.name() : null, serviceOf(route),
+				decision, configuration.limits(), configuration.version(), (relayedFor != null) ? relayedFor : caller,
+				relayedFor != null, arrivedAt, deadline);
 	}
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
