--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -6,7 +6,7 @@
 
 class ReadScheduleTests {
 
-	private final ReadSchedule schedule = new ReadSchedule();
+	private final ReadSchedule schedule = new ReadSchedule(-1_000, 100);
 
 	@Test
 	void processWithoutStateReadsAtAnyRank() {
@@ -52,6 +52,43 @@
 		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, ReadSchedule.MAX_READ_MS)).isTrue();
 	}
 
+	// Guards against a read on a small VM that takes the time in which peers are found.
+	@Test
+	void smallVmWaitsLongerForOtherProcessesBeforeTheFirstRead() {
+		ReadSchedule small = new ReadSchedule(0, 30);
+		assertThat(small.isDue(Long.MAX_VALUE, 0, 139)).isFalse();
+		assertThat(small.isDue(Long.MAX_VALUE, 0, 140)).isTrue();
+		assertThat(new ReadSchedule(0, 150).isDue(Long.MAX_VALUE, 0, 0)).isTrue();
+	}
+
+	// Guards against a complete read by each process of a region that starts.
+	@Test
+	void requestedStateIsAwaitedBeforeARead() {
+		this.schedule.recordStart(0);
+		assertThat(this.schedule.mayRequestState()).isTrue();
+		this.schedule.recordStateRequested(100);
+		assertThat(this.schedule.mayRequestState()).isFalse();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 100 + ReadSchedule.REQUESTED_STATE_TIMEOUT_MS - 1)).isFalse();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 100 + ReadSchedule.REQUESTED_STATE_TIMEOUT_MS)).isTrue();
+	}
+
+	@Test
+	void readIsDueAtOnceIfTheRequestedStateCannotArrive() {
+		this.schedule.recordStateRequested(100);
+		this.schedule.recordRequestFailed();
+		assertThat(this.schedule.isDue(Long.MAX_VALUE, 0, 101)).isTrue();
+	}
+
+	// Guards against servers that had left and are used again after a start.
+	@Test
+	void oldInitialStateIsAdoptedOnlyIfThePlatformCannotBeRead() {
+		assertThat(this.schedule.isInitialStateAccepted(700)).isTrue();
+		assertThat(this.schedule.isInitialStateAccepted(3_000)).isFalse();
+		this.schedule.recordStart(0);
+		this.schedule.recordFailure();
+		assertThat(this.schedule.isInitialStateAccepted(3_000)).isTrue();
+	}
+
 	@Test
 	void processWhoseReadsFailIsRankedBehindOthers() {
 		this.schedule.recordStart(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -20,9 +20,9 @@
  * The metrics of an entry process.
  *
  * <p>
- * Invariant: tag values are limited to services, routes, statuses, origins, causes and
- * outcomes, never paths or identities of requests, so that the number of time series
- * stays bounded. Thread-safe.
+ * Invariant: tag values are limited to services, routes, accounts, statuses, origins,
+ * causes and outcomes, never paths or identities of requests, so that the number of time
+ * series stays bounded. Thread-safe.
  */
 public final class GatewayMetrics implements HedgeObserver {
 
@@ -59,6 +59,14 @@
 		.description("Requests that were late because of their server and were not hedged, by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> denials = Counter.builder("lovagevale.gateway.accounts.denials")
+		.description("Requests denied because of their credential or client account by cause")
+		.withRegistry(this.registry);
+
+	private final Meter.MeterProvider<Counter> limitDecisions = Counter.builder("lovagevale.gateway.accounts.limited")
+		.description("Requests of client accounts that have a rate limit by decision")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
@@ -231,6 +239,24 @@
 		this.hedgeRefusals.withTags(SERVICE_TAG, service.value(), "cause", cause.name()).increment();
 	}
 
+	/**
+	 * Counts a request that was denied because of its credential or client account.
+	 * @param account the name of the account, empty if it is not known
+	 * @param cause the cause of the denial
+	 */
+	public void countDenial(String account, String cause) {
+		this.denials.withTags("account", account, "cause", cause).increment();
+	}
+
+	/**
+	 * Counts a request of a client account that has a rate limit.
+	 * @param account the name of the account
+	 * @param decision how the request was decided
+	 */
+	public void countLimitDecision(String account, String decision) {
+		this.limitDecisions.withTags("account", account, "decision", decision).increment();
+	}
+
 	/**
 	 * Records the time that a request waited until its slot was granted or refused.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
 import org.lovagevale.core.catalog.BackendInstance;
+import org.lovagevale.core.limit.LimitDecision;
 import org.lovagevale.core.placing.AttemptPolicy;
 import org.lovagevale.core.placing.HedgeCandidate;
 import org.lovagevale.core.placing.NextStep;
@@ -92,6 +93,8 @@
 
 	private static final int CONTENT_TOO_LARGE = 413;
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
 
 	private final ExchangeServices services;
@@ -144,6 +147,18 @@
 	void begin() {
 		long leftMs = this.request.timeoutAt() - now() + TIMEOUT_SLACK_MS;
 		this.timeoutTimer = this.services.loop().schedule(this::timedOut, leftMs, TimeUnit.MILLISECONDS);
+		this.request.limitDecision().onDecided(this::limitDecided);
+	}
+
+	private void limitDecided() {
+		LimitDecision decision = this.request.limitDecision();
+		if (!this.done && decision.isRefused()) {
+			this.services.metrics().countDenial(String.valueOf(this.request.account()), DenialCause.RATE_LIMIT.name());
+			respondLocally(TOO_MANY_REQUESTS, DenialCause.RATE_LIMIT.reason(), (int) decision.retryAfterMs());
+		}
+		else if (!this.done && this.sending.isBodyReady()) {
+			this.placing.place();
+		}
 	}
 
 	private long now() {
@@ -207,7 +222,8 @@
 		if (connection() != null) {
 			this.sending.scheduleSend();
 		}
-		else if (!this.placing.isSlotPending() && this.attempt == null && this.sending.isBodyReady()) {
+		else if (!this.placing.isSlotPending() && this.attempt == null && this.sending.isBodyReady()
+				&& this.request.limitDecision().isAdmitted()) {
 			this.placing.place();
 		}
 		else {
@@ -705,7 +721,7 @@
 			return;
 		}
 		HttpHeaders headers = new DefaultHttpHeaders();
-		if (status == SERVICE_UNAVAILABLE) {
+		if (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS) {
 			this.services.protocol().setRetryAfter(headers, Math.max(DEFAULT_RETRY_AFTER_MS / 2, retryAfterMs));
 		}
 		if (this.request.relayed()) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
@@ -124,11 +124,13 @@
 			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
 		}
 		if (attempt.isRelay()) {
-			this.services.protocol().setRelayHeaders(headers, leftMs, this.request.caller());
+			this.services.protocol()
+				.setRelayHeaders(headers, leftMs, this.request.caller(),
+						this.services.relay().receiver(attempt.server()));
 			this.services.protocol().setEarlierSends(headers, totalSends);
 		}
 		else {
-			this.services.protocol().setServerHeaders(headers, leftMs, attempt.server().id());
+			this.services.protocol().setServerHeaders(headers, leftMs, attempt.server().id(), this.request.account());
 		}
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
 	}
