--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/HedgedRequestTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/HedgedRequestTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,13 +63,21 @@
 	}
 
 	private void startGateway(TestGateway created) throws Exception {
-		this.gateway = created.publishConfiguration(3_000)
+		this.gateway = created;
+		publish(created).start();
+		warmUp(created);
+	}
+
+	private TestGateway publish(TestGateway created) {
+		return created.publishConfiguration(3_000)
 			.publishServer("a", this.serverA.port())
-			.publishServer("b", this.serverB.port())
-			.start();
-		// These take longer than the roster needs to be settled.
+			.publishServer("b", this.serverB.port());
+	}
+
+	// The requests take longer than the roster needs to be settled.
+	private static void warmUp(TestGateway entry) throws IOException {
 		for (int i = 0; i < WARMUP_REQUESTS; i++) {
-			assertThat(this.gateway.exchange(TestGateway.getRequest("/read/warmup", "w" + i))).contains(" 200 ");
+			assertThat(entry.exchange(TestGateway.getRequest("/read/warmup", "w" + i))).contains(" 200 ");
 		}
 	}
 
@@ -246,6 +256,23 @@
 		assertThat(receivedCount()).isEqualTo(2);
 	}
 
+	// One of the two processes is the dispatcher of the service; the other one gets the
+	// offer by a message.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1 })
+	void requestOfEachEntryVmOfTheRegionIsHedged(int sender) throws Exception {
+		startHedgingGateway();
+		try (TestGateway other = publish(
+				TestGateway.withSecondSendShare(0.2, TestAddresses.host(2), List.of(this.gateway.peerAddress())))
+			.start()) {
+			TestGateway entry = List.of(this.gateway, other).get(sender);
+			warmUp(entry);
+			assertThat(entry.exchange(TestGateway.getRequest("/read/x", "h1"))).contains(" 200 ").endsWith("second");
+			assertThat(this.firstCancelled.await(MAX_CANCEL_MS, TimeUnit.MILLISECONDS)).isTrue();
+			assertThat(receivedCount()).isEqualTo(2);
+		}
+	}
+
 	@Test
 	void bodyIsSentToBothServers() throws Exception {
 		startHedgingGateway();
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -122,8 +122,11 @@
 	 * @throws GatewayException if it cannot be created
 	 */
 	static TestGateway withSecondSendShare(double share) throws GatewayException {
-		return new TestGateway(TestAddresses.host(1), DOMAIN, REGION, List.of(), STOP_MS, MemoryLimits.forThisJvm(),
-				share);
+		return withSecondSendShare(share, TestAddresses.host(1), List.of());
+	}
+
+	static TestGateway withSecondSendShare(double share, String host, List<HostPort> seeds) throws GatewayException {
+		return new TestGateway(host, DOMAIN, REGION, seeds, STOP_MS, MemoryLimits.forThisJvm(), share);
 	}
 
 	private synchronized CatalogState readCatalog() {
