Pass the former configuration on while the published one is unusable

A process that started while the published configuration was unusable found nothing else in the store and rejected all requests. Processes now pass on the item of the configuration in force beside the unusable one, and a process without any requests it, at most every 3 s.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/Catalog.java
@@ -61,6 +61,9 @@
 
 	private @Nullable ServingConfiguration configuration;
 
+	/** The item of the configuration in force. */
+	private @Nullable PublishedItem configurationItem;
+
 	private long revision;
 
 	private long confirmedAt = Long.MIN_VALUE;
@@ -85,6 +88,16 @@
 		return this.configuration;
 	}
 
+	/**
+	 * Tells whether the configuration may be missing because the published one is
+	 * unusable.
+	 * @return {@code true} if there is no configuration but an unusable item
+	 */
+	public boolean mayLackConfiguration() {
+		return this.configuration == null
+				&& this.decodedItems.values().stream().anyMatch(CatalogItem.Unusable.class::isInstance);
+	}
+
 	/**
 	 * Returns the revision of the published state that this catalog reflects.
 	 * @return the revision, 0 before the first state
@@ -132,11 +145,19 @@
 	}
 
 	/**
-	 * Returns all published items, in encoded form.
+	 * Returns all published items, in encoded form. If the published configuration is
+	 * unusable, the one in force precedes it, so that a process which starts meanwhile
+	 * can use it.
 	 * @return the items
 	 */
 	public Collection<PublishedItem> items() {
-		return List.copyOf(this.items.values());
+		List<PublishedItem> all = new ArrayList<>();
+		PublishedItem inForce = this.configurationItem;
+		if (inForce != null && this.decodedItems.get(inForce.key()) instanceof CatalogItem.Unusable) {
+			all.add(inForce);
+		}
+		all.addAll(this.items.values());
+		return all;
 	}
 
 	/**
@@ -226,7 +247,7 @@
 	private boolean update(PublishedItem item) {
 		PublishedItem present = this.items.get(item.key());
 		if (present != null && item.revision() <= present.revision()) {
-			return false;
+			return adoptFormer(item);
 		}
 		CatalogItem decoded = this.decoder.decode(item);
 		this.items.put(item.key(), item);
@@ -243,7 +264,7 @@
 		}
 		this.decodedItems.put(item.key(), decoded);
 		if (decoded instanceof CatalogItem.PublishedConfiguration configured) {
-			return adopt(configured.configuration());
+			return adopt(item, configured.configuration());
 		}
 		return !Objects.equals(previous, decoded);
 	}
@@ -262,12 +283,22 @@
 		return true;
 	}
 
-	private boolean adopt(ServingConfiguration next) {
+	// A process that knows only an unusable configuration takes the former one that
+	// another process has in force.
+	private boolean adoptFormer(PublishedItem item) {
+		boolean unusable = this.decodedItems.get(item.key()) instanceof CatalogItem.Unusable;
+		return this.configuration == null && unusable
+				&& this.decoder.decode(item) instanceof CatalogItem.PublishedConfiguration former
+				&& adopt(item, former.configuration());
+	}
+
+	private boolean adopt(PublishedItem item, ServingConfiguration next) {
 		ServingConfiguration known = this.configuration;
 		if (known != null && next.version() <= known.version()) {
 			return false;
 		}
 		this.configuration = next;
+		this.configurationItem = item;
 		return true;
 	}
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
@@ -57,6 +57,26 @@
 		assertThat(version()).isEqualTo(7);
 	}
 
+	// Guards against processes without a configuration that start while the published one
+	// is unusable.
+	@Test
+	void formerConfigurationIsPassedOnWhileThePublishedOneIsUnusable() {
+		this.catalog.replace(List.of(item("c", 5, "version 7")), 5, 100);
+		this.catalog.replace(List.of(item("c", 6, "broken")), 6, 200);
+		assertThat(version()).isEqualTo(7);
+		Catalog empty = new Catalog(CatalogTests::decode);
+		empty.replace(List.copyOf(this.catalog.items()), 6, 300);
+		assertThat(empty.configuration()).isNotNull();
+		Catalog started = new Catalog(CatalogTests::decode);
+		started.replace(List.of(item("c", 6, "broken")), 6, 300);
+		assertThat(started.mayLackConfiguration()).isTrue();
+		started.replace(List.copyOf(this.catalog.items()), 6, 300);
+		assertThat(started.configuration()).isNotNull();
+		assertThat(started.mayLackConfiguration()).isFalse();
+		started.replace(List.of(item("c", 8, "version 8")), 8, 400);
+		assertThat(started.items()).containsExactly(item("c", 8, "version 8"));
+	}
+
 	@Test
 	void outdatedReportOfAServerIsIgnored() {
 		this.catalog.replace(List.of(item("s", 1, "server 1000 1 ready")), 1, 0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -45,6 +45,12 @@
 	/** Maximum number of changed keys in one log line. */
 	private static final int MAX_LOGGED_KEYS = 8;
 
+	/**
+	 * Interval between requests for a former configuration, in milliseconds. Each is
+	 * answered with the whole catalog.
+	 */
+	private static final long REQUEST_INTERVAL_MS = 3_000;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(CatalogUpdater.class);
 
 	private final EventLoop loop;
@@ -65,6 +71,9 @@
 
 	private final ReadSchedule schedule = new ReadSchedule();
 
+	/** When the former configuration was requested, {@link Long#MIN_VALUE} if never. */
+	private long requestedAt = Long.MIN_VALUE;
+
 	private Runnable changeListener = () -> {
 	};
 
@@ -183,6 +192,11 @@
 		CatalogNews news = new CatalogNews(complete, baseRevision, state.asOf(), ageMs, items, change.removed());
 		// Sent even without a change, because it confirms that the catalog is current.
 		sendToRegion(news);
+		this.roster.serving()
+			.stream()
+			.filter((member) -> !member.vm().equals(this.roster.self().vm()))
+			.findFirst()
+			.ifPresent((member) -> requestIfUnconfigured(member.vm()));
 		// One entry VM of each other region is enough; it forwards the change there.
 		for (Region region : this.contacts.regions()) {
 			RosterMember contact = this.contacts.contactIn(region);
@@ -192,6 +206,16 @@
 		}
 	}
 
+	// Another process may have the former configuration in force.
+	private void requestIfUnconfigured(VmName from) {
+		long now = this.clock.millis();
+		boolean due = this.requestedAt == Long.MIN_VALUE || now - this.requestedAt >= REQUEST_INTERVAL_MS;
+		if (due && this.catalog.mayLackConfiguration()) {
+			this.requestedAt = now;
+			this.sender.send(from, new CatalogRequest(0));
+		}
+	}
+
 	// A sender without a roster entry is treated as one of another region.
 	private boolean isFromOtherRegion(VmName vm) {
 		RosterMember member = this.roster.find(vm);
@@ -234,6 +258,9 @@
 			this.sender.send(from, new CatalogRequest(this.catalog.revision()));
 			return;
 		}
+		if (!news.complete()) {
+			requestIfUnconfigured(from);
+		}
 		logRestore(knownRevision, from.value());
 		// If two processes read, the one on the VM with the lower name remains the
 		// reader.
