Return the token of a request that was not sent

Requests that were rejected for want of a server consumed the limit of their account. They return their token, which the VM may use until its lease ends. TokenLeasesTests, AccountLimitTests and AccountLimitSimulationTests pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/AccountLease.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/AccountLease.java
@@ -102,7 +102,13 @@
 		return (int) Math.min(Integer.MAX_VALUE, Math.ceil(this.arrivals.perSecond(now) * CENTI));
 	}
 
-	boolean tryTake(long now) {
+	/**
+	 * Admits a request with a leased token if there is one.
+	 * @param decision the decision on the request, which is given the way to return it
+	 * @param now the monotonic time in milliseconds
+	 * @return {@code true} if a token was taken
+	 */
+	boolean tryTake(LimitDecision decision, long now) {
 		removeExpired(now);
 		Tokens first = this.tokens.peekFirst();
 		if (first == null) {
@@ -112,6 +118,7 @@
 		if (first.count == 0) {
 			this.tokens.removeFirst();
 		}
+		decision.setTokenReturn(() -> add(1, first.expiresAt));
 		return true;
 	}
 
@@ -198,7 +205,7 @@
 	 */
 	List<LimitDecision> takeServable(long now) {
 		List<LimitDecision> servable = new ArrayList<>();
-		while (!this.waiting.isEmpty() && tryTake(now)) {
+		while (!this.waiting.isEmpty() && tryTake(this.waiting.getFirst().decision(), now)) {
 			servable.add(this.waiting.removeFirst().decision());
 		}
 		return servable;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitDecision.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitDecision.java
@@ -15,6 +15,9 @@
 	private Runnable listener = () -> {
 	};
 
+	private Runnable tokenReturn = () -> {
+	};
+
 	private LimitDecision(State state) {
 		this.state = state;
 	}
@@ -37,6 +40,25 @@
 		return new LimitDecision(State.PENDING);
 	}
 
+	/**
+	 * Sets what returns the token with which the request is admitted.
+	 * @param action returns the token
+	 */
+	void setTokenReturn(Runnable action) {
+		this.tokenReturn = action;
+	}
+
+	/**
+	 * Returns the token of a request that ended without having been sent. Does nothing if
+	 * it has none or has returned it.
+	 */
+	public void returnToken() {
+		Runnable action = this.tokenReturn;
+		this.tokenReturn = () -> {
+		};
+		action.run();
+	}
+
 	void admit() {
 		decide(State.ADMITTED);
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/TokenLeases.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/TokenLeases.java
@@ -87,12 +87,13 @@
 		AccountLease lease = this.leases.computeIfAbsent(account, (name) -> new AccountLease(name, this.random, now));
 		lease.setLimit(limit);
 		lease.recordArrival(now);
-		if (!lease.isWaiting() && lease.tryTake(now)) {
+		LimitDecision admitted = LimitDecision.admitted();
+		if (!lease.isWaiting() && lease.tryTake(admitted, now)) {
 			this.listener.decided(account, LimitOutcome.ADMITTED);
 			if (lease.needsMore(now)) {
 				ask(lease, now);
 			}
-			return LimitDecision.admitted();
+			return admitted;
 		}
 		if (lease.isRefusing(now)) {
 			this.listener.decided(account, LimitOutcome.REFUSED);
--- a/lovagevale-core/src/test/java/org/lovagevale/core/limit/TokenLeasesTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/limit/TokenLeasesTests.java
@@ -91,6 +91,21 @@
 		assertThat(request(701).isAdmitted()).isFalse();
 	}
 
+	@Test
+	void returnedTokenIsUsedOnceAndOnlyWithinItsLease() {
+		LimitDecision first = request(0);
+		answer(this.asks.getFirst(), 1, 300, 2);
+		first.returnToken();
+		first.returnToken();
+		LimitDecision second = request(10);
+		assertThat(second.isAdmitted()).isTrue();
+		assertThat(request(20).isAdmitted()).isFalse();
+		second.returnToken();
+		assertThat(this.asks).hasSize(2);
+		this.leases.tick(80);
+		assertThat(request(310).isAdmitted()).isFalse();
+	}
+
 	@Test
 	void requestOfASilentLimiterIsDecidedLocally() {
 		LimitDecision decision = request(0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -1054,6 +1054,9 @@
 			timer.cancel(false);
 		}
 		this.content.release();
+		if (this.policy.totalSends() == 0 && this.relayAttempts.triedRegions().isEmpty()) {
+			this.request.limitDecision().returnToken();
+		}
 		this.headMemory.release();
 		SendAttempt unattended = this.attempt;
 		if (unattended == null) {
