Name the account in refusals and do nothing without limits

The line request.rejected did not say which account was refused, and a deployment without limits ran the limiter for nothing.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
@@ -145,9 +145,8 @@
 	public void tick() {
 		refreshCensus();
 		refreshDuty();
-		long now = this.clock.millis();
-		AccountDemand report = this.limiter.tick(now);
-		if (report != null && !this.limits.isEmpty()) {
+		AccountDemand report = this.limiter.tick(this.clock.millis());
+		if (report != null) {
 			this.reports++;
 			this.contacts.regions().forEach((region) -> sendReport(region, report));
 		}
@@ -195,7 +194,8 @@
 
 	private void refreshDuty() {
 		RosterMember chosen = this.roster.limiter();
-		double claim = (chosen != null && isSelf(chosen.vm())) ? this.census.claim() : 0;
+		boolean chosenSelf = chosen != null && isSelf(chosen.vm()) && !this.limits.isEmpty();
+		double claim = chosenSelf ? this.census.claim() : 0;
 		boolean wasOnDuty = this.limiter.isOnDuty();
 		this.limiter.setClaim(claim, this.clock.millis());
 		boolean onDuty = this.limiter.isOnDuty();
@@ -203,19 +203,17 @@
 			return;
 		}
 		this.loggedConnected = this.limiter.isConnected();
-		if (!this.limits.isEmpty()) {
-			LOGGER.info("{}",
-					LogLine.event("accounts.limiter")
-						.with("onDuty", onDuty)
-						.with("region", this.roster.self().region())
-						.with("claim", String.format(Locale.ROOT, "%.2f", claim))
-						.with("accounts", this.limits.size()));
-		}
+		LOGGER.info("{}",
+				LogLine.event("accounts.limiter")
+					.with("onDuty", onDuty)
+					.with("region", this.roster.self().region())
+					.with("claim", String.format(Locale.ROOT, "%.2f", claim))
+					.with("accounts", this.limits.size()));
 	}
 
 	private void logIfConnectionChanged() {
 		boolean connected = this.limiter.isConnected();
-		if (connected != this.loggedConnected && this.limiter.isOnDuty() && !this.limits.isEmpty()) {
+		if (connected != this.loggedConnected && this.limiter.isOnDuty()) {
 			this.loggedConnected = connected;
 			LOGGER.info("{}",
 					LogLine.event("accounts.regions")
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -297,7 +297,7 @@
 			this.services.protocol().setRetryAfter(headers, retryAfterMs);
 		}
 		this.services.metrics().countDenial(denied.account(), cause.name());
-		replyEarly(connection, head, cause.status(), cause.reason(), headers);
+		replyEarly(connection, head, cause.status(), cause.reason(), denied.account(), headers);
 	}
 
 	private ServiceName serviceOf(Route route) {
@@ -322,11 +322,17 @@
 	// not be parsed as a new request.
 	private void replyEarly(FrontendConnection connection, HttpRequest head, int status, String reason,
 			HttpHeaders headers) {
+		replyEarly(connection, head, status, reason, "", headers);
+	}
+
+	private void replyEarly(FrontendConnection connection, HttpRequest head, int status, String reason, String account,
+			HttpHeaders headers) {
 		LOGGER.info("{}",
 				LogLine.event("request.rejected")
 					.with("id", String.valueOf(this.services.protocol().requestId(head.headers())))
 					.with("status", status)
 					.with("why", reason)
+					.with("account", account)
 					.with("catalogAgeMs", this.services.catalog().ageMs()));
 		countRejected(status);
 		connection.replyAndDiscard(status, reason, headers);
