--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -67,6 +67,14 @@
 		return this.pendingSlotId != null;
 	}
 
+	/**
+	 * Tells whether an entry VM of another region may have received the request.
+	 * @return {@code true} if the request was relayed to one that could be reached
+	 */
+	boolean isRelayed() {
+		return !this.relayAttempts.triedRegions().isEmpty();
+	}
+
 	long slotRequestedAt() {
 		return this.slotRequestedAt;
 	}
