--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -1,31 +1,19 @@
 package org.lovagevale.gateway.http;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.channels.ClosedChannelException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -33,8 +21,6 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
-import org.lovagevale.core.memory.MemoryReservation;
-import org.lovagevale.gateway.GatewayMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,10 +36,7 @@
  * are not accepted yet is given up if the process is full and this connection holds the
  * most of it. Confined to the event loop.
  */
-final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerConnection {
-
-	/** Maximum number of queued HTTP objects of later requests before reading stops. */
-	private static final int MAX_QUEUED_OBJECTS = 64;
+final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerOutput.Listener {
 
 	/**
 	 * Size of the rest of a request, in bytes, up to which it is discarded so that its
@@ -61,18 +44,6 @@
 	 */
 	private static final long MAX_DISCARDED_BYTES = 262_144;
 
-	/**
-	 * Maximum time between the last response and the close, in milliseconds. A caller
-	 * that reads 540 KB at 1 Mbit/s needs 4.4 s.
-	 */
-	private static final long LINGER_MS = 5_000;
-
-	/**
-	 * Time before the end of a planned stop at which a connection is closed after its
-	 * last response, in milliseconds.
-	 */
-	private static final long LINGER_STOP_MARGIN_MS = 300;
-
 	/**
 	 * Time without activity before which a connection is not closed as idle, in
 	 * milliseconds. The request of a caller that has just connected arrives within it.
@@ -99,75 +70,25 @@
 
 	private final RequestRouter router;
 
-	private final ArrayDeque<HttpObject> queued = new ArrayDeque<>();
-
-	/** Monotonic times in milliseconds at which the queued request heads arrived. */
-	private final ArrayDeque<Long> queuedArrivals = new ArrayDeque<>();
-
-	/** Memory of what has arrived of requests that are not accepted yet. */
-	private final MemoryReservation pendingMemory;
-
-	/** Memory of the received bytes of a request that is accepted already. */
-	private final MemoryReservation acceptedMemory;
-
-	/** Bytes of a request head that has arrived in part. */
-	private int partialHeadBytes;
-
-	/** Size of the buffer of the bytes that are not decoded yet. */
-	private int undecodedBufferBytes;
-
-	/** Size of the queued objects. */
-	private long queuedBytes;
-
-	/** Whether the exchange takes further parts of the request. */
-	private boolean reading = true;
-
-	/** Whether nothing is read until received bytes are decoded. */
-	private boolean decodingSuspended;
-
-	/**
-	 * Whether further requests are not read, since the connection is closed after the
-	 * current one.
-	 */
-	private boolean inputDiscarded;
-
 	/** Explains the close of this connection. */
 	private final CallerCloseRecorder closeRecorder = new CallerCloseRecorder();
 
-	private final ChannelFutureListener writeListener = (write) -> writeEnded(write.cause());
+	private final CallerInput input;
 
-	/** What is written and not taken yet. */
-	private final CallerBacklog backlog;
+	private final CallerOutput output;
 
-	private @Nullable ChannelHandlerContext context;
+	private final CallerClosing closing;
 
-	private @Nullable Exchange exchange;
+	private @Nullable ChannelHandlerContext context;
 
-	private boolean responseStarted;
+	/** The response to the request in progress. */
+	private @Nullable CallerResponse response;
 
 	private boolean discarding;
 
 	/** Size of the discarded parts of the current request. */
 	private long discardedBytes;
 
-	private boolean keepAlive = true;
-
-	private boolean http10;
-
-	private boolean isHeadRequest;
-
-	private boolean chunked;
-
-	/** Whether the response in progress ends with the connection. */
-	private boolean closeDelimited;
-
-	private boolean closing;
-
-	/**
-	 * Whether a part of a response could not be written; nothing more is written then.
-	 */
-	private boolean writeFailed;
-
 	private boolean processing;
 
 	/** Whether another turn of {@link #process()} is scheduled. */
@@ -178,42 +99,19 @@
 
 	private boolean dataReceived;
 
-	/** Whether the head of a request was read whose response has not ended. */
-	private boolean requestOpen;
-
-	/** Number of parts of responses that wait to be passed to the operating system. */
-	private int pendingWrites;
-
-	/**
-	 * Whether a part of the body of the last request was not read before its response.
-	 */
-	private boolean bodyUnread;
-
-	/** Closes the connection after the last response. */
-	private @Nullable LingeringCloseHandler lingeringHandler;
-
-	/** Monotonic time in milliseconds at which the last response was written, or -1. */
-	private long lingeringSince = -1;
-
-	/** Whether no data is read because the process is full. */
-	private boolean pausedForMemory;
-
 	/**
 	 * Monotonic time in milliseconds at which the first bytes of a request head arrived
 	 * while no request was in progress, or -1 if there is no such head.
 	 */
 	private long headStartedAt = -1;
 
-	/** Monotonic time in milliseconds at which the current request arrived. */
-	private long arrivedAt;
-
 	private long lastActivityAt;
 
 	FrontendConnection(RequestRouter router) {
 		this.router = router;
-		this.pendingMemory = router.reserveEvictable(this::evict);
-		this.acceptedMemory = router.reserve();
-		this.backlog = router.createBacklog(this::evictBacklog);
+		this.input = new CallerInput(router.reserveEvictable(this::evict), router.reserve(), this.closeRecorder);
+		this.output = new CallerOutput(router, this.closeRecorder, this);
+		this.closing = new CallerClosing(router, this.closeRecorder);
 		this.lastActivityAt = router.now();
 	}
 
@@ -232,6 +130,13 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
+		this.input.start(added);
+		this.output.start(added);
+	}
+
+	private @Nullable Exchange exchange() {
+		CallerResponse current = this.response;
+		return (current != null) ? current.exchange() : null;
 	}
 
 	/**
@@ -240,15 +145,16 @@
 	 */
 	void bytesArrived() {
 		this.dataReceived = true;
-		if (this.closing) {
+		if (this.closing.hasBegun()) {
 			return;
 		}
 		this.lastActivityAt = now();
-		if (this.exchange == null && !this.discarding && this.headStartedAt < 0) {
+		Exchange current = exchange();
+		if (current == null && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
 		this.router.evictExcess();
-		Exchange current = this.exchange;
+		current = exchange();
 		if (this.router.isMemoryFull() && !this.discarding && (current == null || !current.isNextContentReserved())) {
 			pauseForMemory();
 		}
@@ -261,8 +167,8 @@
 	 * @return {@code false} if received bytes are to be kept as they are
 	 */
 	boolean isDecodable() {
-		return this.closing || this.reading && this.queued.size() < MAX_QUEUED_OBJECTS
-				&& (this.discarding || !this.pausedForMemory || !this.router.isMemoryOverfull());
+		return this.closing.hasBegun() || this.input.isWanted() && !this.input.isFull()
+				&& (this.discarding || !this.input.isPausedForMemory() || !this.router.isMemoryOverfull());
 	}
 
 	/**
@@ -270,63 +176,43 @@
 	 * @param decoder the decoder of this connection
 	 */
 	void turnEnded(PartDecoder decoder) {
-		this.undecodedBufferBytes = this.closing ? 0 : decoder.heldBytes();
-		this.partialHeadBytes = this.closing ? 0 : decoder.partialHeadBytes();
-		this.decodingSuspended = decoder.parts().isSuspended();
+		this.input.turnEnded(decoder, this.closing.hasBegun());
 		applyReading();
 		updatePendingMemory();
 		this.router.evictExcess();
 	}
 
 	private void updatePendingMemory() {
-		Exchange current = this.exchange;
-		boolean accepted = current != null && !current.isBodyComplete();
-		this.pendingMemory.resize(accepted ? 0 : this.undecodedBufferBytes + this.queuedBytes);
-		// The next bytes of a body that was accepted are accounted for with it.
-		boolean reserved = current != null && current.isNextContentReserved();
-		this.acceptedMemory.resize((accepted && !reserved) ? this.undecodedBufferBytes + this.queuedBytes : 0);
+		this.input.updateMemory(exchange());
 	}
 
 	// A request whose head is incomplete has not run. Requests behind one in progress are
 	// sent again by the caller if their connection is closed after its response.
 	private void evict() {
-		Exchange current = this.exchange;
-		boolean accepted = current != null && !current.isBodyComplete();
-		if (this.closing || accepted) {
+		CallerResponse current = this.response;
+		if (this.closing.hasBegun() || current != null && current.isBodyIncomplete()) {
 			return;
 		}
 		if (this.discarding) {
-			closeAfterLastResponse(true);
+			closeAfterLastResponse(true, false);
 		}
-		else if (current == null) {
+		else if (current == null || current.exchange() == null) {
 			rejectAndClose(SERVICE_UNAVAILABLE, "no memory for the request", this.router.memoryRetryHeaders());
 		}
 		else {
-			this.keepAlive = false;
-			this.inputDiscarded = true;
-			releaseQueued();
+			current.closeAfter();
+			this.input.setDiscarded(true);
+			discardQueued();
 			discardUndecoded();
 			applyReading();
 		}
 	}
 
 	private void discardUndecoded() {
-		this.undecodedBufferBytes = 0;
-		this.decodingSuspended = false;
-		ArrivalHandler arrivals = context().pipeline().get(ArrivalHandler.class);
-		if (arrivals != null) {
-			arrivals.turns().discardInput();
-		}
+		this.input.discardUndecoded();
 		updatePendingMemory();
 	}
 
-	private void continueDecoding() {
-		ArrivalHandler arrivals = this.decodingSuspended ? context().pipeline().get(ArrivalHandler.class) : null;
-		if (arrivals != null) {
-			arrivals.turns().continueLater();
-		}
-	}
-
 	/**
 	 * Reads nothing until the process is no longer full, if it is.
 	 */
@@ -337,7 +223,7 @@
 	}
 
 	private void pauseForMemory() {
-		this.pausedForMemory = true;
+		this.input.setPausedForMemory(true);
 		this.router.pauseReading(this);
 		applyReading();
 	}
@@ -347,7 +233,7 @@
 	 * @return {@code true} if the caller waits for a response
 	 */
 	boolean hasRequest() {
-		return this.exchange != null || this.headStartedAt >= 0;
+		return exchange() != null || this.headStartedAt >= 0;
 	}
 
 	/**
@@ -362,9 +248,9 @@
 	 * Continues to read after a pause because the process was full.
 	 */
 	void resumeReading() {
-		this.pausedForMemory = false;
+		this.input.setPausedForMemory(false);
 		applyReading();
-		continueDecoding();
+		this.input.continueDecoding();
 	}
 
 	@Override
@@ -373,14 +259,15 @@
 		if (object.decoderResult().cause() instanceof PrematureChannelClosureException) {
 			recordCloseByOthers("head not complete");
 		}
-		if (this.closing) {
-			releaseUnhandled(object);
+		if (this.closing.hasBegun()) {
+			this.input.discard(object);
 			return;
 		}
-		this.queuedBytes += HeldSize.of(object);
-		this.queued.add(object);
-		if (object instanceof HttpRequest) {
-			this.queuedArrivals.add(this.router.arrivalTime(ctx.channel()));
+		if (object instanceof HttpRequest head) {
+			this.input.addHead(head, this.router.arrivalTime(ctx.channel()));
+		}
+		else {
+			this.input.add(object);
 		}
 		process();
 	}
@@ -393,9 +280,9 @@
 		try {
 			boolean begun = false;
 			boolean proceeding = true;
-			while (proceeding && !this.queued.isEmpty()) {
-				boolean begins = this.queued.peek() instanceof HttpRequest;
-				if (begins && begun && this.exchange == null) {
+			while (proceeding && !this.input.isEmpty()) {
+				boolean begins = this.input.peek() instanceof HttpRequest;
+				if (begins && begun && exchange() == null) {
 					// Further requests are handled in other turns, since each may be
 					// answered at once.
 					processLater();
@@ -416,7 +303,7 @@
 		// A request may be accepted, or its parts handled, without further bytes.
 		updatePendingMemory();
 		if (isDecodable()) {
-			continueDecoding();
+			this.input.continueDecoding();
 		}
 	}
 
@@ -432,58 +319,63 @@
 
 	private void closeAfterFailure(RuntimeException cause) {
 		LOGGER.error("{}",
-				LogLine.event("request.broken").with("caller", remoteHost()).with("why", String.valueOf(cause)), cause);
-		boolean answerable = this.requestOpen && !this.responseStarted && !this.writeFailed;
-		this.requestOpen = this.requestOpen && !answerable;
-		recordClose(CallerCloseReason.ERROR, String.valueOf(cause));
-		if (answerable && isAnsweredAfterFailure()) {
+				LogLine.event("request.broken")
+					.with("caller", this.output.remoteHost())
+					.with("why", String.valueOf(cause)),
+				cause);
+		CallerResponse current = this.response;
+		boolean answerable = current != null && !current.isStarted() && !this.output.hasFailed();
+		RequestProgress progress = (current != null && !answerable) ? current.progress() : RequestProgress.NONE;
+		recordClose(CallerCloseReason.ERROR, String.valueOf(cause), progress);
+		if (current != null && answerable && isAnsweredAfterFailure(current)) {
 			return;
 		}
-		this.closing = true;
+		this.closing.begin();
 		this.discarding = false;
-		releaseQueued();
+		discardQueued();
 		context().flush();
 		// The request in progress ends when the channel becomes inactive.
 		context().close();
 	}
 
-	private boolean isAnsweredAfterFailure() {
+	private boolean isAnsweredAfterFailure(CallerResponse current) {
 		try {
-			this.keepAlive = false;
-			Exchange current = this.exchange;
-			if (current != null) {
-				current.requestFailed(INTERNAL_ERROR, "internal error");
+			current.closeAfter();
+			Exchange failed = current.exchange();
+			if (failed != null) {
+				failed.requestFailed(INTERNAL_ERROR, "internal error");
 			}
 			else {
-				reply(INTERNAL_ERROR, "internal error", new DefaultHttpHeaders());
+				current.reply(INTERNAL_ERROR, "internal error", new DefaultHttpHeaders());
 			}
-			return this.closing;
+			return this.closing.hasBegun();
 		}
 		catch (RuntimeException ex) {
-			LOGGER.error("{}", LogLine.event("request.broken").with("caller", remoteHost()).with("why", "" + ex), ex);
+			LOGGER.error("{}",
+					LogLine.event("request.broken").with("caller", this.output.remoteHost()).with("why", "" + ex), ex);
 			return false;
 		}
 	}
 
 	private boolean processNext() {
-		Exchange current = this.exchange;
+		Exchange current = exchange();
 		if (current != null) {
 			if (current.isBodyComplete()) {
 				return false;
 			}
-			receiveBody(current, dequeue());
+			receiveBody(current, this.input.remove());
 			return true;
 		}
 		if (isBlockedByUnreadResponses()) {
 			this.awaitingCaller = true;
 			return false;
 		}
-		HttpObject next = dequeue();
+		HttpObject next = this.input.remove();
 		if (this.discarding) {
 			discard(next);
 		}
-		else if (this.closing) {
-			releaseUnhandled(next);
+		else if (this.closing.hasBegun()) {
+			this.input.discard(next);
 		}
 		else if (next instanceof HttpRequest head) {
 			beginRequest(head);
@@ -497,22 +389,14 @@
 	// A caller that sends requests and does not read the responses would otherwise have
 	// them all queued.
 	private boolean isBlockedByUnreadResponses() {
-		return this.exchange == null && !this.queued.isEmpty() && !this.discarding && !this.closing && !isWritable();
-	}
-
-	private HttpObject dequeue() {
-		HttpObject next = this.queued.remove();
-		this.queuedBytes -= HeldSize.of(next);
-		if (next instanceof HttpRequest) {
-			this.arrivedAt = this.queuedArrivals.remove();
-		}
-		return next;
+		return exchange() == null && !this.input.isEmpty() && !this.discarding && !this.closing.hasBegun()
+				&& !this.output.isWritable();
 	}
 
 	private void receiveBody(Exchange current, HttpObject next) {
 		if (next.decoderResult().isFailure() || !(next instanceof HttpContent content)) {
 			ReferenceCountUtil.release(next);
-			rejectAndClose(current, BAD_REQUEST, "malformed body");
+			failAndClose(current, BAD_REQUEST, "malformed body");
 			return;
 		}
 		current.bodyReceived(content);
@@ -526,342 +410,181 @@
 			this.discarding = false;
 		}
 		else if (this.discardedBytes > MAX_DISCARDED_BYTES) {
-			closeAfterLastResponse(true);
+			closeAfterLastResponse(true, false);
 		}
 	}
 
 	private void beginRequest(HttpRequest head) {
 		this.headStartedAt = -1;
-		this.requestOpen = true;
-		this.keepAlive = HttpUtil.isKeepAlive(head) && !this.router.isStopping();
-		this.http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
-		this.isHeadRequest = head.method().name().equals("HEAD");
-		this.responseStarted = false;
+		CallerResponse begun = new CallerResponse(this, this.router, this.output, head);
+		this.response = begun;
 		if (head.decoderResult().isFailure()) {
 			Throwable cause = head.decoderResult().cause();
-			rejectAndClose((cause instanceof TooLongFrameException) ? HEADERS_TOO_LARGE : BAD_REQUEST,
+			begun.rejectAndClose((cause instanceof TooLongFrameException) ? HEADERS_TOO_LARGE : BAD_REQUEST,
 					String.valueOf(cause.getMessage()));
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(head)) {
-			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+			this.output.write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
-			context().flush();
+			this.output.flush();
 		}
-		this.router.accept(head, this, remoteHost(), this.arrivedAt);
-	}
-
-	private String remoteAddress() {
-		return (context().channel().remoteAddress() instanceof InetSocketAddress address)
-				? address.getHostString() + ":" + address.getPort() : "";
-	}
-
-	private String remoteHost() {
-		return (context().channel().remoteAddress() instanceof InetSocketAddress address) ? address.getHostString()
-				: "";
-	}
-
-	/**
-	 * Starts the exchange of the current request.
-	 * @param newExchange the exchange
-	 */
-	void handle(Exchange newExchange) {
-		this.exchange = newExchange;
-		newExchange.begin();
-	}
-
-	/**
-	 * Rejects a request and closes the connection, since the framing of the request
-	 * cannot be trusted.
-	 * @param status the HTTP status
-	 * @param reason the reason, sent in the response body
-	 */
-	void rejectAndClose(int status, String reason) {
-		rejectAndClose(status, reason, new DefaultHttpHeaders());
+		this.router.accept(head, begun, this.output.remoteHost(), this.input.arrivedAt());
 	}
 
 	private void rejectAndClose(int status, String reason, HttpHeaders headers) {
-		LOGGER.info("{}",
-				LogLine.event("request.rejected")
-					.with("status", status)
-					.with("caller", remoteHost())
-					.with("why", reason));
-		this.router.countRejected(status);
-		this.keepAlive = false;
-		// The method of a request whose head is incomplete is not known.
-		this.isHeadRequest = this.isHeadRequest && this.requestOpen;
-		reply(status, reason, headers);
+		CallerResponse rejection = new CallerResponse(this, this.router, this.output);
+		this.response = rejection;
+		rejection.rejectAndClose(status, reason, headers);
 	}
 
-	private void rejectAndClose(Exchange current, int status, String reason) {
-		this.keepAlive = false;
+	private void failAndClose(Exchange current, int status, String reason) {
+		CallerResponse failed = this.response;
+		if (failed != null) {
+			failed.closeAfter();
+		}
 		current.requestFailed(status, reason);
 	}
 
 	/**
-	 * Responds to a request that is not handled and discards the rest of it.
-	 * @param status the HTTP status
-	 * @param reason the reason, sent in the response body
-	 * @param headers additional headers
+	 * Discards the rest of the request that was begun last.
 	 */
-	void replyAndDiscard(int status, String reason, HttpHeaders headers) {
+	void discardRest() {
 		this.discarding = true;
 		this.discardedBytes = 0;
-		reply(status, reason, headers);
-	}
-
-	@Override
-	public void writeHead(HttpResponse response) {
-		this.responseStarted = true;
-		boolean sized = HttpUtil.isContentLengthSet(response) || isBodyless(response);
-		this.chunked = !sized && !this.http10;
-		this.closeDelimited = !sized && this.http10;
-		if (this.closeDelimited) {
-			this.keepAlive = false;
-			resetOnClose(true);
-		}
-		if (this.chunked) {
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		}
-		setConnectionHeader(response);
-		write(response);
-	}
-
-	private boolean isBodyless(HttpResponse response) {
-		int status = response.status().code();
-		return this.isHeadRequest || status == HttpResponseStatus.NO_CONTENT.code()
-				|| status == HttpResponseStatus.NOT_MODIFIED.code();
 	}
 
-	private void setConnectionHeader(HttpResponse response) {
-		Exchange current = this.exchange;
-		boolean bodyIncomplete = current != null && !current.isBodyComplete();
-		this.keepAlive = this.keepAlive && !this.router.isStopping() && !bodyIncomplete;
-		if (!this.keepAlive) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		}
-		else if (this.http10) {
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
-		}
-	}
-
-	@Override
-	public void writeContent(ByteBuf content) {
-		if (this.isHeadRequest) {
-			content.release();
-			return;
-		}
-		write(new DefaultHttpContent(content));
-	}
-
-	@Override
-	public void flush() {
-		context().flush();
+	/**
+	 * Passes on all that was written.
+	 */
+	void flush() {
+		this.output.flush();
 		updateBacklog();
 	}
 
-	private void writeEnded(@Nullable Throwable cause) {
-		this.pendingWrites--;
-		if (this.exchange == null) {
+	@Override
+	public void partWritten() {
+		if (exchange() == null) {
 			this.lastActivityAt = now();
 		}
-		if (cause == null) {
-			this.backlog.recordTaken(now());
-		}
 		updateBacklog();
-		if (cause != null) {
-			this.closeRecorder.recordUnwrittenPart();
-			writeFailed(cause);
-		}
 	}
 
 	private void updateBacklog() {
-		this.backlog.update(context().channel(), now());
-		Exchange current = this.exchange;
+		this.output.updateBacklog();
+		Exchange current = exchange();
 		if (current != null) {
 			current.callerWritable();
 		}
-		else if (this.awaitingCaller && isWritable()) {
+		else if (this.awaitingCaller && this.output.isWritable()) {
 			this.awaitingCaller = false;
 			// A write that has just ended may be a part of handling a response.
 			processLater();
 		}
 	}
 
-	private void evictBacklog() {
+	@Override
+	public void outputEvicted() {
 		recordClose(CallerCloseReason.NOT_READ, "no memory for the response");
 		closeBrokenOff();
 	}
 
-	private void write(Object message) {
-		if (this.writeFailed) {
-			ReferenceCountUtil.release(message);
-			return;
-		}
-		this.pendingWrites++;
-		context().write(message).addListener(this.writeListener);
-	}
-
 	/**
-	 * Closes the connection after a part of a response could not be written. Without that
-	 * part, the following ones would be taken for it, and the next response for the rest
-	 * of this one.
+	 * Closes the connection after a part of a response could not be written.
 	 * @param cause the error
 	 */
-	void writeFailed(Throwable cause) {
-		if (cause instanceof ClosedChannelException || this.writeFailed) {
-			return;
-		}
-		this.writeFailed = true;
-		this.router.countFailedWrite();
-		LOGGER.warn("{}",
-				LogLine.event("response.unwritten")
-					.with("caller", remoteHost())
-					.with("directBytes", GatewayMetrics.directMemoryBytes())
-					.with("why", String.valueOf(cause)));
+	@Override
+	public void writeFailed(Throwable cause) {
 		recordClose(CallerCloseReason.WRITE_FAILED, String.valueOf(cause));
 		closeBrokenOff();
 	}
 
-	@Override
-	public void finish() {
-		write(LastHttpContent.EMPTY_LAST_CONTENT);
-		responseEnded();
-	}
-
-	@Override
-	public void reply(int status, String reason, HttpHeaders headers) {
-		byte[] text = ("{\"reason\":\"" + escape(reason) + "\"}").getBytes(StandardCharsets.UTF_8);
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.isHeadRequest ? new byte[0] : text));
-		response.headers().add(headers);
-		response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
-		this.responseStarted = true;
-		setConnectionHeader(response);
-		write(response);
-		responseEnded();
-	}
-
-	private static String escape(String text) {
-		StringBuilder escaped = new StringBuilder();
-		text.chars().forEach((c) -> {
-			boolean special = c == '"' || c == '\\' || c < ' ';
-			escaped.append(special ? '\'' : (char) c);
-		});
-		return escaped.toString();
+	/**
+	 * Returns what writes the responses.
+	 * @return the output of this connection
+	 */
+	CallerOutput output() {
+		return this.output;
 	}
 
-	private void responseEnded() {
-		Exchange current = this.exchange;
-		this.exchange = null;
-		this.requestOpen = false;
-		this.responseStarted = false;
+	/**
+	 * Proceeds to the next request after a response was written to its end.
+	 * @param ended the response
+	 */
+	void responseEnded(CallerResponse ended) {
+		this.response = null;
 		this.lastActivityAt = now();
-		if (this.writeFailed) {
+		if (this.output.hasFailed()) {
 			return;
 		}
-		boolean bodyIncomplete = current != null && !current.isBodyComplete();
-		if (this.keepAlive && !bodyIncomplete) {
+		if (ended.isKeepAlive() && !ended.isBodyIncomplete()) {
 			flush();
 			setReading(true);
 			process();
 			return;
 		}
-		closeAfterLastResponse(bodyIncomplete || this.discarding);
+		closeAfterLastResponse(ended.isBodyIncomplete() || this.discarding, ended.isCloseDelimited());
 	}
 
-	private void closeAfterLastResponse(boolean bodyIncomplete) {
-		this.closing = true;
+	private void closeAfterLastResponse(boolean bodyIncomplete, boolean closeDelimited) {
 		this.discarding = false;
-		this.bodyUnread = bodyIncomplete;
-		this.pausedForMemory = false;
+		this.input.setPausedForMemory(false);
 		this.headStartedAt = -1;
-		this.inputDiscarded = false;
-		releaseQueued();
-		if (this.undecodedBufferBytes > 0) {
+		this.input.setDiscarded(false);
+		this.closing.begin();
+		discardQueued();
+		if (this.input.hasUndecoded()) {
 			discardUndecoded();
 		}
-		LingeringCloseHandler handler = new LingeringCloseHandler(LINGER_MS);
-		this.lingeringHandler = handler;
-		context().pipeline().addFirst(handler);
+		this.closing.beginAfterLastResponse(context(), bodyIncomplete);
 		setReading(true);
-		context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (write) -> {
-			if (write.isSuccess()) {
-				lastResponseWritten();
+		this.closing.closeAfterWrites(context(), () -> {
+			recordClose(bodyIncomplete ? CallerCloseReason.EARLY_RESPONSE : CallerCloseReason.LAST_RESPONSE, "");
+			if (closeDelimited) {
+				this.output.resetOnClose(false);
 			}
-			write.channel().close();
 		});
 		updateBacklog();
 	}
 
-	private void lastResponseWritten() {
-		recordClose(this.bodyUnread ? CallerCloseReason.EARLY_RESPONSE : CallerCloseReason.LAST_RESPONSE, "");
-		this.lingeringSince = now();
-		if (this.closeDelimited) {
-			resetOnClose(false);
-		}
-	}
-
-	private void closeAtEndOfStop() {
-		LingeringCloseHandler handler = this.lingeringHandler;
-		if (handler != null && this.router.isStopping() && this.router.stopTimeLeftMs() <= LINGER_STOP_MARGIN_MS) {
-			handler.closeNow();
-		}
-	}
-
-	@Override
-	public void abort(String reason) {
+	/**
+	 * Closes the connection because a response cannot be completed.
+	 * @param aborted the response
+	 * @param reason the reason
+	 */
+	void responseAborted(CallerResponse aborted, String reason) {
 		recordClose(CallerCloseReason.RESPONSE_ABORTED, reason);
-		this.exchange = null;
-		this.requestOpen = false;
+		this.response = null;
 		context().flush();
 		closeBrokenOff();
 	}
 
 	private void closeBrokenOff() {
-		this.closing = true;
+		this.closing.begin();
 		this.discarding = false;
-		releaseQueued();
+		discardQueued();
 		context().close();
 	}
 
-	// A response without a length ends with its connection. Until all of it is written,
-	// every other close, also that of a process that is killed, resets the connection.
-	private void resetOnClose(boolean reset) {
-		if (context().channel().isOpen()) {
-			context().channel().config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
-		}
-	}
-
-	@Override
-	public boolean isWritable() {
-		return context().channel().isWritable() && (this.backlog.isEmpty() || !this.router.isResponseMemoryFull());
-	}
-
-	@Override
-	public void setReading(boolean reading) {
-		this.reading = reading;
+	/**
+	 * Sets whether further data of the request is read.
+	 * @param reading {@code true} to read, {@code false} to apply backpressure
+	 */
+	void setReading(boolean reading) {
+		this.input.setWanted(reading);
 		applyReading();
 		if (reading) {
-			continueDecoding();
+			this.input.continueDecoding();
 		}
 	}
 
 	private void applyReading() {
-		boolean allowed = this.reading && !this.decodingSuspended && !this.pausedForMemory && !this.inputDiscarded;
-		boolean resumed = allowed && !isReading();
-		context().channel().config().setAutoRead(allowed);
-		if (resumed) {
+		if (this.input.applyReading()) {
 			// The caller could send nothing while this process did not read.
 			this.lastActivityAt = now();
 		}
 	}
 
-	private boolean isReading() {
-		return context().channel().config().isAutoRead();
-	}
-
 	/**
 	 * Closes the connection if it is idle for too long, receives a request too slowly or
 	 * takes nothing of a response.
@@ -872,29 +595,30 @@
 	 */
 	void checkTimeouts(long now, long headerTimeoutMs, long idleTimeoutMs) {
 		updateBacklog();
-		if (this.backlog.untakenMs(now) > idleTimeoutMs) {
+		if (this.output.untakenMs(now) > idleTimeoutMs) {
 			recordClose(CallerCloseReason.NOT_READ, "nothing taken for " + idleTimeoutMs + " ms");
 			closeBrokenOff();
 			return;
 		}
 		long idleMs = now - this.lastActivityAt;
-		if (this.closing) {
-			if (this.lingeringSince < 0 && idleMs > idleTimeoutMs) {
+		if (this.closing.hasBegun()) {
+			if (!this.closing.isLingering() && idleMs > idleTimeoutMs) {
 				recordClose(CallerCloseReason.IDLE, "the last response is not read");
 				context().close();
 			}
 			return;
 		}
-		Exchange current = this.exchange;
+		Exchange current = exchange();
 		if (current == null && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
 				&& now - this.headStartedAt > headerTimeoutMs) {
-			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
+			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms",
+					new DefaultHttpHeaders());
 		}
 		else if (current == null && idleMs > idleTimeoutMs) {
 			closeIfStillIdle();
 		}
-		else if (current != null && !current.isBodyComplete() && isReading() && idleMs > idleTimeoutMs) {
-			rejectAndClose(current, REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
+		else if (current != null && !current.isBodyComplete() && this.input.isReading() && idleMs > idleTimeoutMs) {
+			failAndClose(current, REQUEST_TIMEOUT, "body not complete after a pause of " + idleTimeoutMs + " ms");
 		}
 	}
 
@@ -903,7 +627,7 @@
 	 * completed before the planned stop of this process ends.
 	 */
 	void rejectIfUnfinishable() {
-		Exchange current = this.exchange;
+		Exchange current = exchange();
 		if (current != null) {
 			current.rejectIfUnfinishable();
 		}
@@ -915,8 +639,8 @@
 	 * a planned stop ends.
 	 */
 	void closeIfIdle() {
-		closeAtEndOfStop();
-		if (this.pendingWrites == 0) {
+		this.closing.closeAtEndOfStop();
+		if (!this.output.hasPendingWrites()) {
 			closeIfStillIdle();
 		}
 	}
@@ -938,14 +662,14 @@
 	private void closeIfIdleSince(long idleSince) {
 		if (isIdle() && this.lastActivityAt == idleSince) {
 			recordClose(CallerCloseReason.IDLE, "");
-			this.closing = true;
+			this.closing.begin();
 			context().close();
 		}
 	}
 
 	private boolean isIdle() {
-		boolean busy = this.closing || this.exchange != null || this.headStartedAt >= 0 || this.discarding
-				|| !this.queued.isEmpty() || this.decodingSuspended;
+		boolean busy = this.closing.hasBegun() || exchange() != null || this.headStartedAt >= 0 || this.discarding
+				|| !this.input.isEmpty() || this.input.isDecodingSuspended();
 		return !busy && now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
 	}
 
@@ -957,13 +681,12 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		recordCloseByOthers("");
-		Exchange current = this.exchange;
-		this.exchange = null;
-		this.closing = true;
-		releaseQueued();
-		reportClose();
-		this.pendingMemory.resize(0);
-		this.acceptedMemory.resize(0);
+		Exchange current = exchange();
+		this.response = null;
+		this.closing.begin();
+		discardQueued();
+		this.closing.report();
+		this.input.releaseMemory();
 		updateBacklog();
 		this.router.removeConnection(this);
 		if (current != null) {
@@ -978,19 +701,25 @@
 		ctx.close();
 	}
 
+	private void recordClose(CallerCloseReason reason, String why) {
+		CallerResponse current = this.response;
+		recordClose(reason, why, (current != null) ? current.progress() : RequestProgress.NONE);
+	}
+
 	/**
 	 * Records the state of the connection at its close. Only the first call has an
 	 * effect, since the ones that follow are its consequences.
 	 * @param reason the reason
 	 * @param why details of the reason, empty if there are none
+	 * @param progress the progress of the request in progress
 	 */
-	private void recordClose(CallerCloseReason reason, String why) {
+	private void recordClose(CallerCloseReason reason, String why, RequestProgress progress) {
 		this.closeRecorder.recordClose(() -> {
-			Exchange current = this.exchange;
-			return new CallerClose(reason, why, remoteAddress(), progress(current),
+			Exchange current = exchange();
+			return new CallerClose(reason, why, this.output.remoteAddress(), progress,
 					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
-					this.partialHeadBytes, this.bodyUnread || this.discarding, this.router.isStopping(),
-					now() - this.lastActivityAt);
+					this.input.partialHeadBytes(), this.closing.isBodyUnread() || this.discarding,
+					this.router.isStopping(), now() - this.lastActivityAt);
 		});
 	}
 
@@ -999,33 +728,8 @@
 				why);
 	}
 
-	private RequestProgress progress(@Nullable Exchange current) {
-		if (!this.requestOpen) {
-			return RequestProgress.NONE;
-		}
-		if (this.responseStarted) {
-			return RequestProgress.RESPONDING;
-		}
-		return (current != null) ? current.progress() : RequestProgress.READ;
-	}
-
-	private void reportClose() {
-		CallerClose known = this.closeRecorder.report((this.lingeringSince < 0) ? 0 : now() - this.lingeringSince);
-		if (known != null) {
-			this.router.countCallerClose(known);
-		}
-	}
-
-	private void releaseUnhandled(HttpObject object) {
-		this.closeRecorder.recordDiscarded(object);
-		ReferenceCountUtil.release(object);
-	}
-
-	private void releaseQueued() {
-		this.queued.forEach(this::releaseUnhandled);
-		this.queued.clear();
-		this.queuedArrivals.clear();
-		this.queuedBytes = 0;
+	private void discardQueued() {
+		this.input.discardQueued();
 		updatePendingMemory();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -142,7 +142,7 @@
 		channel.pipeline()
 			.addLast(new ArrivalHandler(connection, this.router.scheduler()),
 					new StrictRequestDecoder(this.router::limits, connection::isDecodable),
-					new WriteFailureHandler(connection::writeFailed), new HttpResponseEncoder(), connection);
+					new WriteFailureHandler(connection.output()::fail), new HttpResponseEncoder(), connection);
 		connection.pauseIfMemoryFull();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -222,37 +222,37 @@
 	/**
 	 * Validates the head of a request and starts its exchange, or rejects the request.
 	 * @param head the head
-	 * @param connection the connection on which the request arrived
+	 * @param response the response to the request
 	 * @param caller the IP address of the caller
 	 * @param arrivedAt the monotonic time at which the head arrived, in milliseconds
 	 */
-	void accept(HttpRequest head, FrontendConnection connection, String caller, long arrivedAt) {
+	void accept(HttpRequest head, CallerResponse response, String caller, long arrivedAt) {
 		Rejection rejection = validate(head);
 		if (rejection != null) {
-			connection.rejectAndClose(rejection.status(), rejection.reason());
+			response.rejectAndClose(rejection.status(), rejection.reason());
 			return;
 		}
 		ServingConfiguration configuration = this.services.catalog().configuration();
 		if (configuration == null) {
 			HttpHeaders headers = new DefaultHttpHeaders();
 			this.services.protocol().setRetryAfter(headers, UNCONFIGURED_RETRY_AFTER_MS);
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no configuration yet", headers);
+			replyEarly(response, head, SERVICE_UNAVAILABLE, "no configuration yet", headers);
 			return;
 		}
 		String path = path(head.uri());
 		Route route = configuration.routes().find(String.valueOf(head.headers().get(HttpHeaderNames.HOST)), path);
 		if (route == null) {
-			replyEarly(connection, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
+			replyEarly(response, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
 		}
 		CallerRequest request = request(head, route, configuration, caller, arrivedAt);
 		MemoryAccount memory = this.services.memory();
 		if (!memory.accepts(request.size().headBytes() + request.size().bodyBytes(), route.priority())) {
 			this.services.metrics().countRefusal(request.service().value(), "MEMORY");
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
+			replyEarly(response, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
 			return;
 		}
-		connection.handle(new Exchange(this.services, connection, request));
+		response.handle(new Exchange(this.services, response, request));
 	}
 
 	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller,
@@ -269,8 +269,7 @@
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
 	// not be parsed as a new request.
-	private void replyEarly(FrontendConnection connection, HttpRequest head, int status, String reason,
-			HttpHeaders headers) {
+	private void replyEarly(CallerResponse response, HttpRequest head, int status, String reason, HttpHeaders headers) {
 		LOGGER.info("{}",
 				LogLine.event("request.rejected")
 					.with("id", String.valueOf(this.services.protocol().requestId(head.headers())))
@@ -278,7 +277,7 @@
 					.with("why", reason)
 					.with("catalogAgeMs", this.services.catalog().ageMs()));
 		countRejected(status);
-		connection.replyAndDiscard(status, reason, headers);
+		response.replyAndDiscard(status, reason, headers);
 	}
 
 	private static String path(String uri) {
