Handle pipelined idempotent requests at the same time

Each request on a connection started only when the response before it was complete, so three requests of 270 ms took 810 ms. Up to four requests with safe methods, idempotent routes and no body now run at the same time; the responses of later ones wait for their turn, bounded for each connection and accounted for as responses. A response that fails before its turn is replaced by 502, since nothing of it was sent.

UnreadResponseTests gets a second server: with one server of three slots, the fourth concurrent request is rejected for lack of capacity.

--- /dev/null
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/pipelining/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides when requests that callers send behind unanswered ones are handled.
+ */
+@NullMarked
+package org.lovagevale.core.pipelining;
+
+import org.jspecify.annotations.NullMarked;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -100,6 +100,22 @@
 		.description("Unfinished messages that were given up because the process was full, by account")
 		.withRegistry(this.registry);
 
+	private final Counter pipelinedRequests = Counter.builder("lovagevale.gateway.pipelined.requests")
+		.description("Requests started while an earlier one on their connection was in progress")
+		.register(this.registry);
+
+	private final Counter waitingResponses = Counter.builder("lovagevale.gateway.pipelined.responses")
+		.description("Responses that waited until earlier ones on their connection were sent")
+		.register(this.registry);
+
+	private final Counter waitingResponseBytes = Counter.builder("lovagevale.gateway.pipelined.responses.size")
+		.description("Size of these responses, as far as they had arrived at their turn, in bytes")
+		.register(this.registry);
+
+	private final Counter replacedResponses = Counter.builder("lovagevale.gateway.pipelined.responses.replaced")
+		.description("Responses that failed before their turn, so that their callers got 502")
+		.register(this.registry);
+
 	private final Counter healthChecks = Counter.builder("lovagevale.gateway.health.checks")
 		.description("Health checks of backend servers")
 		.register(this.registry);
@@ -281,6 +297,30 @@
 		this.loopDelays.record(Duration.ofMillis(delayMs));
 	}
 
+	/**
+	 * Counts a request that was started while an earlier one on its connection was in
+	 * progress.
+	 */
+	public void countPipelinedRequest() {
+		this.pipelinedRequests.increment();
+	}
+
+	/**
+	 * Counts a response that waited until earlier ones on its connection were sent.
+	 * @param bytes the size of what had arrived of it at its turn, in bytes
+	 */
+	public void countWaitingResponse(long bytes) {
+		this.waitingResponses.increment();
+		this.waitingResponseBytes.increment(bytes);
+	}
+
+	/**
+	 * Counts a response that failed before its turn and was replaced.
+	 */
+	public void countReplacedResponse() {
+		this.replacedResponses.increment();
+	}
+
 	/**
 	 * Counts a health check of a backend server.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerResponse.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerResponse.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.core.pipelining.WaitingBytes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,11 +27,14 @@
  * The response to one request on a connection of a caller.
  *
  * <p>
- * Invariant: a response that does not keep the connection open says so in its head.
- * Confined to the event loop.
+ * Invariants: nothing of it is written before its turn, until which all that arrives of
+ * it is kept; a response that does not keep the connection open says so in its head; one
+ * that fails before its turn is replaced by an error. Confined to the event loop.
  */
 final class CallerResponse implements CallerConnection {
 
+	private static final int BAD_GATEWAY = 502;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(CallerResponse.class);
 
 	private final FrontendConnection connection;
@@ -51,6 +55,12 @@
 	/** Whether this response ends with the connection. */
 	private boolean closeDelimited;
 
+	/** What has arrived before the turn of this response, {@code null} since then. */
+	private @Nullable WaitingResponse waiting;
+
+	/** Whether the request may run beside others on the connection. */
+	private boolean concurrent;
+
 	private @Nullable Exchange exchange;
 
 	/**
@@ -84,15 +94,106 @@
 		this.headRequest = false;
 	}
 
+	/**
+	 * Has all that arrives of this response kept until its turn.
+	 * @param waitingBytes the size of all waiting responses of the connection
+	 */
+	void awaitTurn(WaitingBytes waitingBytes) {
+		this.waiting = new WaitingResponse(waitingBytes, this.router.reserveResponse(this::evict));
+	}
+
+	boolean isWaiting() {
+		return this.waiting != null;
+	}
+
+	/**
+	 * Tells whether nothing more of this response will arrive.
+	 * @return {@code true} if it waits for its turn as a whole
+	 */
+	boolean isWaitingComplete() {
+		WaitingResponse earlier = this.waiting;
+		return earlier != null && earlier.isFinished();
+	}
+
+	/**
+	 * Writes what was kept, since all earlier responses are sent.
+	 */
+	void takeTurn() {
+		WaitingResponse earlier = this.waiting;
+		if (earlier == null) {
+			return;
+		}
+		this.waiting = null;
+		HttpResponse head = earlier.head();
+		if (head != null) {
+			this.router.countWaitingResponse(earlier.bytes());
+			send(head, earlier);
+		}
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.callerWritable();
+		}
+	}
+
+	private void send(HttpResponse head, WaitingResponse earlier) {
+		if (head instanceof FullHttpResponse reply) {
+			earlier.release();
+			sendReply(reply);
+			return;
+		}
+		sendHead(head);
+		earlier.takeParts().forEach(this::writeContent);
+		if (earlier.isFinished()) {
+			finish();
+		}
+		else {
+			flush();
+		}
+	}
+
 	/**
 	 * Starts the exchange of the request.
 	 * @param newExchange the exchange
+	 * @param newConcurrent whether the request may run beside others on the connection
 	 */
-	void handle(Exchange newExchange) {
+	void handle(Exchange newExchange, boolean newConcurrent) {
 		this.exchange = newExchange;
+		this.concurrent = newConcurrent;
 		newExchange.begin();
 	}
 
+	/**
+	 * Tells whether the request may run beside others on the connection.
+	 * @return {@code false} if a later request has to wait until this response is sent
+	 */
+	boolean isConcurrent() {
+		return this.concurrent;
+	}
+
+	/**
+	 * Cancels the request, since its response cannot be sent.
+	 */
+	void cancel() {
+		WaitingResponse kept = this.waiting;
+		Exchange current = this.exchange;
+		if (current != null) {
+			current.callerDisconnected();
+		}
+		if (kept != null) {
+			kept.release();
+		}
+	}
+
+	private void evict() {
+		Exchange current = this.exchange;
+		if (current != null && !current.isDone()) {
+			current.requestFailed(BAD_GATEWAY, "no memory for the response");
+		}
+		else {
+			abort("no memory for the response");
+		}
+	}
+
 	@Nullable Exchange exchange() {
 		return this.exchange;
 	}
@@ -181,6 +282,16 @@
 
 	@Override
 	public void writeHead(HttpResponse response) {
+		WaitingResponse kept = this.waiting;
+		if (kept != null) {
+			kept.setHead(response);
+		}
+		else {
+			sendHead(response);
+		}
+	}
+
+	private void sendHead(HttpResponse response) {
 		this.started = true;
 		boolean sized = HttpUtil.isContentLengthSet(response) || isBodyless(response);
 		boolean chunked = !sized && !this.http10;
@@ -203,7 +314,8 @@
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		this.keepAlive = this.keepAlive && !this.router.isStopping() && !isBodyIncomplete();
+		boolean stopsHere = this.router.isStopping() && this.connection.isLastStarted(this);
+		this.keepAlive = this.keepAlive && !stopsHere && !isBodyIncomplete();
 		if (!this.keepAlive) {
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
@@ -218,28 +330,57 @@
 			content.release();
 			return;
 		}
-		this.output.write(new DefaultHttpContent(content));
+		WaitingResponse kept = this.waiting;
+		if (kept != null) {
+			kept.add(content);
+		}
+		else {
+			this.output.write(new DefaultHttpContent(content));
+		}
 	}
 
 	@Override
 	public void flush() {
-		this.connection.flush();
+		if (this.waiting == null) {
+			this.connection.flush();
+		}
 	}
 
 	@Override
 	public void finish() {
+		WaitingResponse kept = this.waiting;
+		if (kept != null) {
+			kept.finish();
+			return;
+		}
 		this.output.write(LastHttpContent.EMPTY_LAST_CONTENT);
 		this.connection.responseEnded(this);
 	}
 
 	@Override
 	public void reply(int status, String reason, HttpHeaders headers) {
+		FullHttpResponse response = createReply(status, reason, headers);
+		WaitingResponse kept = this.waiting;
+		if (kept != null) {
+			kept.setHead(response);
+			kept.finish();
+		}
+		else {
+			sendReply(response);
+		}
+	}
+
+	private FullHttpResponse createReply(int status, String reason, HttpHeaders headers) {
 		byte[] text = ("{\"reason\":\"" + escape(reason) + "\"}").getBytes(StandardCharsets.UTF_8);
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(this.headRequest ? new byte[0] : text));
 		response.headers().add(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+		return response;
+	}
+
+	private void sendReply(FullHttpResponse response) {
 		this.started = true;
 		setConnectionHeader(response);
 		this.output.write(response);
@@ -257,17 +398,37 @@
 
 	@Override
 	public void abort(String reason) {
-		this.connection.responseAborted(this, reason);
+		WaitingResponse kept = this.waiting;
+		if (kept != null) {
+			replaceWaiting(kept, reason);
+		}
+		else {
+			this.connection.responseAborted(this, reason);
+		}
+	}
+
+	// Nothing of the response was sent, so the requests behind it can go on.
+	private void replaceWaiting(WaitingResponse kept, String reason) {
+		Exchange current = this.exchange;
+		LOGGER.info("{}",
+				LogLine.event("response.replaced")
+					.with("id", (current != null) ? current.requestId() : "")
+					.with("status", BAD_GATEWAY)
+					.with("droppedBytes", kept.bytes())
+					.with("why", reason));
+		this.router.countReplacedResponse();
+		kept.release();
+		reply(BAD_GATEWAY, reason, new DefaultHttpHeaders());
 	}
 
 	@Override
 	public boolean isWritable() {
-		return this.output.isWritable();
+		return isWaiting() ? this.connection.mayKeepMore() : this.output.isWritable();
 	}
 
 	@Override
 	public void setReading(boolean reading) {
-		this.connection.setReading(reading);
+		this.connection.setReading(this, reading);
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -1,6 +1,8 @@
 package org.lovagevale.gateway.http;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -21,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.core.pipelining.WaitingBytes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,13 +31,14 @@
  * A connection from a caller.
  *
  * <p>
- * Invariants: requests are handled one after the other, so that responses are sent in the
- * order of the requests; a response that closes the connection is the last one; during a
- * planned stop every response closes it; a request is handled only once most of the
- * earlier responses are taken; after a part of a response that could not be written,
- * nothing more is written and the connection is closed; what has arrived of requests that
- * are not accepted yet is given up if the process is full and this connection holds the
- * most of it. Confined to the event loop.
+ * Invariants: responses are sent in the order of the requests, which are handled one
+ * after the other unless several of them may run at the same time; a response that closes
+ * the connection is the last one; during a planned stop the response to the last request
+ * that was started closes it; a request is handled only once most of the earlier
+ * responses are taken; after a part of a response that could not be written, nothing more
+ * is written and the connection is closed; what has arrived of requests that are not
+ * accepted yet is given up if the process is full and this connection holds the most of
+ * it. Confined to the event loop.
  */
 final class FrontendConnection extends ChannelInboundHandlerAdapter implements CallerOutput.Listener {
 
@@ -81,8 +85,10 @@
 
 	private @Nullable ChannelHandlerContext context;
 
-	/** The response to the request in progress. */
-	private @Nullable CallerResponse response;
+	/** The responses to the requests in progress, in the order of the requests. */
+	private final ArrayDeque<CallerResponse> responses = new ArrayDeque<>();
+
+	private final WaitingBytes waitingBytes = new WaitingBytes();
 
 	private boolean discarding;
 
@@ -134,9 +140,13 @@
 		this.output.start(added);
 	}
 
-	private @Nullable Exchange exchange() {
-		CallerResponse current = this.response;
-		return (current != null) ? current.exchange() : null;
+	/**
+	 * Returns the exchange of the last request that was begun, whose body may be read.
+	 * @return the exchange, or {@code null} if there is none
+	 */
+	private @Nullable Exchange lastExchange() {
+		CallerResponse last = this.responses.peekLast();
+		return (last != null) ? last.exchange() : null;
 	}
 
 	/**
@@ -149,12 +159,11 @@
 			return;
 		}
 		this.lastActivityAt = now();
-		Exchange current = exchange();
-		if (current == null && !this.discarding && this.headStartedAt < 0) {
+		if (this.responses.isEmpty() && !this.discarding && this.headStartedAt < 0) {
 			this.headStartedAt = this.lastActivityAt;
 		}
 		this.router.evictExcess();
-		current = exchange();
+		Exchange current = lastExchange();
 		if (this.router.isMemoryFull() && !this.discarding && (current == null || !current.isNextContentReserved())) {
 			pauseForMemory();
 		}
@@ -183,20 +192,20 @@
 	}
 
 	private void updatePendingMemory() {
-		this.input.updateMemory(exchange());
+		this.input.updateMemory(lastExchange());
 	}
 
 	// A request whose head is incomplete has not run. Requests behind one in progress are
 	// sent again by the caller if their connection is closed after its response.
 	private void evict() {
-		CallerResponse current = this.response;
+		CallerResponse current = this.responses.peekLast();
 		if (this.closing.hasBegun() || current != null && current.isBodyIncomplete()) {
 			return;
 		}
-		if (this.discarding) {
+		if (current == null && this.discarding) {
 			closeAfterLastResponse(true, false);
 		}
-		else if (current == null || current.exchange() == null) {
+		else if (current == null) {
 			rejectAndClose(SERVICE_UNAVAILABLE, "no memory for the request", this.router.memoryRetryHeaders());
 		}
 		else {
@@ -233,7 +242,7 @@
 	 * @return {@code true} if the caller waits for a response
 	 */
 	boolean hasRequest() {
-		return exchange() != null || this.headStartedAt >= 0;
+		return !this.responses.isEmpty() || this.headStartedAt >= 0;
 	}
 
 	/**
@@ -278,11 +287,12 @@
 		}
 		this.processing = true;
 		try {
+			beginTurn();
 			boolean begun = false;
 			boolean proceeding = true;
 			while (proceeding && !this.input.isEmpty()) {
 				boolean begins = this.input.peek() instanceof HttpRequest;
-				if (begins && begun && exchange() == null) {
+				if (begins && begun && isLastAnswered()) {
 					// Further requests are handled in other turns, since each may be
 					// answered at once.
 					processLater();
@@ -307,6 +317,11 @@
 		}
 	}
 
+	private boolean isLastAnswered() {
+		CallerResponse last = this.responses.peekLast();
+		return last == null || last.isWaitingComplete();
+	}
+
 	private void processLater() {
 		if (!this.processingLater) {
 			this.processingLater = true;
@@ -323,7 +338,7 @@
 					.with("caller", this.output.remoteHost())
 					.with("why", String.valueOf(cause)),
 				cause);
-		CallerResponse current = this.response;
+		CallerResponse current = this.responses.peekLast();
 		boolean answerable = current != null && !current.isStarted() && !this.output.hasFailed();
 		RequestProgress progress = (current != null && !answerable) ? current.progress() : RequestProgress.NONE;
 		recordClose(CallerCloseReason.ERROR, String.valueOf(cause), progress);
@@ -348,7 +363,7 @@
 			else {
 				current.reply(INTERNAL_ERROR, "internal error", new DefaultHttpHeaders());
 			}
-			return this.closing.hasBegun();
+			return this.closing.hasBegun() || current.isWaitingComplete();
 		}
 		catch (RuntimeException ex) {
 			LOGGER.error("{}",
@@ -358,11 +373,8 @@
 	}
 
 	private boolean processNext() {
-		Exchange current = exchange();
-		if (current != null) {
-			if (current.isBodyComplete()) {
-				return false;
-			}
+		Exchange current = lastExchange();
+		if (current != null && !current.isBodyComplete()) {
 			receiveBody(current, this.input.remove());
 			return true;
 		}
@@ -370,6 +382,9 @@
 			this.awaitingCaller = true;
 			return false;
 		}
+		if (this.input.peek() instanceof HttpRequest head && !mayStart(head)) {
+			return false;
+		}
 		HttpObject next = this.input.remove();
 		if (this.discarding) {
 			discard(next);
@@ -386,11 +401,16 @@
 		return true;
 	}
 
+	private boolean mayStart(HttpRequest head) {
+		CallerResponse last = this.responses.peekLast();
+		return last == null || this.closing.hasBegun()
+				|| this.router.mayStartBehind(head, this.responses.size(), last.isConcurrent(), !last.isKeepAlive());
+	}
+
 	// A caller that sends requests and does not read the responses would otherwise have
 	// them all queued.
 	private boolean isBlockedByUnreadResponses() {
-		return exchange() == null && !this.input.isEmpty() && !this.discarding && !this.closing.hasBegun()
-				&& !this.output.isWritable();
+		return !this.input.isEmpty() && !this.discarding && !this.closing.hasBegun() && !this.output.isWritable();
 	}
 
 	private void receiveBody(Exchange current, HttpObject next) {
@@ -417,7 +437,11 @@
 	private void beginRequest(HttpRequest head) {
 		this.headStartedAt = -1;
 		CallerResponse begun = new CallerResponse(this, this.router, this.output, head);
-		this.response = begun;
+		if (!this.responses.isEmpty()) {
+			begun.awaitTurn(this.waitingBytes);
+			this.router.countPipelinedRequest();
+		}
+		this.responses.add(begun);
 		if (head.decoderResult().isFailure()) {
 			Throwable cause = head.decoderResult().cause();
 			begun.rejectAndClose((cause instanceof TooLongFrameException) ? HEADERS_TOO_LARGE : BAD_REQUEST,
@@ -434,12 +458,12 @@
 
 	private void rejectAndClose(int status, String reason, HttpHeaders headers) {
 		CallerResponse rejection = new CallerResponse(this, this.router, this.output);
-		this.response = rejection;
+		this.responses.add(rejection);
 		rejection.rejectAndClose(status, reason, headers);
 	}
 
 	private void failAndClose(Exchange current, int status, String reason) {
-		CallerResponse failed = this.response;
+		CallerResponse failed = this.responses.peekLast();
 		if (failed != null) {
 			failed.closeAfter();
 		}
@@ -464,7 +488,7 @@
 
 	@Override
 	public void partWritten() {
-		if (exchange() == null) {
+		if (this.responses.isEmpty()) {
 			this.lastActivityAt = now();
 		}
 		updateBacklog();
@@ -472,17 +496,37 @@
 
 	private void updateBacklog() {
 		this.output.updateBacklog();
-		Exchange current = exchange();
-		if (current != null) {
-			current.callerWritable();
+		for (CallerResponse current : this.responses) {
+			Exchange exchange = current.exchange();
+			if (exchange != null) {
+				exchange.callerWritable();
+			}
 		}
-		else if (this.awaitingCaller && this.output.isWritable()) {
+		CallerResponse first = this.responses.peek();
+		if ((this.awaitingCaller || first != null && first.isWaiting()) && this.output.isWritable()) {
 			this.awaitingCaller = false;
 			// A write that has just ended may be a part of handling a response.
 			processLater();
 		}
 	}
 
+	/**
+	 * Tells whether more may be kept of responses that wait for their turn.
+	 * @return {@code false} if no more of them is to be read
+	 */
+	boolean mayKeepMore() {
+		return !this.waitingBytes.isFull() && !this.router.isResponseMemoryFull();
+	}
+
+	/**
+	 * Tells whether no request behind this one was started.
+	 * @param response the response to the request
+	 * @return {@code true} if no other response follows, as far as is known
+	 */
+	boolean isLastStarted(CallerResponse response) {
+		return this.responses.peekLast() == response;
+	}
+
 	@Override
 	public void outputEvicted() {
 		recordClose(CallerCloseReason.NOT_READ, "no memory for the response");
@@ -512,13 +556,14 @@
 	 * @param ended the response
 	 */
 	void responseEnded(CallerResponse ended) {
-		this.response = null;
+		this.responses.remove(ended);
 		this.lastActivityAt = now();
 		if (this.output.hasFailed()) {
 			return;
 		}
 		if (ended.isKeepAlive() && !ended.isBodyIncomplete()) {
 			flush();
+			beginTurn();
 			setReading(true);
 			process();
 			return;
@@ -526,12 +571,27 @@
 		closeAfterLastResponse(ended.isBodyIncomplete() || this.discarding, ended.isCloseDelimited());
 	}
 
+	// The response whose turn it is waits until the caller takes earlier ones.
+	private void beginTurn() {
+		CallerResponse first = this.responses.peek();
+		if (first != null && first.isWaiting() && !this.closing.hasBegun() && this.output.isWritable()) {
+			first.takeTurn();
+		}
+	}
+
+	private void cancelResponses() {
+		List<CallerResponse> cancelled = List.copyOf(this.responses);
+		this.responses.clear();
+		cancelled.forEach(CallerResponse::cancel);
+	}
+
 	private void closeAfterLastResponse(boolean bodyIncomplete, boolean closeDelimited) {
 		this.discarding = false;
 		this.input.setPausedForMemory(false);
 		this.headStartedAt = -1;
 		this.input.setDiscarded(false);
 		this.closing.begin();
+		cancelResponses();
 		discardQueued();
 		if (this.input.hasUndecoded()) {
 			discardUndecoded();
@@ -554,7 +614,7 @@
 	 */
 	void responseAborted(CallerResponse aborted, String reason) {
 		recordClose(CallerCloseReason.RESPONSE_ABORTED, reason);
-		this.response = null;
+		this.responses.remove(aborted);
 		context().flush();
 		closeBrokenOff();
 	}
@@ -567,10 +627,17 @@
 	}
 
 	/**
-	 * Sets whether further data of the request is read.
+	 * Sets whether further data of a request is read, unless a later one was begun.
+	 * @param response the response to the request
 	 * @param reading {@code true} to read, {@code false} to apply backpressure
 	 */
-	void setReading(boolean reading) {
+	void setReading(CallerResponse response, boolean reading) {
+		if (this.responses.isEmpty() || isLastStarted(response)) {
+			setReading(reading);
+		}
+	}
+
+	private void setReading(boolean reading) {
 		this.input.setWanted(reading);
 		applyReading();
 		if (reading) {
@@ -608,13 +675,14 @@
 			}
 			return;
 		}
-		Exchange current = exchange();
-		if (current == null && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
+		Exchange current = lastExchange();
+		boolean unoccupied = this.responses.isEmpty();
+		if (unoccupied && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
 				&& now - this.headStartedAt > headerTimeoutMs) {
 			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms",
 					new DefaultHttpHeaders());
 		}
-		else if (current == null && idleMs > idleTimeoutMs) {
+		else if (unoccupied && idleMs > idleTimeoutMs) {
 			closeIfStillIdle();
 		}
 		else if (current != null && !current.isBodyComplete() && this.input.isReading() && idleMs > idleTimeoutMs) {
@@ -623,13 +691,15 @@
 	}
 
 	/**
-	 * Rejects the request in progress if it is not at a server yet and could not be
+	 * Rejects the requests in progress that are not at a server yet and could not be
 	 * completed before the planned stop of this process ends.
 	 */
 	void rejectIfUnfinishable() {
-		Exchange current = exchange();
-		if (current != null) {
-			current.rejectIfUnfinishable();
+		for (CallerResponse response : List.copyOf(this.responses)) {
+			Exchange current = response.exchange();
+			if (current != null) {
+				current.rejectIfUnfinishable();
+			}
 		}
 	}
 
@@ -668,8 +738,8 @@
 	}
 
 	private boolean isIdle() {
-		boolean busy = this.closing.hasBegun() || exchange() != null || this.headStartedAt >= 0 || this.discarding
-				|| !this.input.isEmpty() || this.input.isDecodingSuspended();
+		boolean busy = this.closing.hasBegun() || !this.responses.isEmpty() || this.headStartedAt >= 0
+				|| this.discarding || !this.input.isEmpty() || this.input.isDecodingSuspended();
 		return !busy && now() - this.lastActivityAt >= MIN_IDLE_BEFORE_CLOSE_MS;
 	}
 
@@ -681,17 +751,13 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		recordCloseByOthers("");
-		Exchange current = exchange();
-		this.response = null;
 		this.closing.begin();
 		discardQueued();
 		this.closing.report();
 		this.input.releaseMemory();
 		updateBacklog();
 		this.router.removeConnection(this);
-		if (current != null) {
-			current.callerDisconnected();
-		}
+		cancelResponses();
 	}
 
 	@Override
@@ -702,7 +768,7 @@
 	}
 
 	private void recordClose(CallerCloseReason reason, String why) {
-		CallerResponse current = this.response;
+		CallerResponse current = this.responses.peek();
 		recordClose(reason, why, (current != null) ? current.progress() : RequestProgress.NONE);
 	}
 
@@ -715,7 +781,8 @@
 	 */
 	private void recordClose(CallerCloseReason reason, String why, RequestProgress progress) {
 		this.closeRecorder.recordClose(() -> {
-			Exchange current = exchange();
+			CallerResponse first = this.responses.peek();
+			Exchange current = (first != null) ? first.exchange() : null;
 			return new CallerClose(reason, why, this.output.remoteAddress(), progress,
 					(current != null) ? current.requestId() : "", (current != null) ? current.sends() : 0,
 					this.input.partialHeadBytes(), this.closing.isBodyUnread() || this.discarding,
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -22,6 +22,7 @@
 import org.lovagevale.core.memory.HeldKind;
 import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.memory.MemoryReservation;
+import org.lovagevale.core.pipelining.PipelineState;
 import org.lovagevale.gateway.ServerProtocol;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -177,6 +178,15 @@
 		MemoryEviction.evictExcess("responses", this.services.responseMemory(), this.services.metrics());
 	}
 
+	/**
+	 * Creates the account of a response that waits until earlier ones are sent.
+	 * @param eviction gives up what is held of it
+	 * @return the account
+	 */
+	MemoryReservation reserveResponse(Runnable eviction) {
+		return this.services.responseMemory().reserveEvictable(HeldKind.RESPONSE_BODY, eviction);
+	}
+
 	boolean isMemoryFull() {
 		return this.services.memory().isFull();
 	}
@@ -219,6 +229,43 @@
 		this.services.metrics().countFailedWrite("caller");
 	}
 
+	void countPipelinedRequest() {
+		this.services.metrics().countPipelinedRequest();
+	}
+
+	void countWaitingResponse(long bytes) {
+		this.services.metrics().countWaitingResponse(bytes);
+	}
+
+	void countReplacedResponse() {
+		this.services.metrics().countReplacedResponse();
+	}
+
+	/**
+	 * Decides whether a request may start behind unanswered ones on its connection.
+	 * @param head the head of the request
+	 * @param unanswered the number of unanswered requests
+	 * @param concurrent whether all of these may run beside others
+	 * @param ending whether the connection is closed after a response to one of these
+	 * @return {@code false} if it has to wait
+	 */
+	boolean mayStartBehind(HttpRequest head, int unanswered, boolean concurrent, boolean ending) {
+		ServingConfiguration configuration = this.services.catalog().configuration();
+		Route route = (configuration != null && concurrent && PipelinedHead.isConcurrent(head))
+				? findRoute(configuration, head) : null;
+		boolean repeatable = route != null && route.kind().isRepeatable();
+		double memoryShare = Math.max(shareInUse(this.services.memory()), shareInUse(this.services.responseMemory()));
+		return new PipelineState(unanswered, repeatable, ending || isStopping(), memoryShare).mayStartNext();
+	}
+
+	private static double shareInUse(MemoryAccount account) {
+		return (double) account.heldBytes() / account.limitBytes();
+	}
+
+	private static @Nullable Route findRoute(ServingConfiguration configuration, HttpRequest head) {
+		return configuration.routes().find(String.valueOf(head.headers().get(HttpHeaderNames.HOST)), path(head.uri()));
+	}
+
 	/**
 	 * Validates the head of a request and starts its exchange, or rejects the request.
 	 * @param head the head
@@ -239,8 +286,7 @@
 			replyEarly(response, head, SERVICE_UNAVAILABLE, "no configuration yet", headers);
 			return;
 		}
-		String path = path(head.uri());
-		Route route = configuration.routes().find(String.valueOf(head.headers().get(HttpHeaderNames.HOST)), path);
+		Route route = findRoute(configuration, head);
 		if (route == null) {
 			replyEarly(response, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
@@ -252,7 +298,8 @@
 			replyEarly(response, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
 			return;
 		}
-		response.handle(new Exchange(this.services, response, request));
+		response.handle(new Exchange(this.services, response, request),
+				route.kind().isRepeatable() && PipelinedHead.isConcurrent(head));
 	}
 
 	private CallerRequest request(HttpRequest head, Route route, ServingConfiguration configuration, String caller,
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/UnreadResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/UnreadResponseTests.java
@@ -44,6 +44,7 @@
 		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, body)));
 		this.gateway = new TestGateway(List.of()).publishConfiguration(20_000)
 			.publishServer("a", this.server.port())
+			.publishServer("b", this.server.port())
 			.start();
 	}
 
