Let requests that arrive in part not hold up pipelined ones

A later request of a connection waits from half of the memory for requests on. Heads that arrive slowly in part counted as well, although they are given up first, so a few callers with such heads could have had all pipelined requests handled one after the other. Only what accepted requests hold counts now; MemoryAccountTests covers the sum.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/memory/MemoryAccount.java
@@ -114,8 +114,7 @@
 	 * @return {@code false} if it has to be rejected
 	 */
 	public boolean accepts(long requestBytes, int priority) {
-		long keptBytes = this.heldBytes - this.evictableBytes;
-		return keptBytes + requestBytes <= this.limitBytes * shareFor(requestBytes, priority);
+		return keptBytes() + requestBytes <= this.limitBytes * shareFor(requestBytes, priority);
 	}
 
 	private static double shareFor(long requestBytes, int priority) {
@@ -209,6 +208,14 @@
 		return this.heldBytes;
 	}
 
+	/**
+	 * Returns the held bytes that cannot be evicted.
+	 * @return the size in bytes
+	 */
+	public long keptBytes() {
+		return this.heldBytes - this.evictableBytes;
+	}
+
 	/**
 	 * Returns the held bytes of a kind.
 	 * @param kind what the bytes belong to
--- a/lovagevale-core/src/main/java/org/lovagevale/core/pipelining/PipelineState.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/pipelining/PipelineState.java
@@ -10,8 +10,8 @@
  * not sent completely
  * @param concurrent whether the next request and all of these may run at the same time
  * @param ending whether the connection is closed after a response to one of these
- * @param memoryShare the share of the memory for requests or for responses that is in
- * use, whichever is larger
+ * @param memoryShare the share of the memory for requests that accepted ones hold, or of
+ * that for responses which is in use, whichever is larger
  */
 public record PipelineState(int unanswered, boolean concurrent, boolean ending, double memoryShare) {
 
--- a/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/memory/MemoryAccountTests.java
@@ -119,7 +119,9 @@
 		this.account.reserveEvictable(HeldKind.REQUEST_HEAD, () -> {
 		}).resize(LIMIT_BYTES - 1);
 		assertThat(this.account.accepts(1_000, 0)).isTrue();
+		assertThat(this.account.keptBytes()).isZero();
 		this.account.reserve(HeldKind.REQUEST_HEAD, LIMIT_BYTES - 1);
+		assertThat(this.account.keptBytes()).isEqualTo(LIMIT_BYTES - 1);
 		assertThat(this.account.accepts(1_000, 0)).isFalse();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -254,12 +254,15 @@
 		Route route = (configuration != null && concurrent && PipelinedHead.isConcurrent(head))
 				? findRoute(configuration, head) : null;
 		boolean repeatable = route != null && route.kind().isRepeatable();
-		double memoryShare = Math.max(shareInUse(this.services.memory()), shareInUse(this.services.responseMemory()));
-		return new PipelineState(unanswered, repeatable, ending || isStopping(), memoryShare).mayStartNext();
+		return new PipelineState(unanswered, repeatable, ending || isStopping(), memoryShare()).mayStartNext();
 	}
 
-	private static double shareInUse(MemoryAccount account) {
-		return (double) account.heldBytes() / account.limitBytes();
+	// Requests that arrive slowly in part are given up before others have to wait.
+	private double memoryShare() {
+		MemoryAccount requests = this.services.memory();
+		MemoryAccount responses = this.services.responseMemory();
+		return Math.max((double) requests.keptBytes() / requests.limitBytes(),
+				(double) responses.heldBytes() / responses.limitBytes());
 	}
 
 	private static @Nullable Route findRoute(ServingConfiguration configuration, HttpRequest head) {
