Divide contended capacity between the kinds of requests of a service

Cause: during a burst the admission by expected wait favours kinds with a long target, and the order by priority starves the others. Requests that had waited 1 s were sent to slow servers on which they could not finish, and each pass over a long queue counted as 20 attempts to use a last slot.

The test of the retry delay expects spread delays now, and the test of unreachable servers lets the other server answer first.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/SlotAsk.java
@@ -21,8 +21,11 @@
  * @param timeLeftMs the time left until the request times out, in milliseconds
  * @param tried the servers to which the request was already sent
  * @param fingerprint a hash of the request as sent by the caller
+ * @param route the name of the route
+ * @param bodyBytes the size of the request body in bytes
+ * @param overflow the regions to which the request may be moved
  */
 public record SlotAsk(long number, String service, String domain, List<String> homes, boolean localOnly, int priority,
 		boolean large, String purpose, int workMs, int targetLeftMs, int timeLeftMs, List<String> tried,
-		long fingerprint) implements RegionMessage {
+		long fingerprint, String route, int bodyBytes, List<String> overflow) implements RegionMessage {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
@@ -41,7 +41,16 @@
 		if (slots == 0) {
 			return new Verdict(false, RefusalCause.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
 		}
-		double waitMs = expectedWaitMs(workAheadMs, request.workMs(), slots);
+		return decide(request, expectedWaitMs(workAheadMs, request.workMs(), slots));
+	}
+
+	/**
+	 * Decides whether a request may be queued.
+	 * @param request the request
+	 * @param waitMs the expected wait in milliseconds
+	 * @return the verdict
+	 */
+	static Verdict decide(SlotRequest request, double waitMs) {
 		double spareMs = request.targetLeftMs() - request.workMs() * BUSY_FACTOR;
 		double maxWaitMs = Math.max(spareMs, request.workMs() * MIN_WAIT_SHARE);
 		if (waitMs <= maxWaitMs && waitMs < request.timeLeftMs()) {
@@ -50,6 +59,33 @@
 		return new Verdict(false, RefusalCause.OVERLOAD, Math.max(MIN_RETRY_AFTER_MS, (int) waitMs));
 	}
 
+	/**
+	 * Decides whether the request of a caller that was rejected before may be queued. It
+	 * may miss its target, but not its timeout.
+	 * @param request the request
+	 * @param workAheadMs the sum of the usual processing times of the requests queued
+	 * ahead of it, in milliseconds
+	 * @param slots the number of slots of the servers that it may use
+	 * @return the verdict
+	 */
+	static Verdict decideReturned(SlotRequest request, long workAheadMs, int slots) {
+		if (slots == 0) {
+			return new Verdict(false, RefusalCause.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
+		}
+		return decideReturned(request, expectedWaitMs(workAheadMs, request.workMs(), slots));
+	}
+
+	/**
+	 * Decides whether the request of a caller that was rejected before may be queued.
+	 * @param request the request
+	 * @param waitMs the expected wait in milliseconds
+	 * @return the verdict
+	 */
+	static Verdict decideReturned(SlotRequest request, double waitMs) {
+		boolean admitted = waitMs <= request.timeLeftMs() - request.workMs() * BUSY_FACTOR;
+		return new Verdict(admitted, RefusalCause.OVERLOAD, admitted ? 0 : Math.max(MIN_RETRY_AFTER_MS, (int) waitMs));
+	}
+
 	static double expectedWaitMs(long workAheadMs, int workMs, int slots) {
 		return (workAheadMs + workMs) * BUSY_FACTOR / slots;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/LastSlotPolicy.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/LastSlotPolicy.java
@@ -18,8 +18,9 @@
 	private static final double SMOOTHING_RESPONSES = 30;
 
 	/**
-	 * One in this many requests that find only last slots free uses one, so that the
-	 * slowdown is still measured.
+	 * A last slot is used once in this many responses, so that the slowdown is still
+	 * measured. Attempts to place are not counted: a long queue is tried again for each
+	 * free slot, and would use all last slots.
 	 */
 	private static final int EXPLORATION_INTERVAL = 20;
 
@@ -27,7 +28,7 @@
 
 	private double fullFactor = INITIAL_FULL_FACTOR;
 
-	private int explorationCandidates;
+	private int responsesSinceExploration;
 
 	/**
 	 * Updates the slowdown from a response.
@@ -35,6 +36,7 @@
 	 * @param responseTimeFactor the response time as a factor of the usual time
 	 */
 	void recordResponse(boolean wasFull, double responseTimeFactor) {
+		this.responsesSinceExploration++;
 		if (wasFull) {
 			this.fullFactor += (responseTimeFactor - this.fullFactor) / SMOOTHING_RESPONSES;
 		}
@@ -63,11 +65,14 @@
 	/**
 	 * Tells whether to use a last slot for exploration although {@link #isWorthUsing}
 	 * advises against it.
-	 * @return {@code true} once in {@link #EXPLORATION_INTERVAL} calls
+	 * @return {@code true} at most once in {@link #EXPLORATION_INTERVAL} responses
 	 */
 	boolean shouldExplore() {
-		this.explorationCandidates++;
-		return this.explorationCandidates % EXPLORATION_INTERVAL == 0;
+		if (this.responsesSinceExploration < EXPLORATION_INTERVAL) {
+			return false;
+		}
+		this.responsesSinceExploration = 0;
+		return true;
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -42,6 +42,9 @@
 	 */
 	private static final long FULL_AFTER_REJECTION_MS = 120;
 
+	/** Divisor of the slots of a server that has not answered yet. */
+	private static final int UNKNOWN_SLOTS_DIVISOR = 3;
+
 	private static final double PERCENT = 100;
 
 	private final Map<SlotId, Grant> grants = new HashMap<>();
@@ -56,6 +59,9 @@
 
 	private long loadReportedAt = Long.MIN_VALUE;
 
+	/** Whether the server has answered a request or a health check. */
+	private boolean hasAnswered;
+
 	private int otherRequests;
 
 	private long coldUntil;
@@ -140,6 +146,27 @@
 		return this.load.isKnown() ? Math.max(1, this.load.slots()) : Math.max(1, this.instance.slots());
 	}
 
+	/**
+	 * Returns the number of slots that may be granted. A server that has not answered yet
+	 * may have requests of other dispatchers, such as the predecessor of this one.
+	 * @return a part of the slots until the server has answered, then all slots
+	 */
+	int grantableSlots() {
+		return this.hasAnswered ? slots() : (slots() + UNKNOWN_SLOTS_DIVISOR - 1) / UNKNOWN_SLOTS_DIVISOR;
+	}
+
+	void recordAnswer() {
+		this.hasAnswered = true;
+	}
+
+	/**
+	 * Counts a request that was given up without a response. The server may still have it
+	 * until it reports its load.
+	 */
+	void recordGivenUp() {
+		this.otherRequests++;
+	}
+
 	boolean isFull(long now) {
 		return now < this.fullUntil || outstanding(now) >= slots();
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/QueuedRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/QueuedRequest.java
@@ -8,8 +8,13 @@
  *
  * @param request the slot request
  * @param enqueuedAt the monotonic time at which it was queued, in milliseconds
+ * @param callerReturn whether its caller was rejected before and returned as it was told
  */
-record QueuedRequest(SlotRequest request, long enqueuedAt) {
+record QueuedRequest(SlotRequest request, long enqueuedAt, CallerReturn callerReturn) {
+
+	boolean hasReturned() {
+		return this.callerReturn != CallerReturn.NONE;
+	}
 
 	long targetAt() {
 		return this.enqueuedAt + this.request.targetLeftMs();
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SelectionCriteria.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SelectionCriteria.java
@@ -12,6 +12,7 @@
  * is slow at the moment
  * @param maxLoadAgeMs the maximum age of the load report of a server in this region, in
  * milliseconds
+ * @param timeLeftMs the time left until the request times out, in milliseconds
  */
-record SelectionCriteria(double coldRequestsPerSecond, boolean avoidSlowServers, long maxLoadAgeMs) {
+record SelectionCriteria(double coldRequestsPerSecond, boolean avoidSlowServers, long maxLoadAgeMs, long timeLeftMs) {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
@@ -69,7 +69,10 @@
 
 	private final ServerAnnouncements announcements;
 
-	ServerSelector(Region region, RandomSource random, ServerAnnouncements announcements) {
+	private final ServerQuota quota;
+
+	ServerSelector(Region region, RandomSource random, ServerAnnouncements announcements, ServerQuota quota) {
+		this.quota = quota;
 		this.region = region;
 		this.random = random;
 		this.announcements = announcements;
@@ -101,7 +104,9 @@
 				continue;
 			}
 			double slowFactor = server.slowness(now, slowness.average());
-			if (criteria.avoidSlowServers() && slowness.isWorthWaiting(request.workMs(), slowFactor)) {
+			boolean cannotFinish = request.workMs() * slowFactor > criteria.timeLeftMs();
+			if ((criteria.avoidSlowServers() || cannotFinish)
+					&& slowness.isWorthWaiting(request.workMs(), slowFactor)) {
 				continue;
 			}
 			boolean takesLastSlot = server.isLastSlot(now);
@@ -213,6 +218,10 @@
 			return false;
 		}
 		boolean local = isLocal(server);
+		int maxRequests = Math.min(server.grantableSlots(), this.quota.maxRequests(server.instance(), server.slots()));
+		if (server.grantCount() >= maxRequests) {
+			return false;
+		}
 		if (server.isCold(now)) {
 			return local && coldRate > 0 && server.coldRateLimiter().allowsRequest(now) && server.grantCount() < 2;
 		}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -36,6 +36,10 @@
 
 	private final SlownessEstimate slowness = new SlownessEstimate();
 
+	private final CapacityDivision division = new CapacityDivision();
+
+	private final ReturnSchedule returns;
+
 	private final ExtraSendBudget budget;
 
 	private @Nullable ServiceSpec spec;
@@ -43,8 +47,9 @@
 	// A time far in the past that can be subtracted from any time without overflow.
 	private long lastRequestedAt = Long.MIN_VALUE / 2;
 
-	ServicePool(ExtraSendBudget budget) {
+	ServicePool(ExtraSendBudget budget, ReturnSchedule returns) {
 		this.budget = budget;
+		this.returns = returns;
 	}
 
 	long lastRequestedAt() {
@@ -71,6 +76,14 @@
 		return this.lastSlotPolicy;
 	}
 
+	CapacityDivision division() {
+		return this.division;
+	}
+
+	ReturnSchedule returns() {
+		return this.returns;
+	}
+
 	ExtraSendBudget budget() {
 		return this.budget;
 	}
@@ -124,18 +137,58 @@
 				|| !request.homeRegions().equals(first.request().homeRegions());
 	}
 
-	Admission.Verdict admit(SlotRequest request, ServerSelector selector, Set<FailureDomain> evacuated, long now) {
+	/**
+	 * Decides whether a request may be queued.
+	 * @param request the request
+	 * @param callerReturn whether its caller was rejected before and returned as it was
+	 * told
+	 * @param selector tells which servers the request may use
+	 * @param evacuated failure domains that get no requests
+	 * @param now the monotonic time in milliseconds
+	 * @return the verdict
+	 */
+	Admission.Verdict admit(SlotRequest request, CallerReturn callerReturn, ServerSelector selector,
+			Set<FailureDomain> evacuated, long now) {
+		int slots = usableSlots(request, selector, evacuated, now);
+		long workAheadMs = this.queue.workAheadMs(request.priority());
+		boolean planned = callerReturn == CallerReturn.PLANNED;
+		long plannedMs = planned ? 0 : this.returns.plannedWorkMs(request.priority(), now);
+		Admission.Verdict verdict = (callerReturn == CallerReturn.NONE)
+				? Admission.decide(request, workAheadMs + plannedMs, slots)
+				: Admission.decideReturned(request, workAheadMs + plannedMs, slots);
+		if (!verdict.admitted() || this.queue.size() == 0) {
+			return verdict;
+		}
+		if (!planned && this.division.hasItsPart(request, slots, now)) {
+			return new Admission.Verdict(false, RefusalCause.OVERLOAD, drainMs(selector, evacuated, now));
+		}
+		double waitMs = this.division.expectedWaitMs(request, workAheadMs + plannedMs, slots, now);
+		return (callerReturn == CallerReturn.NONE) ? Admission.decide(request, waitMs)
+				: Admission.decideReturned(request, waitMs);
+	}
+
+	private int usableSlots(SlotRequest request, ServerSelector selector, Set<FailureDomain> evacuated, long now) {
 		int slots = 0;
 		boolean ignoreEjections = selector.hasNoUsableServer(request, this.servers.values(), evacuated, now);
 		for (PooledServer server : this.servers.values()) {
 			boolean usable = ignoreEjections ? selector.isUntried(request, server, evacuated)
 					: selector.isUsable(request, server, evacuated, now);
-			if (!usable) {
-				continue;
+			if (usable) {
+				slots += (selector.isLocal(server) && !server.isCold(now)) ? usableSlots(server) : 1;
 			}
-			slots += (selector.isLocal(server) && !server.isCold(now)) ? usableSlots(server) : 1;
 		}
-		return Admission.decide(request, this.queue.workAheadMs(request.priority()), slots);
+		return slots;
+	}
+
+	/**
+	 * Plans the return of a request that is refused for lack of capacity.
+	 * @param request the request
+	 * @param minDelayMs the time until it could be served, in milliseconds
+	 * @param now the monotonic time in milliseconds
+	 * @return the retry delay in milliseconds
+	 */
+	int planReturn(SlotRequest request, int minDelayMs, long now) {
+		return this.returns.plan(request, minDelayMs, this.division.grantedWork(request, now), now);
 	}
 
 	private int usableSlots(PooledServer server) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -45,6 +45,8 @@
 
 	private final Clock clock;
 
+	private final RandomSource random;
+
 	private final PlacingLimits limits;
 
 	private final SlotReplies replies;
@@ -76,13 +78,33 @@
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
 			Predicate<ServiceName> isSoleOwner, ServerAnnouncements announcements, SlotReplies replies) {
+		this(clock, random, region, limits, isSoleOwner, ServerQuota.UNLIMITED, announcements, replies);
+	}
+
+	/**
+	 * Creates a dispatcher without servers.
+	 * @param clock the clock
+	 * @param random breaks ties
+	 * @param region the region of this process
+	 * @param limits the limits on retries and cold servers
+	 * @param isSoleOwner tells for which services no other process of the region grants
+	 * slots
+	 * @param quota limits the requests on a server while other processes may place
+	 * requests on it too
+	 * @param announcements the announcements of servers to this process
+	 * @param replies receives the replies
+	 */
+	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
+			Predicate<ServiceName> isSoleOwner, ServerQuota quota, ServerAnnouncements announcements,
+			SlotReplies replies) {
 		this.clock = clock;
+		this.random = random;
 		this.limits = limits;
 		this.isSoleOwner = isSoleOwner;
 		this.replies = replies;
 		this.announcements = announcements;
 		this.leavingReports = new LeavingReports(announcements);
-		this.selector = new ServerSelector(region, random, announcements);
+		this.selector = new ServerSelector(region, random, announcements, quota);
 	}
 
 	/**
@@ -141,25 +163,30 @@
 					pool.expectedWaitMs(this.selector, this.evacuated, now));
 			return;
 		}
+		pool.division().recordRequest(request, now);
 		ServerSelector.Candidate found = pool.mayBypassQueue(request, now) ? choose(pool, request, now, now) : null;
+		QueuedRequest queued = new QueuedRequest(request, now, pool.returns().takeReturned(request, now));
 		if (found != null) {
-			grant(pool, new QueuedRequest(request, now), found, now);
+			grant(pool, queued, found, now);
 			return;
 		}
-		enqueue(pool, request, now);
+		enqueue(pool, queued, now);
 	}
 
-	private void enqueue(ServicePool pool, SlotRequest request, long now) {
-		Admission.Verdict verdict = pool.admit(request, this.selector, this.evacuated, now);
+	private void enqueue(ServicePool pool, QueuedRequest queued, long now) {
+		SlotRequest request = queued.request();
+		Admission.Verdict verdict = pool.admit(request, queued.callerReturn(), this.selector, this.evacuated, now);
 		if (verdict.admitted()) {
-			pool.queue().add(new QueuedRequest(request, now));
+			pool.queue().add(queued);
 			this.replies.queued(request.id());
 			return;
 		}
 		if (request.purpose() == SendPurpose.RETRY) {
 			pool.budget().recordUnused(SendPurpose.RETRY, now);
 		}
-		this.replies.refused(request.id(), verdict.cause(), verdict.retryAfterMs());
+		boolean overload = verdict.cause() == RefusalCause.OVERLOAD;
+		this.replies.refused(request.id(), verdict.cause(),
+				overload ? pool.planReturn(request, verdict.retryAfterMs(), now) : verdict.retryAfterMs());
 	}
 
 	/**
@@ -201,6 +228,16 @@
 			SlotRelease release, long now) {
 		server.recordLoad(release.load(), now);
 		pool.slowness().recordLoad(release.load());
+		switch (release.outcome()) {
+			case SERVED, NOT_EXECUTED -> server.recordAnswer();
+			case FAILED, LOST, ABANDONED -> {
+				if (!release.load().isKnown()) {
+					server.recordGivenUp();
+				}
+			}
+			default -> {
+			}
+		}
 		switch (release.outcome()) {
 			case SERVED -> {
 				server.ejection().recordSuccess();
@@ -250,6 +287,7 @@
 		PooledServer server = (pool != null) ? pool.find(id) : null;
 		if (pool != null && server != null) {
 			server.recordLoad(load, now);
+			server.recordAnswer();
 			pool.slowness().recordLoad(load);
 			pool.budget().observeOwnership(this.isSoleOwner.test(server.instance().service()), now);
 			server.ejection().recordReachable();
@@ -326,7 +364,7 @@
 			pool.servers().forEach((server) -> server.removeExpiredGrants(now));
 			for (QueuedRequest expired : pool.queue().removeIf((queued) -> queued.isTooLate(now))) {
 				this.replies.refused(expired.request().id(), RefusalCause.TOO_LATE,
-						pool.drainMs(this.selector, this.evacuated, now));
+						pool.planReturn(expired.request(), pool.drainMs(this.selector, this.evacuated, now), now));
 			}
 			serveQueue(pool, now);
 		}
@@ -414,7 +452,7 @@
 		double coldRate = this.isSoleOwner.test(request.service()) ? pool.coldRequestsPerSecond() : 0;
 		long waited = now - since;
 		return new SelectionCriteria(coldRate, waited < SlownessEstimate.MAX_WAIT_MS,
-				pool.slowness().maxLoadAgeMs(waited));
+				pool.slowness().maxLoadAgeMs(waited), request.timeLeftMs() - waited);
 	}
 
 	private void grant(ServicePool pool, QueuedRequest queued, ServerSelector.Candidate found, long now) {
@@ -432,11 +470,13 @@
 		}
 		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
 				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
+		pool.division().recordGrant(request, now);
 		this.replies.granted(request.id(), server.instance().id(), why);
 	}
 
 	private ServicePool pool(ServiceName service) {
-		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(new ExtraSendBudget(this.limits)));
+		return this.pools.computeIfAbsent(service,
+				(name) -> new ServicePool(new ExtraSendBudget(this.limits), new ReturnSchedule(this.random)));
 	}
 
 	/**
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotRequest.java
@@ -30,10 +30,15 @@
  * @param triedServers the servers that the request was already sent to
  * @param fingerprint a hash of the request as sent by the caller, the same for repeated
  * requests
+ * @param route the name of the route, which distinguishes the kinds of requests
+ * @param bodyBytes the size of the request body in bytes
+ * @param overflowRegions the regions to which the request may be moved if this region has
+ * too little capacity; empty if it must be placed here
  */
 public record SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homeRegions,
 		boolean localOnly, int priority, boolean largeResponse, SendPurpose purpose, int workMs, int targetLeftMs,
-		int timeLeftMs, Set<ServerName> triedServers, long fingerprint) {
+		int timeLeftMs, Set<ServerName> triedServers, long fingerprint, String route, int bodyBytes,
+		Set<Region> overflowRegions) {
 
 	/**
 	 * Copies the collections.
@@ -41,6 +46,31 @@
 	public SlotRequest {
 		homeRegions = Set.copyOf(homeRegions);
 		triedServers = Set.copyOf(triedServers);
+		overflowRegions = Set.copyOf(overflowRegions);
+	}
+
+	/**
+	 * Creates a request of an unnamed route without a body, which must be placed in this
+	 * region.
+	 * @param id the identity of this slot request
+	 * @param service the service
+	 * @param domain the failure domain of the entry VM that holds the request
+	 * @param homeRegions the regions in which the request may be served; empty for all
+	 * @param localOnly whether only servers of this region may be used
+	 * @param priority the priority, 0 being the highest
+	 * @param largeResponse whether the response is large
+	 * @param purpose whether this is the first send or a retry
+	 * @param workMs the usual processing time of such requests, in milliseconds
+	 * @param targetLeftMs the time left to meet the target latency, in milliseconds
+	 * @param timeLeftMs the time left until the request times out, in milliseconds
+	 * @param triedServers the servers that the request was already sent to
+	 * @param fingerprint a hash of the request as sent by the caller
+	 */
+	public SlotRequest(SlotId id, ServiceName service, FailureDomain domain, Set<Region> homeRegions, boolean localOnly,
+			int priority, boolean largeResponse, SendPurpose purpose, int workMs, int targetLeftMs, int timeLeftMs,
+			Set<ServerName> triedServers, long fingerprint) {
+		this(id, service, domain, homeRegions, localOnly, priority, largeResponse, purpose, workMs, targetLeftMs,
+				timeLeftMs, triedServers, fingerprint, "", 0, Set.of());
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingQueue.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingQueue.java
@@ -12,8 +12,9 @@
  *
  * <p>
  * Orders requests for overloads that last less than a few seconds: by priority, then
- * requests that can still meet their target latency before those that cannot, then by the
- * nearest target. Not thread-safe.
+ * requests of callers that returned as they were told before new ones, then requests that
+ * can still meet their target latency before those that cannot, then by the nearest
+ * target. Not thread-safe.
  */
 final class WaitingQueue {
 
@@ -65,6 +66,7 @@
 
 	private static Comparator<QueuedRequest> order(long now) {
 		return Comparator.comparingInt((QueuedRequest queued) -> queued.request().priority())
+			.thenComparing((queued) -> !queued.hasReturned())
 			.thenComparing((queued) -> !queued.canMeetTarget(now))
 			.thenComparingLong((queued) -> queued.targetAt());
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/Roster.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/Roster.java
@@ -348,6 +348,15 @@
 		return this.hasMajority && this.clock.millis() - this.servingChangedAt >= SETTLED_MS;
 	}
 
+	/**
+	 * Tells whether this process sees a majority of the known members of its region.
+	 * @return {@code false} if it may be cut off from the others
+	 */
+	public boolean hasMajority() {
+		refreshDuties();
+		return this.hasMajority;
+	}
+
 	private void invalidateDuties() {
 		this.dutiesValidUntil = NEVER;
 		recordServingChange();
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -66,15 +66,21 @@
 	}
 
 	@Test
-	void overloadIsRefusedImmediatelyWithTheExpectedWait() {
+	void overloadIsRefusedImmediatelyWithSpreadDelays() {
 		this.fixture.addServer("a", DispatcherFixture.DOMAIN, DispatcherFixture.WEST, 1, false, 0, 1).publishCatalog();
 		List<Long> requested = new ArrayList<>();
 		for (int i = 0; i < 20; i++) {
 			requested.add(this.fixture.requestSlot());
 		}
-		long last = requested.getLast();
-		assertThat(this.fixture.refused).containsEntry(last, RefusalCause.OVERLOAD);
-		assertThat(this.fixture.retryAfterMs.get(last)).isBetween(150, 1_000);
+		assertThat(this.fixture.refused).containsEntry(requested.getLast(), RefusalCause.OVERLOAD);
+		List<Integer> delays = requested.stream()
+			.filter(this.fixture.retryAfterMs::containsKey)
+			.map(this.fixture.retryAfterMs::get)
+			.toList();
+		// The server needs 100 ms for each of them.
+		assertThat(delays).hasSizeGreaterThan(10).doesNotHaveDuplicates().allMatch((delay) -> delay <= 5_000);
+		assertThat(delays.getFirst()).isBetween(150, 1_000);
+		assertThat(delays.get(1) - delays.getFirst()).isGreaterThanOrEqualTo(100);
 		assertThat(this.fixture.queued).hasSizeBetween(1, 4);
 	}
 
@@ -245,6 +251,8 @@
 	@Test
 	void unreachableServerIsUsedOnlyIfThereIsNoOther() {
 		this.fixture.addServer("a").addServer("b").publishCatalog();
+		// A server that has not answered yet gets one request at a time.
+		this.fixture.dispatcher.recordHealthCheck(new ServerName("b"), ServerLoad.UNKNOWN, 0);
 		this.fixture.dispatcher.recordUnreachable(new ServerName("a"));
 		for (int i = 0; i < 2; i++) {
 			assertThat(this.fixture.granted).containsEntry(this.fixture.requestSlot(), new ServerName("b"));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -31,6 +31,7 @@
 import org.lovagevale.core.roster.RosterPhase;
 import org.lovagevale.gateway.fleet.CatalogUpdater;
 import org.lovagevale.gateway.fleet.RegionPeers;
+import org.lovagevale.gateway.fleet.RegionQuota;
 import org.lovagevale.gateway.fleet.SlotClient;
 import org.lovagevale.gateway.http.BackendConnectionPool;
 import org.lovagevale.gateway.http.ConnectionCounts;
@@ -194,8 +195,9 @@
 		this.catalogUpdater = new CatalogUpdater(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
 				this.metrics);
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
-		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
-				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
+		this.slotClient = new SlotClient(clock, this.roster, this.peers,
+				(replies) -> new SlotDispatcher(clock, random, settings.region(), settings.limits(),
+						this::isSoleDispatcher, new RegionQuota(clock, this.roster), announcements, replies));
 		TurnScheduler scheduler = new TurnScheduler(this.loop, clock);
 		this.connectionPool = new BackendConnectionPool(this.loop, () -> loops.onChannel(SocketChannel.class, group),
 				protocol, clock, this.metrics, announcements, this.responseMemory, scheduler,
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -420,7 +420,7 @@
 	@Override
 	public void refused(SlotId id, RefusalCause cause, int retryAfterMs) {
 		if (!isSelf(id.vm())) {
-			send(id.vm(), new SlotRefused(id.number(), cause.name(), retryAfterMs));
+			send(id.vm(), new SlotRefused(id.number(), cause.name(), retryAfterMs, ""));
 			return;
 		}
 		PendingRequest pendingRequest = this.pending.remove(id.number());
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotMessages.java
@@ -34,7 +34,8 @@
 		List<String> triedServers = request.triedServers().stream().map(ServerName::value).toList();
 		return new SlotAsk(request.id().number(), request.service().value(), request.domain().value(), homeRegions,
 				request.localOnly(), request.priority(), request.largeResponse(), request.purpose().name(),
-				request.workMs(), request.targetLeftMs(), request.timeLeftMs(), triedServers, request.fingerprint());
+				request.workMs(), request.targetLeftMs(), request.timeLeftMs(), triedServers, request.fingerprint(),
+				request.route(), request.bodyBytes(), request.overflowRegions().stream().map(Region::value).toList());
 	}
 
 	/**
@@ -47,10 +48,11 @@
 	static SlotRequest toRequest(VmName from, SlotAsk ask) {
 		Set<Region> homeRegions = ask.homes().stream().map(Region::new).collect(Collectors.toSet());
 		Set<ServerName> triedServers = ask.tried().stream().map(ServerName::new).collect(Collectors.toSet());
+		Set<Region> overflowRegions = ask.overflow().stream().map(Region::new).collect(Collectors.toSet());
 		return new SlotRequest(new SlotId(from, ask.number()), new ServiceName(ask.service()),
 				new FailureDomain(ask.domain()), homeRegions, ask.localOnly(), ask.priority(), ask.large(),
 				SendPurpose.valueOf(ask.purpose()), ask.workMs(), ask.targetLeftMs(), ask.timeLeftMs(), triedServers,
-				ask.fingerprint());
+				ask.fingerprint(), ask.route(), ask.bodyBytes(), overflowRegions);
 	}
 
 	static SlotReturned toMessage(SlotRelease release) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -325,7 +325,8 @@
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint()), this);
+					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(), Set.of()),
+					this);
 	}
 
 	// Other entry VMs may go on using these servers, so their dispatcher does not know.
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
@@ -139,7 +139,7 @@
 		SlotClient client = client(new Incarnation(2, 8));
 		client.requestSlot(new SlotRequest(client.nextId(), new ServiceName("balances"), DOMAIN, Set.of(), false, 1,
 				false, SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1), listener());
-		client.handleRefusal(DISPATCHER, new SlotRefused(earlier.number(), RefusalCause.OVERLOAD.name(), 100));
+		client.handleRefusal(DISPATCHER, new SlotRefused(earlier.number(), RefusalCause.OVERLOAD.name(), 100, ""));
 		client.handleGrant(DISPATCHER, new SlotGranted(earlier.number(), "server-of-another-service", ""));
 		assertThat(this.replies).isEmpty();
 		assertThat(this.sent.getLast()).isInstanceOfSatisfying(SlotReturned.class, (returned) -> {
@@ -154,7 +154,7 @@
 		SlotId id = client.nextId();
 		client.requestSlot(new SlotRequest(id, new ServiceName("balances"), DOMAIN, Set.of(), false, 1, false,
 				SendPurpose.FIRST, 10, 400, 2_000, Set.of(), 1), listener());
-		client.handleRefusal(DISPATCHER, new SlotRefused(id.number(), "CAUSE_OF_ANOTHER_RELEASE", 250));
+		client.handleRefusal(DISPATCHER, new SlotRefused(id.number(), "CAUSE_OF_ANOTHER_RELEASE", 250, ""));
 		assertThat(this.replies).containsExactly("refused " + RefusalCause.OVERLOAD);
 		assertThat(client.hasPendingRequests()).isFalse();
 	}
