--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/HedgePlanner.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/HedgePlanner.java
@@ -203,8 +203,8 @@
 
 	private boolean isAvailable(FirstAttempt attempt, PooledServer server, long now) {
 		return server != attempt.server() && this.selector.isLocal(server) && !server.isCold(now)
-				&& this.selector.isUsable(attempt.request(), server, this.evacuated, now) && !server.isFull(now)
-				&& !server.isLastSlot(now);
+				&& this.selector.isUsable(attempt.request(), server, this.evacuated, now)
+				&& this.selector.hasFreeSlot(server, 0, now) && !server.isLastSlot(now);
 	}
 
 }
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/HedgePlannerTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/HedgePlannerTests.java
@@ -112,7 +112,8 @@
 		long number = ++this.lastNumber;
 		this.dispatcher.requestSlot(new SlotRequest(new SlotId(DispatcherFixture.VM, number), DispatcherFixture.SERVICE,
 				DispatcherFixture.DOMAIN, Set.of(), false, 1, false, SendPurpose.FIRST, WORK_MS, 400, 2_000, Set.of(),
-				number, hedgeable));
+				number)
+			.withHedgeable(hedgeable));
 		return number;
 	}
 
@@ -388,7 +389,8 @@
 		long number = ++this.lastNumber;
 		this.dispatcher.requestSlot(new SlotRequest(new SlotId(new VmName("vm-2"), number), DispatcherFixture.SERVICE,
 				DispatcherFixture.DOMAIN, Set.of(), false, 1, false, SendPurpose.FIRST, WORK_MS, 400, 2_000, Set.of(),
-				first, true));
+				first)
+			.withHedgeable(true));
 		reportSlow(number);
 		assertThat(this.offered).isEmpty();
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedHedging.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedHedging.java
@@ -219,7 +219,8 @@
 		SlotId id = new SlotId(VM, this.offered);
 		this.requests.put(id, new Request(id, workMs, this.clock.millis()));
 		SlotRequest ask = new SlotRequest(id, DispatcherFixture.SERVICE, DispatcherFixture.DOMAIN, Set.of(), false, 1,
-				false, SendPurpose.FIRST, WORK_MS, TARGET_MS, TIMEOUT_MS, Set.of(), this.offered, true);
+				false, SendPurpose.FIRST, WORK_MS, TARGET_MS, TIMEOUT_MS, Set.of(), this.offered)
+			.withHedgeable(true);
 		schedule(MESSAGE_MS, () -> this.dispatcher.requestSlot(ask));
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -33,6 +33,7 @@
 import org.lovagevale.gateway.fleet.AccountLimitClient;
 import org.lovagevale.gateway.fleet.CatalogUpdater;
 import org.lovagevale.gateway.fleet.RegionPeers;
+import org.lovagevale.gateway.fleet.RegionQuota;
 import org.lovagevale.gateway.fleet.SlotClient;
 import org.lovagevale.gateway.http.AccountLimits;
 import org.lovagevale.gateway.http.BackendConnectionPool;
@@ -199,8 +200,9 @@
 		this.catalogUpdater = new CatalogUpdater(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
 				this.metrics);
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
-		this.slotClient = new SlotClient(clock, this.roster, this.peers, (replies) -> new SlotDispatcher(clock, random,
-				settings.region(), settings.limits(), this::isSoleDispatcher, announcements, replies));
+		this.slotClient = new SlotClient(clock, this.roster, this.peers,
+				(replies) -> new SlotDispatcher(clock, random, settings.region(), settings.limits(),
+						this::isSoleDispatcher, new RegionQuota(clock, this.roster), announcements, replies));
 		this.limitClient = new AccountLimitClient(clock, this.roster, contacts, this.peers, this.metrics,
 				new LimitPlan(settings.accountPolicy(), Math.max(1, settings.limits().regions())), random,
 				isOnlySeed(settings));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -769,6 +769,9 @@
 		if (timer != null) {
 			timer.cancel(false);
 		}
+		if (this.policy.totalSends() == 0 && !this.placing.isRelayed()) {
+			this.request.limitDecision().returnToken();
+		}
 		SendAttempt unattended = this.attempt;
 		if (unattended != null) {
 			unattended.releaseBuffered();
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -68,6 +68,14 @@
 		return this.pendingSlotId != null;
 	}
 
+	/**
+	 * Tells whether an entry VM of another region may have received the request.
+	 * @return {@code true} if the request was relayed to one that could be reached
+	 */
+	boolean isRelayed() {
+		return !this.relayAttempts.triedRegions().isEmpty();
+	}
+
 	long slotRequestedAt() {
 		return this.slotRequestedAt;
 	}
@@ -171,7 +179,8 @@
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint(), isHedgeable(now)), this);
+					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(), Set.of(),
+					isHedgeable(now)), this);
 	}
 
 	// The transfer of a large response takes longer than the work that is hedged.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -25,6 +25,7 @@
 import org.lovagevale.core.memory.HeldKind;
 import org.lovagevale.core.memory.MemoryAccount;
 import org.lovagevale.core.memory.MemoryReservation;
+import org.lovagevale.core.pipelining.PipelineState;
 import org.lovagevale.gateway.ServerProtocol;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -195,6 +196,15 @@
 		MemoryEviction.evictExcess("responses", this.services.responseMemory(), this.services.metrics());
 	}
 
+	/**
+	 * Creates the account of a response that waits until earlier ones are sent.
+	 * @param eviction gives up what is held of it
+	 * @return the account
+	 */
+	MemoryReservation reserveResponse(Runnable eviction) {
+		return this.services.responseMemory().reserveEvictable(HeldKind.RESPONSE_BODY, eviction);
+	}
+
 	boolean isMemoryFull() {
 		return this.services.memory().isFull();
 	}
@@ -237,67 +247,107 @@
 		this.services.metrics().countFailedWrite("caller");
 	}
 
+	void countPipelinedRequest() {
+		this.services.metrics().countPipelinedRequest();
+	}
+
+	void countWaitingResponse(long bytes) {
+		this.services.metrics().countWaitingResponse(bytes);
+	}
+
+	void countReplacedResponse() {
+		this.services.metrics().countReplacedResponse();
+	}
+
+	/**
+	 * Decides whether a request may start behind unanswered ones on its connection.
+	 * @param head the head of the request
+	 * @param unanswered the number of unanswered requests
+	 * @param concurrent whether all of these may run beside others
+	 * @param ending whether the connection is closed after a response to one of these
+	 * @return {@code false} if it has to wait
+	 */
+	boolean mayStartBehind(HttpRequest head, int unanswered, boolean concurrent, boolean ending) {
+		ServingConfiguration configuration = this.services.catalog().configuration();
+		Route route = (configuration != null && concurrent && PipelinedHead.isConcurrent(head))
+				? findRoute(configuration, head) : null;
+		boolean repeatable = route != null && route.kind().isRepeatable();
+		return new PipelineState(unanswered, repeatable, ending || isStopping(), memoryShare()).mayStartNext();
+	}
+
+	// Requests that arrive slowly in part are given up before others have to wait.
+	private double memoryShare() {
+		MemoryAccount requests = this.services.memory();
+		MemoryAccount responses = this.services.responseMemory();
+		return Math.max((double) requests.keptBytes() / requests.limitBytes(),
+				(double) responses.heldBytes() / responses.limitBytes());
+	}
+
+	private static @Nullable Route findRoute(ServingConfiguration configuration, HttpRequest head) {
+		return configuration.routes().find(String.valueOf(head.headers().get(HttpHeaderNames.HOST)), path(head.uri()));
+	}
+
 	/**
 	 * Validates the head of a request and starts its exchange, or rejects the request.
 	 * @param head the head
-	 * @param connection the connection on which the request arrived
+	 * @param response the response to the request
 	 * @param caller the IP address of the caller
 	 * @param arrivedAt the monotonic time at which the head arrived, in milliseconds
 	 */
-	void accept(HttpRequest head, FrontendConnection connection, String caller, long arrivedAt) {
+	void accept(HttpRequest head, CallerResponse response, String caller, long arrivedAt) {
 		Rejection rejection = validate(head);
 		if (rejection != null) {
-			connection.rejectAndClose(rejection.status(), rejection.reason());
+			response.rejectAndClose(rejection.status(), rejection.reason());
 			return;
 		}
 		ServingConfiguration configuration = this.services.catalog().configuration();
 		if (configuration == null) {
 			HttpHeaders headers = new DefaultHttpHeaders();
 			this.services.protocol().setRetryAfter(headers, UNCONFIGURED_RETRY_AFTER_MS);
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no configuration yet", headers);
+			replyEarly(response, head, SERVICE_UNAVAILABLE, "no configuration yet", headers);
 			return;
 		}
-		String path = path(head.uri());
-		Route route = configuration.routes().find(String.valueOf(head.headers().get(HttpHeaderNames.HOST)), path);
+		Route route = findRoute(configuration, head);
 		if (route == null) {
-			replyEarly(connection, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
+			replyEarly(response, head, NOT_FOUND, "no route", new DefaultHttpHeaders());
 			return;
 		}
 		long catalogAgeMs = this.services.catalog().ageMs();
 		switch (this.admission.admit(this.services.protocol().credential(head.headers()), route, configuration,
 				catalogAgeMs)) {
-			case Admission.Admitted admitted -> charge(connection, head, admitted, configuration, caller, arrivedAt);
-			case Admission.Denied denied -> deny(connection, head, denied, DENIAL_RETRY_AFTER_MS);
+			case Admission.Admitted admitted -> charge(response, head, admitted, configuration, caller, arrivedAt);
+			case Admission.Denied denied -> deny(response, head, denied, DENIAL_RETRY_AFTER_MS);
 		}
 	}
 
 	// A request for which there is no memory is not charged.
-	private void charge(FrontendConnection connection, HttpRequest head, Admission.Admitted admitted,
+	private void charge(CallerResponse response, HttpRequest head, Admission.Admitted admitted,
 			ServingConfiguration configuration, String caller, long arrivedAt) {
 		RequestSize size = RequestSize.of(head);
 		if (!this.services.memory().accepts(size.headBytes() + size.bodyBytes(), admitted.route().priority())) {
 			this.services.metrics().countRefusal(serviceOf(admitted.route()).value(), "MEMORY");
-			replyEarly(connection, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
+			replyEarly(response, head, SERVICE_UNAVAILABLE, "no memory for the request", memoryRetryHeaders());
 			return;
 		}
 		LimitDecision decision = this.limits.charge(admitted.account(),
 				this.services.protocol().relayReceiver(head.headers()));
 		if (decision.isRefused()) {
-			deny(connection, head, admitted.denied(DenialCause.RATE_LIMIT), decision.retryAfterMs());
+			deny(response, head, admitted.denied(DenialCause.RATE_LIMIT), decision.retryAfterMs());
 			return;
 		}
 		CallerRequest request = request(head, size, admitted, configuration, caller, arrivedAt, decision);
-		connection.handle(new Exchange(this.services, connection, request));
+		response.handle(new Exchange(this.services, response, request),
+				admitted.route().kind().isRepeatable() && PipelinedHead.isConcurrent(head));
 	}
 
-	private void deny(FrontendConnection connection, HttpRequest head, Admission.Denied denied, long retryAfterMs) {
+	private void deny(CallerResponse response, HttpRequest head, Admission.Denied denied, long retryAfterMs) {
 		DenialCause cause = denied.cause();
 		HttpHeaders headers = new DefaultHttpHeaders();
 		if (cause.status() != UNAUTHORIZED) {
 			this.services.protocol().setRetryAfter(headers, retryAfterMs);
 		}
 		this.services.metrics().countDenial(denied.account(), cause.name());
-		replyEarly(connection, head, cause.status(), cause.reason(), headers);
+		replyEarly(response, head, cause.status(), cause.reason(), denied.account(), headers);
 	}
 
 	private ServiceName serviceOf(Route route) {
@@ -320,16 +370,21 @@
 
 	// The rest of the request may not have arrived yet. It is discarded, since it must
 	// not be parsed as a new request.
-	private void replyEarly(FrontendConnection connection, HttpRequest head, int status, String reason,
+	private void replyEarly(CallerResponse response, HttpRequest head, int status, String reason, HttpHeaders headers) {
+		replyEarly(response, head, status, reason, "", headers);
+	}
+
+	private void replyEarly(CallerResponse response, HttpRequest head, int status, String reason, String account,
 			HttpHeaders headers) {
 		LOGGER.info("{}",
 				LogLine.event("request.rejected")
 					.with("id", String.valueOf(this.services.protocol().requestId(head.headers())))
 					.with("status", status)
 					.with("why", reason)
+					.with("account", account)
 					.with("catalogAgeMs", this.services.catalog().ageMs()));
 		countRejected(status);
-		connection.replyAndDiscard(status, reason, headers);
+		response.replyAndDiscard(status, reason, headers);
 	}
 
 	private static String path(String uri) {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/SlotClientTests.java
@@ -144,7 +144,7 @@
 		SlotClient client = client(new Incarnation(2, 8));
 		client.requestSlot(new SlotRequest(client.nextId(), new ServiceName("balances"), DOMAIN, Set.of(), false, 1,
 				false, SendPurpose.FIRST, 100, 400, 2_000, Set.of(), 1), listener());
-		client.handleRefusal(DISPATCHER, new SlotRefused(earlier.number(), RefusalCause.OVERLOAD.name(), 100));
+		client.handleRefusal(DISPATCHER, new SlotRefused(earlier.number(), RefusalCause.OVERLOAD.name(), 100, ""));
 		client.handleGrant(DISPATCHER, new SlotGranted(earlier.number(), "server-of-another-service", ""));
 		assertThat(this.replies).isEmpty();
 		assertThat(this.sent.getLast()).isInstanceOfSatisfying(SlotReturned.class, (returned) -> {
@@ -159,7 +159,7 @@
 		SlotId id = client.nextId();
 		client.requestSlot(new SlotRequest(id, new ServiceName("balances"), DOMAIN, Set.of(), false, 1, false,
 				SendPurpose.FIRST, 10, 400, 2_000, Set.of(), 1), listener());
-		client.handleRefusal(DISPATCHER, new SlotRefused(id.number(), "CAUSE_OF_ANOTHER_RELEASE", 250));
+		client.handleRefusal(DISPATCHER, new SlotRefused(id.number(), "CAUSE_OF_ANOTHER_RELEASE", 250, ""));
 		assertThat(this.replies).containsExactly("refused " + RefusalCause.OVERLOAD);
 		assertThat(client.hasPendingRequests()).isFalse();
 	}
@@ -168,26 +168,27 @@
 		SlotId id = client.nextId();
 		SlotListener granted = listener();
 		client.requestSlot(new SlotRequest(id, SERVICE, DOMAIN, Set.of(), false, 1, false, SendPurpose.FIRST, 100, 400,
-				2_000, Set.of(), 1, true), new SlotListener() {
-
-					@Override
-					public void granted(SlotGrant grant) {
-						SlotClientTests.this.grants.add(grant);
-						granted.granted(grant);
-					}
-
-					@Override
-					public void refused(RefusalCause cause, int retryAfterMs) {
-						granted.refused(cause, retryAfterMs);
-					}
-
-					@Override
-					public boolean hedgeOffered(SlotGrant grant) {
-						SlotClientTests.this.replies.add("offered " + grant.server());
-						return used;
-					}
-
-				});
+				2_000, Set.of(), 1)
+			.withHedgeable(true), new SlotListener() {
+
+				@Override
+				public void granted(SlotGrant grant) {
+					SlotClientTests.this.grants.add(grant);
+					granted.granted(grant);
+				}
+
+				@Override
+				public void refused(RefusalCause cause, int retryAfterMs) {
+					granted.refused(cause, retryAfterMs);
+				}
+
+				@Override
+				public boolean hedgeOffered(SlotGrant grant) {
+					SlotClientTests.this.replies.add("offered " + grant.server());
+					return used;
+				}
+
+			});
 		return id;
 	}
 
