--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -130,8 +130,7 @@
 
 	/**
 	 * Tells whether a process that has no state is to request one from another process.
-	 * It is requested once.
-	 * @return {@code true} if none was requested yet
+	 * @return {@code true} if none was requested since the last failed read
 	 */
 	public boolean mayRequestState() {
 		return !this.stateRequested;
@@ -194,9 +193,11 @@
 	}
 
 	/**
-	 * Records that a read failed. This process is no longer the reader.
+	 * Records that a read failed. This process is no longer the reader, and may request
+	 * the state of another process again, since it now accepts an old one.
 	 */
 	public void recordFailure() {
+		this.stateRequested = false;
 		this.reading = false;
 		this.failures++;
 		this.reader = false;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
@@ -111,7 +111,13 @@
 	 * @return the decision, which may be pending
 	 */
 	public LimitDecision request(ClientAccount account) {
-		return this.leases.request(account.name(), account.limit(), this.clock.millis());
+		LimitDecision decision = this.leases.request(account.name(), account.limit(), this.clock.millis());
+		// The request may wait for a question that was asked in advance, at whose time
+		// nothing was waiting.
+		if (!decision.isAdmitted() && !decision.isRefused()) {
+			this.waitingListener.run();
+		}
+		return decision;
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -197,8 +197,11 @@
 		if (read != null) {
 			read.dispose();
 		}
-		// Spreads the processes that start together over those that serve.
-		VmName chosen = serving.get(Math.floorMod(this.roster.self().vm().hashCode(), serving.size())).vm();
+		// Spreads the processes that start together over those that serve, and asks
+		// another
+		// one after a failure.
+		int position = this.roster.self().vm().hashCode() + this.schedule.failures();
+		VmName chosen = serving.get(Math.floorMod(position, serving.size())).vm();
 		this.schedule.recordStateRequested(now);
 		this.requestedFrom = chosen;
 		LOGGER.info("{}", LogLine.event("catalog.requested").with("from", chosen));
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -152,11 +152,14 @@
 
 	private void limitDecided() {
 		LimitDecision decision = this.request.limitDecision();
-		if (!this.done && decision.isRefused()) {
+		if (this.done) {
+			decision.returnToken();
+		}
+		else if (decision.isRefused()) {
 			this.services.metrics().countDenial(String.valueOf(this.request.account()), DenialCause.RATE_LIMIT.name());
 			respondLocally(TOO_MANY_REQUESTS, DenialCause.RATE_LIMIT.reason(), (int) decision.retryAfterMs());
 		}
-		else if (!this.done && this.sending.isBodyReady()) {
+		else if (this.sending.isBodyReady()) {
 			this.placing.place();
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ResponseDelivery.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ResponseDelivery.java
@@ -140,10 +140,11 @@
 
 	/**
 	 * Tells whether the started response no longer arrives.
-	 * @return {@code false} if data arrived recently or the caller does not take it
+	 * @return {@code false} if data arrived recently, the caller does not take it or it
+	 * is not read
 	 */
 	boolean isStalled() {
-		return this.caller.isWritable() && this.clock.millis() - this.lastContentAt >= STALL_MS;
+		return !this.paused && this.caller.isWritable() && this.clock.millis() - this.lastContentAt >= STALL_MS;
 	}
 
 	/**
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/InitialCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/InitialCatalogTests.java
@@ -49,6 +49,8 @@
 
 	private int reads;
 
+	private boolean failing;
+
 	private int cancelledReads;
 
 	private CatalogUpdater updater;
@@ -63,6 +65,9 @@
 
 	private Mono<CatalogState> read() {
 		this.reads++;
+		if (this.failing) {
+			return Mono.error(new IllegalStateException("no connection"));
+		}
 		return Mono.<CatalogState>never().doOnCancel(() -> this.cancelledReads++);
 	}
 
@@ -129,6 +134,22 @@
 		assertThat(this.reads).isEqualTo(1);
 	}
 
+	// Guards against a process that rejects requests throughout an outage of the platform
+	// because it asked for the catalog once before its first read failed.
+	@Test
+	void oldCatalogIsRequestedAgainAndAdoptedOnceThePlatformCannotBeRead() {
+		this.roster.recordHeartbeat(member("vm-2", RosterPhase.SERVING));
+		this.updater.tick();
+		this.updater.handleNews(PEER, news(60_000));
+		this.failing = true;
+		this.updater.tick();
+		this.channel.runPendingTasks();
+		this.updater.tick();
+		assertThat(this.sent).containsExactly(new CatalogRequest(0), new CatalogRequest(0));
+		this.updater.handleNews(PEER, news(60_000));
+		assertThat(this.updater.catalog().revision()).isEqualTo(7);
+	}
+
 	@Test
 	void catalogIsEncodedOnceForProcessesThatStartTogether() {
 		this.updater.handleNews(PEER, news(200));
