Keep the limits of accounts when a limiter is replaced

A new limiter granted a fifth for 2 s even if its predecessor had left, and its first report, before it had heard the other regions, made these fall back to the shares of isolated regions. It now lifts the restriction when the predecessor leaves or answers that it is not the limiter, and reports after it has heard all. AccountLimitSimulationTests, AccountLimitClientTests, AccountLimitTests, RegionRelayTests and six other gateway test classes pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/AccountLimiter.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/AccountLimiter.java
@@ -16,9 +16,10 @@
  * Leases the tokens of the accounts with a limit to the entry VMs of a region.
  *
  * <p>
- * Invariant: it grants only while it has a claim. When its duty begins, it has no tokens,
- * and for {@link #NEW_LIMITER_MS} it grants a small part of its share only, since its
- * predecessor may not have noticed yet. Not thread-safe.
+ * Invariant: it grants only while it has a claim. When its duty begins, it has few
+ * tokens, and for {@link #NEW_LIMITER_MS} it grants a small part of its share only,
+ * unless it knows that its predecessor has stopped, since that may not have noticed yet.
+ * Not thread-safe.
  */
 public final class AccountLimiter {
 
@@ -51,6 +52,9 @@
 
 	private double claim;
 
+	/** Until when the predecessor may still grant. */
+	private long newUntil;
+
 	private long dutySince;
 
 	private long reportedAt;
@@ -93,7 +97,7 @@
 	 */
 	public void setLimits(Map<AccountName, RateLimit> limits, long now) {
 		this.accounts.keySet().retainAll(limits.keySet());
-		limits.forEach((name, limit) -> this.accounts.computeIfAbsent(name, (key) -> new LimitedAccount(limit, now))
+		limits.forEach((name, limit) -> this.accounts.computeIfAbsent(name, (key) -> new LimitedAccount(limit, 0, now))
 			.setLimit(limit));
 		update(now);
 	}
@@ -101,9 +105,11 @@
 	/**
 	 * Sets which part of the share of the region this process grants.
 	 * @param newClaim the part; 0 if this process is not the limiter of the region
+	 * @param predecessorLeft whether the former limiter said that it leaves, so that it
+	 * no longer grants
 	 * @param now the monotonic time in milliseconds
 	 */
-	public void setClaim(double newClaim, long now) {
+	public void setClaim(double newClaim, boolean predecessorLeft, long now) {
 		boolean newDuty = newClaim > 0;
 		this.claim = newClaim;
 		if (newDuty == this.onDuty) {
@@ -111,12 +117,34 @@
 		}
 		this.onDuty = newDuty;
 		this.dutySince = now;
+		this.newUntil = predecessorLeft ? now : now + NEW_LIMITER_MS;
 		this.reportedAt = now - IDLE_REPORT_INTERVAL_MS;
 		this.shares = new RegionShares(this.region, this.plan.regions(), this.shares.sequence(), now);
-		this.accounts.replaceAll((name, account) -> new LimitedAccount(account.limit(), now));
+		this.accounts.replaceAll((name, account) -> new LimitedAccount(account.limit(),
+				this.plan.newLimiterTokens(account.limit()) * newClaim, now));
 		update(now);
 	}
 
+	/**
+	 * Tells whether the predecessor may still grant.
+	 * @param now the monotonic time in milliseconds
+	 * @return {@code true} if this limiter grants a small part of its share only
+	 */
+	public boolean isNew(long now) {
+		return this.onDuty && now < this.newUntil;
+	}
+
+	/**
+	 * Records that the predecessor no longer grants.
+	 * @param now the monotonic time in milliseconds
+	 */
+	public void recordPredecessorStopped(long now) {
+		if (isNew(now)) {
+			this.newUntil = now;
+			update(now);
+		}
+	}
+
 	/**
 	 * Answers a question for tokens.
 	 * @param from the VM of the sender
@@ -163,7 +191,7 @@
 		}
 		AccountDemand report = null;
 		long intervalMs = this.hasDemand ? REPORT_INTERVAL_MS : IDLE_REPORT_INTERVAL_MS;
-		if (this.plan.regions() > 1 && now - this.reportedAt >= intervalMs) {
+		if (this.plan.regions() > 1 && now - this.reportedAt >= intervalMs && mayReport(now)) {
 			this.reportedAt = now;
 			Map<AccountName, Integer> demand = new HashMap<>();
 			this.accounts.forEach((name, account) -> demand.put(name, account.requestsPer100Seconds(now)));
@@ -174,13 +202,21 @@
 		return report;
 	}
 
+	// The others keep their shares for so long after the last report of a predecessor.
+	private boolean mayReport(long now) {
+		return this.shares.hasHeardAll(now) || now - this.dutySince >= IDLE_REPORT_INTERVAL_MS;
+	}
+
 	private void update(long now) {
 		this.shares.update(this.accounts.keySet(), now);
-		boolean isNew = now - this.dutySince < NEW_LIMITER_MS;
+		boolean isNew = isNew(now);
 		this.accounts.forEach((name, account) -> {
-			double share = this.shares.share(name) * this.claim;
-			double rate = account.limit().ratePerSecond() * share * (isNew ? this.plan.newLimiterShare() : 1);
-			account.setBucketLimits(rate, isNew ? 1 : this.plan.capacity(account.limit(), share), now);
+			double share = this.shares.share(name);
+			double rate = account.limit().ratePerSecond() * share * this.claim
+					* (isNew ? this.plan.newLimiterShare() : 1);
+			double capacity = isNew ? Math.max(1, this.plan.newLimiterTokens(account.limit()) * this.claim)
+					: this.plan.capacity(account.limit(), share, this.claim);
+			account.setBucketLimits(rate, capacity, now);
 		});
 	}
 
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitPlan.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitPlan.java
@@ -21,11 +21,17 @@
 	private static final double HEADROOM_SHARE = 0.16;
 
 	/** Share of the overage in burst that buckets hold in addition to the burst. */
-	private static final double BURST_HEADROOM_SHARE = 0.8;
+	private static final double BURST_HEADROOM_SHARE = 0.6;
 
 	/** Share of the slack that buckets hold in addition to the burst. */
 	private static final double SLACK_SHARE = 0.5;
 
+	/** Share of the slack with which a new limiter begins. */
+	private static final double NEW_SLACK_SHARE = 0.15;
+
+	/** Share of the overage in burst with which a new limiter begins. */
+	private static final double NEW_BURST_SHARE = 0.4;
+
 	/** Share of the overage that local decisions may use. */
 	private static final double LOCAL_SHARE = 0.2;
 
@@ -89,14 +95,15 @@
 	 * Returns the capacity of the bucket of an account in one region.
 	 * @param limit the limit of the account
 	 * @param share the share of the region
+	 * @param claim the part of the region
 	 * @return the number of tokens, at least 1
 	 */
-	double capacity(RateLimit limit, double share) {
+	double capacity(RateLimit limit, double share, double claim) {
 		double overage = this.policy.overage();
 		double ratePart = limit.ratePerSecond() * this.policy.windowMs() / MS_PER_SECOND * overage * HEADROOM_SHARE;
 		double burstPart = limit.burst() * overage * BURST_HEADROOM_SHARE;
 		double headroom = (ratePart + burstPart + this.policy.slack() * SLACK_SHARE) / this.regions;
-		return Math.max(1, limit.burst() * share + headroom);
+		return Math.max(1, claim * (limit.burst() * share + headroom));
 	}
 
 	/**
@@ -108,6 +115,17 @@
 		return Math.max(MIN_NEW_LIMITER_SHARE, Math.min(1, NEW_LIMITER_SHARE * this.policy.overage()));
 	}
 
+	/**
+	 * Returns the tokens with which a new limiter begins, although its predecessor may
+	 * have used the whole limit.
+	 * @param limit the limit of the account
+	 * @return the number of tokens
+	 */
+	double newLimiterTokens(RateLimit limit) {
+		double burstPart = limit.burst() * this.policy.overage() * NEW_BURST_SHARE;
+		return (burstPart + this.policy.slack() * NEW_SLACK_SHARE) / this.regions;
+	}
+
 	/**
 	 * Returns the rate at which one entry VM decides locally.
 	 * @param limit the limit of the account
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitedAccount.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/LimitedAccount.java
@@ -29,8 +29,8 @@
 	/** Standard deviations of a count from which on a change is not by chance. */
 	private static final double CHANCE_DEVIATIONS = 3;
 
-	/** Weight of the present demand in the average if it hardly differs. */
-	private static final double MIN_NEW_WEIGHT = 0.05;
+	/** Number of counts that are averaged at most. */
+	private static final int MAX_STEADY_SAMPLES = 15;
 
 	/** Maximum retry delay, in milliseconds. */
 	private static final long MAX_RETRY_AFTER_MS = 2_000;
@@ -48,6 +48,9 @@
 
 	private double steadyDemand;
 
+	/** Counts since the last change that was not by chance. */
+	private int steadySamples;
+
 	private double formerDemand;
 
 	private long demandAt;
@@ -57,9 +60,9 @@
 
 	private double rate = MIN_RATE;
 
-	LimitedAccount(RateLimit limit, long now) {
+	LimitedAccount(RateLimit limit, double tokens, long now) {
 		this.limit = limit;
-		this.bucket = new TokenBucket(MIN_RATE, 1, 0, now);
+		this.bucket = new TokenBucket(MIN_RATE, Math.max(1, tokens), tokens, now);
 		this.demandAt = now;
 		this.refusedServedAt = now;
 	}
@@ -115,14 +118,16 @@
 		return (int) Math.min(Integer.MAX_VALUE, Math.max(current, Math.round(this.formerDemand * RESIDUAL_SHARE)));
 	}
 
-	// Follows changes at once that are larger than those by chance, and others the more
-	// slowly the smaller they are.
+	// Follows changes at once that are larger than those by chance, and others by the
+	// average since then.
 	private double steady(double current) {
 		double count = current * COUNT_PER_DEMAND;
 		double steadyCount = this.steadyDemand * COUNT_PER_DEMAND;
 		double deviation = Math.sqrt(Math.max(1, Math.max(count, steadyCount)));
-		double deviations = (count - steadyCount) / (deviation * CHANCE_DEVIATIONS);
-		double weight = Math.clamp(deviations * deviations, MIN_NEW_WEIGHT, 1);
+		boolean changed = Math.abs(count - steadyCount) > deviation * CHANCE_DEVIATIONS;
+		this.steadySamples = changed ? 0 : this.steadySamples + 1;
+		// The first count after a change may have begun before it.
+		double weight = 1.0 / Math.clamp(this.steadySamples, 1, MAX_STEADY_SAMPLES);
 		this.steadyDemand += weight * (current - this.steadyDemand);
 		return this.steadyDemand;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/RegionCensus.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/RegionCensus.java
@@ -31,6 +31,12 @@
 	 */
 	private static final double ENOUGH = 0.95;
 
+	/**
+	 * Smallest part with which a limiter grants. Each bucket holds one token at least, so
+	 * there must be few parts; smaller ones decide locally.
+	 */
+	private static final double MIN_CLAIM = 0.25;
+
 	private final boolean startsAlone;
 
 	private final Map<VmName, Long> seenAt = new HashMap<>();
@@ -87,13 +93,14 @@
 
 	/**
 	 * Returns the part of the share of the region that the limiter may use.
-	 * @return the part, from 0 to 1
+	 * @return the part, from {@link #MIN_CLAIM} to 1, or 0 if there must be no limiter
 	 */
 	public double claim() {
 		if (!this.metOthers && !this.startsAlone) {
 			return 0;
 		}
-		return Math.min(1, this.alive / (size() * ENOUGH));
+		double claim = Math.min(1, this.alive / (size() * ENOUGH));
+		return (claim >= MIN_CLAIM) ? claim : 0;
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/limit/RegionShares.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/limit/RegionShares.java
@@ -46,12 +46,6 @@
 	/** Share of all regions together if they are isolated. */
 	private static final double ISOLATED_SHARE = 0.9;
 
-	/**
-	 * Part of the share of an isolated region that a limiter uses which does not know
-	 * what its predecessor used.
-	 */
-	private static final double UNKNOWN_PART = 0.5;
-
 	/**
 	 * Maximum number of own reports that are remembered, more than those sent until a
 	 * region that does not acknowledge them counts as not connected.
@@ -75,6 +69,9 @@
 
 	private boolean connected;
 
+	/** Whether the connection is complete and the others have noticed. */
+	private boolean byDemand;
+
 	private long changedAt;
 
 	/**
@@ -99,6 +96,17 @@
 		return this.connected || this.regions == 1;
 	}
 
+	/**
+	 * Tells whether all other regions were heard. A report before that would tell them
+	 * that the connection is lost.
+	 * @param now the monotonic time in milliseconds
+	 * @return {@code true} if they were
+	 */
+	boolean hasHeardAll(long now) {
+		return this.received.size() == this.regions - 1
+				&& this.received.values().stream().allMatch((report) -> report.isFresh(now));
+	}
+
 	/**
 	 * Creates the next report to the other regions.
 	 * @param demand the demand by account, in requests per 100 seconds
@@ -124,7 +132,7 @@
 			.map((entry) -> new DemandEntry(entry.getKey().value(), entry.getValue()))
 			.sorted(Comparator.comparing(DemandEntry::account))
 			.toList();
-		return new AccountDemand(this.self.value(), this.sequence, heard, entries);
+		return new AccountDemand(this.self.value(), this.sequence, this.byDemand, heard, entries);
 	}
 
 	/**
@@ -155,7 +163,7 @@
 		Map<Region, Long> heard = report.heard()
 			.stream()
 			.collect(Collectors.toMap((entry) -> new Region(entry.region()), HeardReport::sequence, Math::max));
-		this.received.put(region, new ReceivedReport(report.sequence(), demand, heard, now));
+		this.received.put(region, new ReceivedReport(report.sequence(), report.byDemand(), demand, heard, now));
 	}
 
 	/**
@@ -168,6 +176,12 @@
 		if (nowConnected != this.connected) {
 			this.connected = nowConnected;
 			this.changedAt = now;
+			this.byDemand = false;
+		}
+		// If all others already divide by demand, none of them uses an isolated share.
+		boolean othersByDemand = this.received.values().stream().allMatch(ReceivedReport::byDemand);
+		if (nowConnected && (othersByDemand || now - this.changedAt >= SILENCE_MS)) {
+			this.byDemand = true;
 		}
 		this.shares.keySet().retainAll(Set.copyOf(accounts));
 		for (AccountName account : accounts) {
@@ -191,13 +205,13 @@
 		double isolated = ISOLATED_SHARE / this.regions;
 		long elapsedMs = now - this.changedAt;
 		if (this.connected) {
-			double byDemand = shareByDemand(account);
-			return (elapsedMs >= SILENCE_MS) ? byDemand : Math.min(isolated, byDemand);
+			double share = shareByDemand(account);
+			return this.byDemand ? share : Math.min(isolated, share);
 		}
 		if (elapsedMs >= ISOLATION_MS) {
 			return isolated;
 		}
-		return Math.min(isolated, this.shares.getOrDefault(account, UNKNOWN_PART * isolated));
+		return Math.min(isolated, this.shares.getOrDefault(account, isolated));
 	}
 
 	private double shareByDemand(AccountName account) {
@@ -250,12 +264,13 @@
 	 * The last report of another region.
 	 *
 	 * @param sequence its number
+	 * @param byDemand whether the region uses its share by demand
 	 * @param demand the demand by account, in requests per 100 seconds
 	 * @param heard the reports that the region has received from others
 	 * @param receivedAt the monotonic time in milliseconds
 	 */
-	private record ReceivedReport(long sequence, Map<AccountName, Integer> demand, Map<Region, Long> heard,
-			long receivedAt) {
+	private record ReceivedReport(long sequence, boolean byDemand, Map<AccountName, Integer> demand,
+			Map<Region, Long> heard, long receivedAt) {
 
 		private boolean isFresh(long now) {
 			return now - this.receivedAt < SILENCE_MS;
--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/AccountDemand.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/AccountDemand.java
@@ -10,10 +10,12 @@
  *
  * @param region the region
  * @param sequence the number of the report; its upper bits identify the limiter
+ * @param byDemand whether the region uses its share by demand, not that of an isolated
+ * region
  * @param heard the last reports that the limiter received from other regions
  * @param demands the demand of the accounts that have some
  */
-public record AccountDemand(String region, long sequence, List<HeardReport> heard,
+public record AccountDemand(String region, long sequence, boolean byDemand, List<HeardReport> heard,
 		List<DemandEntry> demands) implements RegionMessage {
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/AccountLimitClient.java
@@ -49,6 +49,9 @@
 	 */
 	private static final long BYPASS_MS = 700;
 
+	/** Number of the question to a predecessor; those for tokens are positive. */
+	private static final long PREDECESSOR_QUESTION = -1;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(AccountLimitClient.class);
 
 	private final Clock clock;
@@ -73,6 +76,12 @@
 	/** The limiter that was asked last. */
 	private @Nullable VmName askedVm;
 
+	/** The limiter before this process became it. */
+	private @Nullable VmName predecessor;
+
+	/** The limiter when the duty was last determined. */
+	private @Nullable VmName previousLimiter;
+
 	private @Nullable VmName silentVm;
 
 	private long silentUntil;
@@ -145,6 +154,7 @@
 	public void tick() {
 		refreshCensus();
 		refreshDuty();
+		askPredecessor();
 		AccountDemand report = this.limiter.tick(this.clock.millis());
 		if (report != null) {
 			this.reports++;
@@ -153,6 +163,17 @@
 		logIfConnectionChanged();
 	}
 
+	// The predecessor of a limiter that has just started is usually alive. Once it
+	// answers
+	// that it is not the limiter, this process need not wait until it surely has stopped.
+	private void askPredecessor() {
+		VmName vm = this.predecessor;
+		if (vm != null && !isSelf(vm) && this.roster.isAlive(vm) && this.limiter.isNew(this.clock.millis())) {
+			String account = this.limits.keySet().iterator().next().value();
+			this.sender.send(vm, new AccountAsk(PREDECESSOR_QUESTION, account, 0, 0));
+		}
+	}
+
 	// Takes turns among the contacts, so that the loss of one costs single reports only.
 	private void sendReport(Region region, AccountDemand report) {
 		List<RosterMember> usable = this.contacts.usable()
@@ -197,7 +218,13 @@
 		boolean chosenSelf = chosen != null && isSelf(chosen.vm()) && !this.limits.isEmpty();
 		double claim = chosenSelf ? this.census.claim() : 0;
 		boolean wasOnDuty = this.limiter.isOnDuty();
-		this.limiter.setClaim(claim, this.clock.millis());
+		RosterMember previous = (this.previousLimiter != null) ? this.roster.find(this.previousLimiter) : null;
+		boolean previousLeft = previous != null && previous.phase() == RosterPhase.LEAVING;
+		this.limiter.setClaim(claim, previousLeft, this.clock.millis());
+		if (!wasOnDuty) {
+			this.predecessor = this.previousLimiter;
+		}
+		this.previousLimiter = (chosen != null) ? chosen.vm() : null;
 		boolean onDuty = this.limiter.isOnDuty();
 		if (onDuty == wasOnDuty) {
 			return;
@@ -257,9 +284,16 @@
 
 	/**
 	 * Handles the answer to a question of this process.
+	 * @param from the VM of the sender
 	 * @param grant the answer
 	 */
-	public void handleGrant(AccountGrant grant) {
+	public void handleGrant(VmName from, AccountGrant grant) {
+		if (grant.number() == PREDECESSOR_QUESTION) {
+			if (from.equals(this.predecessor) && grant.leaseMs() <= 0) {
+				this.limiter.recordPredecessorStopped(this.clock.millis());
+			}
+			return;
+		}
 		this.leases.handleGrant(grant, this.clock.millis());
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -434,7 +434,7 @@
 				case SlotReturned returned -> client.handleRelease(from, returned);
 				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
 				case AccountAsk ask -> limits.handleAsk(from, ask);
-				case AccountGrant grant -> limits.handleGrant(grant);
+				case AccountGrant grant -> limits.handleGrant(from, grant);
 				case AccountDemand demand -> limits.handleDemand(from, demand);
 			}
 		}
