--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -440,7 +440,7 @@
 				case SlotOffered offered -> client.handleOffer(from, offered);
 				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
 				case AccountAsk ask -> limits.handleAsk(from, ask);
-				case AccountGrant grant -> limits.handleGrant(grant);
+				case AccountGrant grant -> limits.handleGrant(from, grant);
 				case AccountDemand demand -> limits.handleDemand(from, demand);
 			}
 		}
