Close a connection whose waiting response could not be written whole

An internal error while a waiting response is written was handled as one of the last request, so the response in between stayed incomplete and its caller waiting. The connection is closed now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -333,11 +333,7 @@
 	}
 
 	private void closeAfterFailure(RuntimeException cause) {
-		LOGGER.error("{}",
-				LogLine.event("request.broken")
-					.with("caller", this.output.remoteHost())
-					.with("why", String.valueOf(cause)),
-				cause);
+		logFailure(cause);
 		CallerResponse current = this.responses.peekLast();
 		boolean answerable = current != null && !current.isStarted() && !this.output.hasFailed();
 		RequestProgress progress = (current != null && !answerable) ? current.progress() : RequestProgress.NONE;
@@ -366,12 +362,19 @@
 			return this.closing.hasBegun() || current.isWaitingComplete();
 		}
 		catch (RuntimeException ex) {
-			LOGGER.error("{}",
-					LogLine.event("request.broken").with("caller", this.output.remoteHost()).with("why", "" + ex), ex);
+			logFailure(ex);
 			return false;
 		}
 	}
 
+	private void logFailure(RuntimeException cause) {
+		LOGGER.error("{}",
+				LogLine.event("request.broken")
+					.with("caller", this.output.remoteHost())
+					.with("why", String.valueOf(cause)),
+				cause);
+	}
+
 	private boolean processNext() {
 		Exchange current = lastExchange();
 		if (current != null && !current.isBodyComplete()) {
@@ -574,9 +577,18 @@
 	// The response whose turn it is waits until the caller takes earlier ones.
 	private void beginTurn() {
 		CallerResponse first = this.responses.peek();
-		if (first != null && first.isWaiting() && !this.closing.hasBegun() && this.output.isWritable()) {
+		if (first == null || !first.isWaiting() || this.closing.hasBegun() || !this.output.isWritable()) {
+			return;
+		}
+		try {
 			first.takeTurn();
 		}
+		catch (RuntimeException ex) {
+			// A part of the response may be missing, so nothing can follow it.
+			logFailure(ex);
+			recordClose(CallerCloseReason.ERROR, String.valueOf(ex));
+			closeBrokenOff();
+		}
 	}
 
 	private void cancelResponses() {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PipeliningTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PipeliningTests.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -265,6 +267,72 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void earlierRequestWhoseServerClosesOrResetsDoesNotAffectTheOthers(boolean reset) throws Exception {
+		this.server.setHandler((request, socket) -> {
+			String id = request.headers().get("test-id");
+			if (id.equals("1")) {
+				await("1");
+				socket.setSoLinger(reset, 0);
+				socket.close();
+				return;
+			}
+			TestServer.write(socket, TestServer.ok(request, "body of " + id));
+		});
+		try (Socket caller = this.gateway.connect()) {
+			TestServer.write(caller, read("1") + read("2") + read("3"));
+			awaitAtServer("1", "2", "3");
+			release("1");
+			assertThat(TestGateway.readResponse(caller)).matches("(?s)HTTP/1.1 50[23] .*");
+			assertResponse(caller, "2");
+			assertResponse(caller, "3");
+		}
+	}
+
+	// Guards against a response in the middle of another one.
+	@Test
+	void laterResponseWaitsForTheEndOfOneThatArrivesSlowly() throws Exception {
+		String body = "a".repeat(60_000);
+		this.server.setHandler((request, socket) -> {
+			String id = request.headers().get("test-id");
+			if (!id.equals("1")) {
+				TestServer.write(socket, TestServer.ok(request, "body of " + id));
+				return;
+			}
+			String response = TestServer.ok(request, body);
+			TestServer.write(socket, response.substring(0, 30_000));
+			await("1");
+			TestServer.write(socket, response.substring(30_000));
+		});
+		try (Socket caller = this.gateway.connect()) {
+			TestServer.write(caller, read("1") + read("2") + read("3"));
+			awaitAtServer("1", "2", "3");
+			await(() -> this.gateway.heldResponseBytes() > 0);
+			Thread.sleep(200);
+			release("1");
+			assertThat(TestGateway.readResponse(caller)).endsWith("\r\n\r\n" + body);
+			assertResponse(caller, "2");
+			assertResponse(caller, "3");
+		}
+	}
+
+	// The test protocol throws an exception for a time that is not a number.
+	@Test
+	void internalErrorOfALaterRequestIsAnsweredInItsTurn() throws Exception {
+		try (Socket caller = this.gateway.connect()) {
+			TestServer.write(caller, read("1") + read("2").replace("10000", "soon") + read("3"));
+			awaitAtServer("1");
+			assertNothingArrives(caller);
+			release("1");
+			assertResponse(caller, "1");
+			assertThat(TestGateway.readResponse(caller)).startsWith("HTTP/1.1 500 ")
+				.containsIgnoringCase("connection: close");
+			assertThat(caller.getInputStream().read()).isEqualTo(-1);
+		}
+		assertThat(atServer()).containsExactly("1");
+	}
+
 	@Test
 	void laterRequestsAreCancelledWhenTheFirstResponseIsAborted() throws Exception {
 		this.server.setHandler((request, socket) -> {
@@ -286,8 +354,9 @@
 		assertThat(this.gateway.heldBytes()).isZero();
 	}
 
-	@Test
-	void allRequestsAreCancelledWhenTheirCallerLeaves() throws Exception {
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void allRequestsAreCancelledWhenTheirCallerLeaves(boolean reset) throws Exception {
 		this.server.setHandler((request, socket) -> {
 			if (request.headers().get("test-id").equals("2")) {
 				TestServer.write(socket, TestServer.ok(request, "x".repeat(60_000)).substring(0, 50_000));
@@ -299,6 +368,7 @@
 			awaitAtServer("1", "2", "3");
 			await(() -> this.gateway.heldResponseBytes() > 0);
 			assertThat(this.gateway.heldResponseBytes()).isPositive();
+			caller.setSoLinger(reset, 0);
 		}
 		assertCancelled("1", "2", "3");
 		assertThat(this.gateway.heldResponseBytes()).isZero();
