Test that started requests are answered when those behind are given up

The eviction of what arrived behind requests in progress closes the connection after the last response that was started; no test covered more than one. PipelinedRequestMemoryTests passes with the new test.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PipelinedRequestMemoryTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/PipelinedRequestMemoryTests.java
@@ -94,6 +94,45 @@
 		}
 	}
 
+	// Guards against requests in progress that are cut off because the process is full of
+	// what arrived behind them.
+	@Test
+	void startedRequestsAreAnsweredWhenThoseBehindThemAreGivenUp() throws Exception {
+		String behind = TestGateway.postRequest("/write/x", "behind", "b".repeat(BODY_BYTES));
+		List<Socket> others = new ArrayList<>();
+		try (Socket caller = this.gateway.connect()) {
+			TestServer.write(caller, TestGateway.getRequest("/read/x", "first").replace("3000", "6000")
+					+ TestGateway.getRequest("/read/x", "second").replace("3000", "6000") + behind);
+			Thread.sleep(200);
+			for (int i = 0; i < UNFINISHED_HEADS && !hasEvicted(); i++) {
+				Socket other = this.gateway.connect();
+				others.add(other);
+				TestServer.write(other, "GET /read/x HTTP/1.1\r\nA: " + "a".repeat(6_000));
+				Thread.sleep(10);
+			}
+			assertThat(hasEvicted()).isTrue();
+			this.firstResponse.countDown();
+			assertThat(TestGateway.readResponse(caller)).startsWith("HTTP/1.1 200 ").contains("first");
+			assertThat(TestGateway.readResponse(caller)).startsWith("HTTP/1.1 200 ")
+				.contains("second")
+				.containsIgnoringCase("connection: close");
+			assertThat(caller.getInputStream().read()).isEqualTo(-1);
+			assertThat(this.server.requests()).hasSize(2);
+		}
+		finally {
+			for (Socket other : others) {
+				other.close();
+			}
+		}
+	}
+
+	private boolean hasEvicted() {
+		return this.gateway.process()
+			.metrics()
+			.scrape()
+			.contains("lovagevale_gateway_memory_evictions_total{account=\"requests\"}");
+	}
+
 	private void awaitFirstResponse() {
 		try {
 			this.firstResponse.await();
