Account for the names of decoded headers as what they take

Cause: a decoded name is an AsciiString that keeps the String returned by its toString(), 48 bytes and more. HeldSize and the copy for a server iterated over strings, so measuring a head or sending it made each line of it larger than it was counted as: 194 instead of 146 bytes for "a:b".

Both use the character sequences now.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HeldSize.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HeldSize.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway.http;
 
+import java.util.Iterator;
 import java.util.Map;
 
 import io.netty.handler.codec.http.HttpContent;
@@ -38,7 +39,10 @@
 	 */
 	static long ofHead(HttpMessage head) {
 		long bytes = HEAD_BYTES + head.protocolVersion().text().length() + firstLineBytes(head);
-		for (Map.Entry<String, String> header : head.headers()) {
+		// An iterator of strings would add a string to each name, of 48 bytes and more.
+		Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
+		while (headers.hasNext()) {
+			Map.Entry<CharSequence, CharSequence> header = headers.next();
 			bytes += header.getKey().length() + header.getValue().length() + HEADER_BYTES;
 		}
 		return bytes;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HopByHopHeaders.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/HopByHopHeaders.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway.http;
 
 import java.util.Arrays;
+import java.util.Iterator;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 
 /**
  * Copies headers without the hop-by-hop headers, which apply to a single connection.
@@ -36,8 +38,10 @@
 	public static HttpHeaders copyWithout(HttpHeaders received, Predicate<String> isExcluded) {
 		Set<String> namedByConnection = namedByConnection(received);
 		HttpHeaders result = new DefaultHttpHeaders();
-		for (Map.Entry<String, String> header : received) {
-			String name = header.getKey().toLowerCase(Locale.ROOT);
+		Iterator<Map.Entry<CharSequence, CharSequence>> headers = received.iteratorCharSequence();
+		while (headers.hasNext()) {
+			Map.Entry<CharSequence, CharSequence> header = headers.next();
+			String name = toText(header.getKey()).toLowerCase(Locale.ROOT);
 			if (!HOP_BY_HOP_NAMES.contains(name) && !namedByConnection.contains(name) && !isExcluded.test(name)) {
 				result.add(header.getKey(), header.getValue());
 			}
@@ -45,6 +49,12 @@
 		return result;
 	}
 
+	// A decoded name keeps the string that its method toString() returns, of 48 bytes and
+	// more, for as long as the received headers are held.
+	private static String toText(CharSequence name) {
+		return (name instanceof AsciiString ascii) ? ascii.toString(0, ascii.length()) : name.toString();
+	}
+
 	private static Set<String> namedByConnection(HttpHeaders received) {
 		if (!received.contains(HttpHeaderNames.CONNECTION)) {
 			return Set.of();
