Decode heads with very many lines in turns that leave time to others

Cause: a head of 65,536 bytes made of lines "a:b" has 13,000 lines, each decoded into objects, validated and looked up, which took 20 to 40 ms of the event loop on a busy machine (thread dumps during the load are all in the decoder, HeldSize and lookups). The head was decoded where its last bytes were read, once for each ready connection before the loop ran anything else. 24 callers that reconnect at once left 1,300 connections with complete heads, and no timer ran for 48 s, although nearly all of these callers were gone. Garbage collection was ruled out: the collections seen were of the young generation only.

A head of a request with more than 256 lines is kept as bytes and decoded in a long turn: one at a time, with a pause as long as the turn took. Heads whose callers have closed the connection meanwhile are not decoded. One that is not reached within the header timeout gets 503 with Retry-After, since its caller has sent it completely; before, such heads got 408 "head not complete". Heads of ordinary requests, with up to 50 lines, are decoded at once as before.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/DecodingTurns.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/DecodingTurns.java
@@ -11,7 +11,8 @@
  *
  * <p>
  * Invariant: what a turn left undecoded is decoded in later ones, as soon as its parts
- * can be handled; nothing is read meanwhile. Confined to the event loop.
+ * can be handled, and in a long turn if it takes much time; nothing is read meanwhile.
+ * Confined to the event loop.
  */
 final class DecodingTurns {
 
@@ -25,6 +26,8 @@
 
 	private boolean scheduled;
 
+	private boolean longScheduled;
+
 	/** Whether the decoder is decoding, so that it must not be called. */
 	private boolean decoding;
 
@@ -83,11 +86,36 @@
 			return;
 		}
 		this.listener.turnEnded(decoder);
-		if (decoder.parts().isSuspended() && decoder.parts().isDecodable()) {
+		if (!decoder.parts().isSuspended() || !decoder.parts().isDecodable()) {
+			return;
+		}
+		if (decoder.parts().isLongTurnNeeded()) {
+			continueInLongTurn();
+		}
+		else {
 			continueLater();
 		}
 	}
 
+	private void continueInLongTurn() {
+		if (!this.longScheduled) {
+			this.longScheduled = true;
+			this.scheduler.addLong(this::takeLongTurn);
+		}
+	}
+
+	private boolean takeLongTurn() {
+		this.longScheduled = false;
+		ChannelHandlerContext open = this.context;
+		PartDecoder decoder = (open != null && open.channel().isActive()) ? decoder(open) : null;
+		if (open == null || decoder == null || !decoder.parts().isLongTurnNeeded()) {
+			return false;
+		}
+		decodeHeld(open, true);
+		open.fireChannelReadComplete();
+		return true;
+	}
+
 	/**
 	 * Continues in another turn, since decoded parts may be handled again.
 	 */
@@ -104,16 +132,21 @@
 		if (open == null || !open.channel().isActive()) {
 			return;
 		}
-		decodeHeld(open);
+		decodeHeld(open, false);
 		open.fireChannelReadComplete();
 	}
 
-	private void decodeHeld(ChannelHandlerContext open) {
+	private void decodeHeld(ChannelHandlerContext open, boolean longTurn) {
 		ChannelHandlerContext found = open.pipeline().context(this.decoderType);
 		if (found == null || !(found.handler() instanceof PartDecoder decoder)) {
 			return;
 		}
-		decoder.parts().beginTurn();
+		if (longTurn) {
+			decoder.parts().beginLongTurn();
+		}
+		else {
+			decoder.parts().beginTurn();
+		}
 		this.decoding = true;
 		try {
 			decoder.decodeHeld(found);
@@ -136,7 +169,7 @@
 		if (open != null && decoder != null) {
 			decoder.parts().discardInput();
 			if (!this.decoding) {
-				decodeHeld(open);
+				decodeHeld(open, false);
 			}
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FieldSectionScanner.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FieldSectionScanner.java
@@ -31,6 +31,9 @@
 
 	private int lines;
 
+	/** Size of the section, -1 until its end has arrived. */
+	private int size = -1;
+
 	/**
 	 * Creates a scanner for one section at a time.
 	 * @param maxBytes the maximum size of all lines without their ends, in bytes
@@ -49,11 +52,12 @@
 		this.searchFrom = 0;
 		this.lineBytes = 0;
 		this.lines = 0;
+		this.size = -1;
 	}
 
 	/**
 	 * Looks for the end of the section in the bytes that have arrived since the last
-	 * call.
+	 * call, unless it was found.
 	 * @param buffer the received bytes, from the begin of the section
 	 * @return the size of the section with the empty line at its end, or -1 if that has
 	 * not arrived
@@ -63,7 +67,7 @@
 	 */
 	int findEnd(ByteBuf buffer) {
 		int begin = buffer.readerIndex();
-		while (true) {
+		while (this.size < 0) {
 			int lineFeed = buffer.indexOf(begin + this.searchFrom, buffer.writerIndex(), HttpConstants.LF);
 			if (lineFeed < 0) {
 				this.searchFrom = buffer.readableBytes();
@@ -75,12 +79,15 @@
 			this.lineStart = lineFeed + 1 - begin;
 			this.searchFrom = this.lineStart;
 			if (end == start) {
-				return this.lineStart;
+				this.size = this.lineStart;
+			}
+			else {
+				checkBytes(end - start);
+				this.lineBytes += end - start;
+				readLine(buffer, start, end);
 			}
-			checkBytes(end - start);
-			this.lineBytes += end - start;
-			readLine(buffer, start, end);
 		}
+		return this.size;
 	}
 
 	private void checkBytes(int bytes) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -888,7 +888,7 @@
 		Exchange current = this.exchange;
 		if (current == null && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
 				&& now - this.headStartedAt > headerTimeoutMs) {
-			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
+			rejectLateHead(headerTimeoutMs);
 		}
 		else if (current == null && idleMs > idleTimeoutMs) {
 			closeIfStillIdle();
@@ -898,6 +898,17 @@
 		}
 	}
 
+	private void rejectLateHead(long headerTimeoutMs) {
+		if (this.decodingSuspended) {
+			// The caller has sent it, and this process had no time or memory for it.
+			rejectAndClose(SERVICE_UNAVAILABLE, "head not read within " + headerTimeoutMs + " ms",
+					this.router.memoryRetryHeaders());
+		}
+		else {
+			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms");
+		}
+	}
+
 	/**
 	 * Rejects the request in progress if it is not at a server yet and could not be
 	 * completed before the planned stop of this process ends.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/MessagePartReader.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/MessagePartReader.java
@@ -19,7 +19,8 @@
  * A section that has not arrived completely is kept as bytes, since the objects that it
  * is decoded into take many times as much, and decoding them may cost more the longer it
  * is. In one turn of the event loop, a limited number of parts is decoded, so that a
- * connection with many small ones leaves time to the others. Not thread-safe.
+ * connection with many small ones leaves time to the others; a header section with many
+ * lines is decoded in a long turn only. Not thread-safe.
  */
 final class MessagePartReader {
 
@@ -40,6 +41,8 @@
 
 	private final BooleanSupplier isDecodable;
 
+	private final int maxLinesPerTurn;
+
 	private final FieldSectionScanner headers;
 
 	private final FieldSectionScanner trailers;
@@ -62,6 +65,12 @@
 
 	private boolean suspended;
 
+	/** Whether the current turn may take long. */
+	private boolean longTurn;
+
+	/** Whether a header section has arrived that is decoded in a long turn. */
+	private boolean longTurnNeeded;
+
 	private boolean inputClosed;
 
 	/**
@@ -70,10 +79,14 @@
 	 * @param isDecodable tells whether decoded parts can be handled now
 	 * @param maxHeaderBytes the maximum size of the header section, in bytes
 	 * @param maxHeaderLines the maximum number of its lines
+	 * @param maxLinesPerTurn the maximum number of its lines up to which it is decoded in
+	 * any turn; with more, it is decoded in a long turn
 	 */
-	MessagePartReader(Decoder decoder, BooleanSupplier isDecodable, int maxHeaderBytes, int maxHeaderLines) {
+	MessagePartReader(Decoder decoder, BooleanSupplier isDecodable, int maxHeaderBytes, int maxHeaderLines,
+			int maxLinesPerTurn) {
 		this.decoder = decoder;
 		this.isDecodable = isDecodable;
+		this.maxLinesPerTurn = maxLinesPerTurn;
 		this.headers = new FieldSectionScanner(maxHeaderBytes, maxHeaderLines);
 		this.trailers = new FieldSectionScanner(Math.min(maxHeaderBytes, MAX_TRAILER_BYTES), MAX_TRAILER_LINES);
 	}
@@ -82,8 +95,28 @@
 	 * Begins a turn, in which further parts are decoded.
 	 */
 	void beginTurn() {
+		beginTurn(false);
+	}
+
+	/**
+	 * Begins a turn that may take long. It ends with the first section that needs one.
+	 */
+	void beginLongTurn() {
+		beginTurn(true);
+	}
+
+	private void beginTurn(boolean mayTakeLong) {
 		this.partsLeft = MAX_PARTS_PER_TURN;
 		this.suspended = false;
+		this.longTurn = mayTakeLong;
+	}
+
+	/**
+	 * Tells whether the next part is decoded in a long turn.
+	 * @return {@code true} if it has arrived and has many lines
+	 */
+	boolean isLongTurnNeeded() {
+		return this.longTurnNeeded;
 	}
 
 	/**
@@ -107,6 +140,7 @@
 	 */
 	void discardInput() {
 		this.state = State.BROKEN;
+		this.longTurnNeeded = false;
 	}
 
 	/**
@@ -162,7 +196,7 @@
 		try {
 			switch (this.state) {
 				case FIRST_LINE -> decodeFirstLine(ctx, buffer, out);
-				case HEADERS -> decodeSection(this.headers, ctx, buffer, out);
+				case HEADERS -> decodeHeaders(ctx, buffer, out);
 				case BODY -> decodeBody(ctx, buffer, out);
 				case TRAILERS -> decodeSection(this.trailers, ctx, buffer, out);
 				case BROKEN -> buffer.skipBytes(buffer.readableBytes());
@@ -225,6 +259,19 @@
 		return value == HttpConstants.CR || value == HttpConstants.LF;
 	}
 
+	private void decodeHeaders(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		int bytes = this.headers.findEnd(buffer);
+		this.longTurnNeeded = bytes >= 0 && this.headers.lines() > this.maxLinesPerTurn;
+		if (this.longTurnNeeded && !this.longTurn && !this.inputClosed) {
+			this.suspended = true;
+		}
+		else if (bytes >= 0) {
+			this.longTurn = this.longTurn && !this.longTurnNeeded;
+			this.longTurnNeeded = false;
+			this.decoder.decode(ctx, buffer.readSlice(bytes), out);
+		}
+	}
+
 	private void decodeSection(FieldSectionScanner section, ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
 			throws Exception {
 		int bytes = section.findEnd(buffer);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/TurnScheduler.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/TurnScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
 import org.lovagevale.base.Clock;
@@ -11,9 +12,11 @@
  * loop, in the order in which they ask for it.
  *
  * <p>
- * Invariant: all of it together takes at most {@link #MAX_RUN_MS} and one turn of a
+ * Invariants: all of it together takes at most {@link #MAX_RUN_MS} and one turn of a
  * connection before the event loop serves the others, however many connections have such
- * work. Confined to the event loop.
+ * work; long turns take at most half of the time of the event loop, so that they never
+ * delay short ones, timers and other connections for longer than one of them takes.
+ * Confined to the event loop.
  */
 public final class TurnScheduler {
 
@@ -32,8 +35,13 @@
 
 	private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
 
+	/** The turns that take long. */
+	private final ArrayDeque<BooleanSupplier> waitingLong = new ArrayDeque<>();
+
 	private boolean scheduled;
 
+	private boolean longScheduled;
+
 	/**
 	 * Creates a scheduler without work.
 	 * @param loop the event loop
@@ -75,4 +83,36 @@
 		}
 	}
 
+	/**
+	 * Adds a turn that takes long behind those that do as well.
+	 * @param turn the work of one connection; returns whether there was still work to do
+	 */
+	void addLong(BooleanSupplier turn) {
+		this.waitingLong.add(turn);
+		scheduleLong(PAUSE_MS);
+	}
+
+	private void scheduleLong(long delayMs) {
+		if (!this.longScheduled) {
+			this.longScheduled = true;
+			this.loop.schedule(this::runLong, delayMs, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void runLong() {
+		this.longScheduled = false;
+		long startedAt = this.clock.millis();
+		try {
+			boolean done = false;
+			while (!done && !this.waitingLong.isEmpty()) {
+				done = this.waitingLong.remove().getAsBoolean();
+			}
+		}
+		finally {
+			if (!this.waitingLong.isEmpty()) {
+				scheduleLong(Math.max(PAUSE_MS, this.clock.millis() - startedAt));
+			}
+		}
+	}
+
 }
