Drop the headers of a request that has ended

Cause: a non-idempotent request whose caller has disconnected is left to run at its server. Its exchange is held until the server responds or its time is over, with all decoded headers, while their memory was released from the account when the caller left. Callers that send such a request and disconnect can leave one in each slot: 48 slots with heads of 16 KB are 30 MB. A request that waited for the end of a pause of all servers was held by its timer in the same way.

The headers are cleared when a request has ended, since nothing is sent any more; what is left, the request target and the identity, stays accounted for until the attempt has ended; the timer is cancelled.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -137,6 +137,9 @@
 
 	private @Nullable ScheduledFuture<?> timeoutTimer;
 
+	/** Waits for the end of the pause of a server. */
+	private @Nullable ScheduledFuture<?> pauseTimer;
+
 	private @Nullable SlotId pendingSlotId;
 
 	private @Nullable SendAttempt attempt;
@@ -422,7 +425,7 @@
 			respondRefused(reason, (int) pauseLeftMs);
 			return;
 		}
-		this.services.loop().schedule(() -> {
+		this.pauseTimer = this.services.loop().schedule(() -> {
 			if (!this.done && this.attempt == null && this.pendingSlotId == null) {
 				place();
 			}
@@ -1001,6 +1004,7 @@
 		}
 		current.markEnded();
 		if (this.done) {
+			this.headMemory.release();
 			this.bodyMemory.release();
 		}
 		SlotGrant grant = current.grant();
@@ -1030,13 +1034,20 @@
 		if (timer != null) {
 			timer.cancel(false);
 		}
+		ScheduledFuture<?> pause = this.pauseTimer;
+		if (pause != null) {
+			pause.cancel(false);
+		}
 		this.content.release();
-		this.headMemory.release();
+		// The headers are not sent again. Timers and attempts may hold this exchange on.
+		this.request.head().headers().clear();
 		SendAttempt unattended = this.attempt;
 		if (unattended == null) {
+			this.headMemory.release();
 			this.bodyMemory.release();
 		}
 		else {
+			this.headMemory.resize(HeldSize.ofHead(this.request.head()) + this.request.id().length());
 			unattended.releaseBuffered();
 			// The server may not have taken the body yet.
 			updateBodyMemory();
