Limit the connections of callers by the descriptors of the process

Cause: the port of the callers accepted any number of connections, and each endpoint for the platform up to 1,024 above its limit for a moment. 4,138 connections, silent or with an unfinished head, took all 2,069 descriptors of the smallest VM, so that no connection to a server, a peer or the store could be opened.

Beyond, no connection is accepted until one is closed: further ones wait in the queue of the operating system, and idle ones are closed, the longest idle first.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -210,7 +210,7 @@
 		this.healthChecks = new HealthChecks(services, this.roster);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
-				new RequestRouter(services, random));
+				new RequestRouter(services, random), DescriptorLimits.forThisProcess().callerConnections());
 		this.serversTask = new PeriodicTask(this.healthChecks::tick);
 		this.callersTask = new PeriodicTask(this.frontend::tick);
 		this.peers.setMessageHandlers(this.slotClient, this.catalogUpdater);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -358,6 +358,15 @@
 		return !this.dataReceived;
 	}
 
+	/**
+	 * Returns the time without activity.
+	 * @param now the monotonic time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	long idleMs(long now) {
+		return now - this.lastActivityAt;
+	}
+
 	/**
 	 * Continues to read after a pause because the process was full.
 	 */
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendServer.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway.http;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -24,7 +25,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Accepts connections from callers.
+ * Accepts connections from callers, up to a limit.
  *
  * <p>
  * Confined to the event loop except for {@link #open}.
@@ -67,6 +68,12 @@
 
 	private static final long TIMEOUT_CHECK_INTERVAL_MS = 250;
 
+	/**
+	 * Part of the maximum number of connections that are closed at a time, if they are
+	 * idle, while that number is open.
+	 */
+	private static final int CLOSED_IDLE_DIVISOR = 4;
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(FrontendServer.class);
 
 	private final EventLoop loop;
@@ -75,6 +82,8 @@
 
 	private final RequestRouter router;
 
+	private final AcceptLimit acceptLimit;
+
 	private @Nullable Channel listening;
 
 	private boolean stopping;
@@ -96,11 +105,14 @@
 	 * @param loop the event loop
 	 * @param channelFactory creates listening channels
 	 * @param router validates and routes the requests
+	 * @param maxConnections the maximum number of open connections
 	 */
-	public FrontendServer(EventLoop loop, Supplier<? extends ServerChannel> channelFactory, RequestRouter router) {
+	public FrontendServer(EventLoop loop, Supplier<? extends ServerChannel> channelFactory, RequestRouter router,
+			int maxConnections) {
 		this.loop = loop;
 		this.channelFactory = channelFactory;
 		this.router = router;
+		this.acceptLimit = new AcceptLimit(maxConnections);
 	}
 
 	/**
@@ -138,6 +150,7 @@
 
 	private void accept(Channel channel) {
 		this.acceptedWhileStopping += this.stopping ? 1 : 0;
+		this.acceptLimit.accepted(channel);
 		FrontendConnection connection = this.router.createConnection();
 		channel.pipeline()
 			.addLast(new ArrivalHandler(connection, this.router.scheduler()),
@@ -163,6 +176,19 @@
 			connection.checkTimeouts(now, limits.headerTimeoutMs(), limits.idleTimeoutMs());
 		}
 		this.router.evictExcessResponses();
+		if (this.acceptLimit.isReached()) {
+			closeLongestIdle(now);
+		}
+	}
+
+	// Makes room for callers that wait to be accepted. One that keeps an idle connection
+	// connects again.
+	private void closeLongestIdle(long now) {
+		this.router.connections()
+			.stream()
+			.sorted(Comparator.comparingLong((FrontendConnection connection) -> connection.idleMs(now)).reversed())
+			.limit(Math.max(1, this.acceptLimit.maxConnections() / CLOSED_IDLE_DIVISOR))
+			.forEach(FrontendConnection::closeIfIdle);
 	}
 
 	/**
@@ -213,6 +239,7 @@
 		if (channel == null) {
 			return;
 		}
+		this.acceptLimit.lift(channel);
 		this.refusing = ConnectionRefusal.refuseNewConnections(channel);
 		if (this.refusing) {
 			this.loop.schedule(this::closeAfterAccept, HANDSHAKE_MS, TimeUnit.MILLISECONDS);
