Share the excess of the endpoints above their limits

Cause: limited the connections that each endpoint keeps for a moment above its limit to 1/16 of the descriptors, 256 of 4,100.

The excess is counted for all endpoints together, at most 20 % of the descriptors, and up to 1,024 for one as before. On the smallest VM, all ports flooded at once stay below the bound as well.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/DescriptorLimits.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/DescriptorLimits.java
@@ -18,23 +18,25 @@
  * Immutable and thread-safe.
  *
  * @param callerConnections the limit on the connections of callers
- * @param excessEndpointConnections the number of connections that each endpoint for the
- * platform accepts for a moment above its limit
+ * @param excessEndpointConnections the number of connections that all endpoints for the
+ * platform together accept for a moment above their limits
  */
 public record DescriptorLimits(int callerConnections, int excessEndpointConnections) {
 
 	/**
 	 * Share of the descriptors that callers may take. On the smallest VM, with 2,069,
-	 * these are 620; three endpoints with their excess take 931, peers that do not
-	 * introduce themselves 128, and files 200.
+	 * these are 620; endpoints with their excess take 957, peers that do not introduce
+	 * themselves 128, and files 200.
 	 */
 	private static final double CALLER_SHARE = 0.3;
 
-	/** Share of the descriptors that each endpoint may take above its limit. */
-	private static final double EXCESS_SHARE = 1.0 / 16;
+	/**
+	 * Share of the descriptors that the endpoints together may take above their limits.
+	 */
+	private static final double EXCESS_SHARE = 0.2;
 
-	/** More connections wait in the queue of the operating system. */
-	private static final int MAX_EXCESS = 1_024;
+	/** As many as three endpoints keep at most. */
+	private static final int MAX_EXCESS = 3 * 1_024;
 
 	/** Number of descriptors that is assumed if the limit cannot be read. */
 	private static final long DEFAULT_DESCRIPTORS = 2_069;
