--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -221,7 +221,8 @@
 		this.slotClient.observeHedges(this.metrics);
 		this.slotClient.onLoadWanted(this.healthChecks::refresh);
 		this.frontend = new FrontendServer(this.loop, () -> loops.onChannel(ServerSocketChannel.class, group),
-				new RequestRouter(services, random, new AccountLimits(this.limitClient, this.roster)));
+				new RequestRouter(services, random, new AccountLimits(this.limitClient, this.roster)),
+				DescriptorLimits.forThisProcess().callerConnections());
 		this.serversTask = new PeriodicTask(this.healthChecks::tick);
 		this.callersTask = new PeriodicTask(this.frontend::tick);
 		this.peers.setMessageHandlers(this.slotClient, this.catalogUpdater, this.limitClient);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -749,7 +749,7 @@
 		}
 		current.markEnded();
 		if (this.done) {
-			this.sending.releaseBody();
+			this.sending.releaseMemory();
 		}
 		SlotGrant grant = current.grant();
 		if (grant != null) {
@@ -772,6 +772,7 @@
 		if (timer != null) {
 			timer.cancel(false);
 		}
+		this.placing.cancel();
 		if (this.policy.totalSends() == 0 && !this.placing.isRelayed()) {
 			this.request.limitDecision().returnToken();
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/FrontendConnection.java
@@ -253,6 +253,15 @@
 		return !this.dataReceived;
 	}
 
+	/**
+	 * Returns the time without activity.
+	 * @param now the monotonic time in milliseconds
+	 * @return the time in milliseconds
+	 */
+	long idleMs(long now) {
+		return now - this.lastActivityAt;
+	}
+
 	/**
 	 * Continues to read after a pause because the process was full.
 	 */
@@ -691,8 +700,7 @@
 		boolean unoccupied = this.responses.isEmpty();
 		if (unoccupied && this.headStartedAt >= 0 && !isBlockedByUnreadResponses()
 				&& now - this.headStartedAt > headerTimeoutMs) {
-			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms",
-					new DefaultHttpHeaders());
+			rejectLateHead(headerTimeoutMs);
 		}
 		else if (unoccupied && idleMs > idleTimeoutMs) {
 			closeIfStillIdle();
@@ -702,6 +710,18 @@
 		}
 	}
 
+	private void rejectLateHead(long headerTimeoutMs) {
+		if (this.input.isDecodingSuspended()) {
+			// The caller has sent it, and this process had no time or memory for it.
+			rejectAndClose(SERVICE_UNAVAILABLE, "head not read within " + headerTimeoutMs + " ms",
+					this.router.memoryRetryHeaders());
+		}
+		else {
+			rejectAndClose(REQUEST_TIMEOUT, "head not complete after " + headerTimeoutMs + " ms",
+					new DefaultHttpHeaders());
+		}
+	}
+
 	/**
 	 * Rejects the requests in progress that are not at a server yet and could not be
 	 * completed before the planned stop of this process ends.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
@@ -47,6 +48,9 @@
 
 	private @Nullable SlotId pendingSlotId;
 
+	/** Waits for the end of the pause of a server. */
+	private @Nullable ScheduledFuture<?> pauseTimer;
+
 	private @Nullable String lastFailure;
 
 	private long slotRequestedAt;
@@ -193,9 +197,13 @@
 	}
 
 	/**
-	 * Cancels the pending slot request, if any.
+	 * Cancels the pending slot request and the wait for a server, if any.
 	 */
 	void cancel() {
+		ScheduledFuture<?> pause = this.pauseTimer;
+		if (pause != null) {
+			pause.cancel(false);
+		}
 		SlotId slotId = this.pendingSlotId;
 		if (slotId != null) {
 			this.services.slots().cancel(slotId);
@@ -298,7 +306,7 @@
 			this.listener.notPlaced(reason, (int) pauseLeftMs);
 			return;
 		}
-		this.services.loop().schedule(() -> {
+		this.pauseTimer = this.services.loop().schedule(() -> {
 			if (!this.listener.isDone() && !this.listener.hasAttempt() && this.pendingSlotId == null) {
 				place();
 			}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestSending.java
@@ -196,22 +196,25 @@
 
 	/**
 	 * Releases the request. A body that the server of an unfinished attempt may not have
-	 * taken yet remains accounted for until {@link #releaseBody()}.
+	 * taken yet remains accounted for until {@link #releaseMemory()}.
 	 * @param unfinished whether an attempt has not ended
 	 */
 	void close(boolean unfinished) {
 		this.closed = true;
 		this.content.release();
-		this.headMemory.release();
+		// The headers are not sent again. Timers and attempts may hold the request on.
+		this.request.head().headers().clear();
 		if (unfinished) {
+			this.headMemory.resize(HeldSize.ofHead(this.request.head()) + this.request.id().length());
 			updateBodyMemory();
 		}
 		else {
-			releaseBody();
+			releaseMemory();
 		}
 	}
 
-	void releaseBody() {
+	void releaseMemory() {
+		this.headMemory.release();
 		this.bodyMemory.release();
 	}
 
