Move requests to another region before this one is full

Cause: a request was relayed only after its region rejected it, to a region in proportion to its number of servers.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/RegionMessage.java
@@ -9,6 +9,6 @@
  */
 public sealed interface RegionMessage extends PeerMessage
 		permits RosterBeat, RosterList, RosterSummary, RosterRequest, CatalogNews, CatalogRequest, SlotAsk, SlotGranted,
-		SlotQueued, SlotRefused, SlotCancelled, SlotReturned, ServerLeaving {
+		SlotQueued, SlotRefused, SlotCancelled, SlotReturned, ServerLeaving, RegionLoad {
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/RefusalCause.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/RefusalCause.java
@@ -23,6 +23,11 @@
 	QUARANTINED,
 
 	/** The request was queued until too little time was left to serve it. */
-	TOO_LATE
+	TOO_LATE,
+
+	/**
+	 * Another region, which is told with the refusal, has free capacity for the request.
+	 */
+	OTHER_REGION
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -7,6 +7,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.FailureDomain;
+import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.ServiceSpec;
@@ -38,6 +39,10 @@
 
 	private final CapacityDivision division = new CapacityDivision();
 
+	private final RemoteCapacity remoteCapacity = new RemoteCapacity();
+
+	private final RegionOverflow overflow;
+
 	private final ReturnSchedule returns;
 
 	private final ExtraSendBudget budget;
@@ -47,7 +52,8 @@
 	// A time far in the past that can be subtracted from any time without overflow.
 	private long lastRequestedAt = Long.MIN_VALUE / 2;
 
-	ServicePool(ExtraSendBudget budget, ReturnSchedule returns) {
+	ServicePool(ExtraSendBudget budget, ReturnSchedule returns, RegionOverflow overflow) {
+		this.overflow = overflow;
 		this.budget = budget;
 		this.returns = returns;
 	}
@@ -80,6 +86,14 @@
 		return this.division;
 	}
 
+	RemoteCapacity remoteCapacity() {
+		return this.remoteCapacity;
+	}
+
+	RegionOverflow overflow() {
+		return this.overflow;
+	}
+
 	ReturnSchedule returns() {
 		return this.returns;
 	}
@@ -180,6 +194,46 @@
 		return slots;
 	}
 
+	/**
+	 * Returns the capacity of the servers of this region. Slots of which nothing is known
+	 * yet do not count as free.
+	 * @param selector tells which servers are in this region
+	 * @param evacuated failure domains that get no requests
+	 * @param now the monotonic time in milliseconds
+	 * @return the capacity
+	 */
+	RegionCapacity capacity(ServerSelector selector, Set<FailureDomain> evacuated, long now) {
+		int free = 0;
+		int used = 0;
+		for (PooledServer server : this.servers.values()) {
+			if (selector.isLocal(server) && selector.isInService(server, evacuated) && !server.ejection().isEjected(now)
+					&& !server.isCold(now)) {
+				int usable = usableSlots(server);
+				int outstanding = Math.min(usable, server.outstanding(now));
+				used += outstanding;
+				free += Math.min(usable, server.grantableSlots()) - Math.min(outstanding, server.grantableSlots());
+			}
+		}
+		return new RegionCapacity(free, used, this.queue.workAheadMs(Integer.MAX_VALUE));
+	}
+
+	/**
+	 * Chooses the region to which a request moves that would wait here.
+	 * @param request the request
+	 * @param selector tells which servers the request may use
+	 * @param evacuated failure domains that get no requests
+	 * @param now the monotonic time in milliseconds
+	 * @return the region, or {@code null} if the request stays
+	 */
+	@Nullable Region chooseForWait(SlotRequest request, ServerSelector selector, Set<FailureDomain> evacuated, long now) {
+		if (request.overflowRegions().isEmpty()) {
+			return null;
+		}
+		double waitMs = this.division.expectedWaitMs(request, this.queue.workAheadMs(request.priority()),
+				usableSlots(request, selector, evacuated, now), now);
+		return this.overflow.chooseForWait(request, waitMs, this.remoteCapacity.recent(now));
+	}
+
 	/**
 	 * Plans the return of a request that is refused for lack of capacity.
 	 * @param request the request
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -164,8 +164,15 @@
 			return;
 		}
 		pool.division().recordRequest(request, now);
-		ServerSelector.Candidate found = pool.mayBypassQueue(request, now) ? choose(pool, request, now, now) : null;
 		QueuedRequest queued = new QueuedRequest(request, now, pool.returns().takeReturned(request, now));
+		pool.overflow().recordRequest(request, now);
+		adjustOverflow(pool, now);
+		Region other = pool.overflow().choose(request);
+		if (other != null) {
+			this.replies.moved(request.id(), other);
+			return;
+		}
+		ServerSelector.Candidate found = pool.mayBypassQueue(request, now) ? choose(pool, request, now, now) : null;
 		if (found != null) {
 			grant(pool, queued, found, now);
 			return;
@@ -173,8 +180,20 @@
 		enqueue(pool, queued, now);
 	}
 
+	private void adjustOverflow(ServicePool pool, long now) {
+		if (pool.overflow().isDue(now)) {
+			pool.overflow()
+				.adjust(pool.capacity(this.selector, this.evacuated, now), pool.remoteCapacity().recent(now), now);
+		}
+	}
+
 	private void enqueue(ServicePool pool, QueuedRequest queued, long now) {
 		SlotRequest request = queued.request();
+		Region other = pool.chooseForWait(request, this.selector, this.evacuated, now);
+		if (other != null) {
+			this.replies.moved(request.id(), other);
+			return;
+		}
 		Admission.Verdict verdict = pool.admit(request, queued.callerReturn(), this.selector, this.evacuated, now);
 		if (verdict.admitted()) {
 			pool.queue().add(queued);
@@ -243,6 +262,7 @@
 				server.ejection().recordSuccess();
 				server.recordResponseTime(release.tookMs(), release.workMs());
 				if (grant != null && this.selector.isLocal(server)) {
+					pool.overflow().recordResponse(release.tookMs(), release.workMs());
 					pool.lastSlotPolicy()
 						.recordResponse(grant.lastSlot(), release.tookMs() / Math.max(1.0, release.workMs()));
 				}
@@ -370,6 +390,39 @@
 		}
 	}
 
+	/**
+	 * Returns the capacity of a service in this region.
+	 * @param service the service
+	 * @return the capacity as known to this dispatcher
+	 */
+	public RegionCapacity capacity(ServiceName service) {
+		return pool(service).capacity(this.selector, this.evacuated, this.clock.millis());
+	}
+
+	/**
+	 * Records the capacity of a service in another region.
+	 * @param service the service
+	 * @param region the region
+	 * @param capacity the reported capacity
+	 * @param ageMs the age of the report in milliseconds
+	 */
+	public void recordRemoteCapacity(ServiceName service, Region region, RegionCapacity capacity, long ageMs) {
+		ServicePool pool = this.pools.get(service);
+		if (pool != null) {
+			pool.remoteCapacity().record(region, capacity, this.clock.millis() - ageMs);
+			pool.overflow().recordReport(region);
+		}
+	}
+
+	/**
+	 * Returns the slots in other regions that are meant for requests of this one.
+	 * @param service the service
+	 * @return the number of slots, 0 if no requests are moved
+	 */
+	public double movedSlots(ServiceName service) {
+		return pool(service).overflow().movedSlots();
+	}
+
 	/**
 	 * Tells whether any requests are queued.
 	 * @return {@code true} if there is one
@@ -475,8 +528,8 @@
 	}
 
 	private ServicePool pool(ServiceName service) {
-		return this.pools.computeIfAbsent(service,
-				(name) -> new ServicePool(new ExtraSendBudget(this.limits), new ReturnSchedule(this.random)));
+		return this.pools.computeIfAbsent(service, (name) -> new ServicePool(new ExtraSendBudget(this.limits),
+				new ReturnSchedule(this.random), new RegionOverflow(this.clock.millis())));
 	}
 
 	/**
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotReplies.java
@@ -1,5 +1,6 @@
 package org.lovagevale.core.placing;
 
+import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 
 /**
@@ -32,6 +33,15 @@
 	 */
 	void refused(SlotId id, RefusalCause cause, int retryAfterMs);
 
+	/**
+	 * Called when another region has free capacity for the request.
+	 * @param id the slot request
+	 * @param region the region
+	 */
+	default void moved(SlotId id, Region region) {
+		refused(id, RefusalCause.OTHER_REGION, 0);
+	}
+
 	/**
 	 * Called when a fresh load report of a server is needed to place a queued request.
 	 * @param server the server
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -9,6 +9,7 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionLoad;
 import org.lovagevale.core.message.RosterBeat;
 import org.lovagevale.core.message.RosterList;
 import org.lovagevale.core.message.RosterRequest;
@@ -75,7 +76,9 @@
 
 	ROSTER_REQUEST(21, RosterRequest.class),
 
-	SERVER_LEAVING(22, ServerLeaving.class);
+	SERVER_LEAVING(22, ServerLeaving.class),
+
+	REGION_LOAD(27, RegionLoad.class);
 
 	private final int code;
 
@@ -110,6 +113,7 @@
 			case RosterSummary summary -> ROSTER_SUMMARY;
 			case RosterRequest request -> ROSTER_REQUEST;
 			case ServerLeaving leaving -> SERVER_LEAVING;
+			case RegionLoad load -> REGION_LOAD;
 		};
 	}
 
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
@@ -16,9 +16,11 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionLoad;
 import org.lovagevale.core.message.ServerEntry;
 import org.lovagevale.core.message.SettingsBody;
 import org.lovagevale.core.message.SettingsRequest;
+import org.lovagevale.core.message.SlotRefused;
 import org.lovagevale.core.message.SuspectEntry;
 import org.lovagevale.core.message.SuspectNotice;
 import org.lovagevale.core.message.SuspectNoticeAck;
@@ -44,6 +46,8 @@
 						List.of(new ServerEntry("transfers-01", "WARM", "b1", 40)), List.of(SUSPECT)),
 				new SettingsRequest(3), new SettingsBody(4, 0, "{ /* ä */ }"), new SuspectNotice(9, SUSPECT),
 				new SuspectNoticeAck(9), new OutcomeQuery(5, "k", List.of()), new OutcomeAnswer(5, "k", "NOT_RUN"),
+				new RegionLoad("lk-west", "transfers", 3, 9, 1_200, 30),
+				new SlotRefused(7, "OTHER_REGION", 0, "lk-west"),
 				new KeyArchive("entry-01", "1a-2", List.of("a"), List.of("b"), 5, List.of()));
 	}
 
