Relay requests to the region that the dispatcher names

The dispatcher of a service exchanges RegionLoad with the dispatchers of other regions through contacts. A request that is refused with OTHER_REGION is relayed there and returns to the dispatcher if it is not taken over. A refusal with OVERLOAD is final: no region is known to have room.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -48,6 +48,10 @@
 		.description("Requests without a server by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> regionLoads = Counter.builder("lovagevale.gateway.region.loads")
+		.description("Reports of the capacity of a service between regions, by direction")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> connections = Counter.builder("lovagevale.gateway.connections")
 		.description("Connections opened to backend servers")
 		.withRegistry(this.registry);
@@ -183,6 +187,15 @@
 		this.relays.withTags(SERVICE_TAG, service, "outcome", outcome).increment();
 	}
 
+	/**
+	 * Counts a report of the capacity of a service.
+	 * @param service the name of the service
+	 * @param direction {@code sent} to another region or {@code received} from it
+	 */
+	public void countRegionLoad(String service, String direction) {
+		this.regionLoads.withTags(SERVICE_TAG, service, "direction", direction).increment();
+	}
+
 	/**
 	 * Counts a request sent to a backend server.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -30,6 +30,7 @@
 import org.lovagevale.core.roster.RosterMember;
 import org.lovagevale.core.roster.RosterPhase;
 import org.lovagevale.gateway.fleet.CatalogUpdater;
+import org.lovagevale.gateway.fleet.RegionLoadExchange;
 import org.lovagevale.gateway.fleet.RegionPeers;
 import org.lovagevale.gateway.fleet.RegionQuota;
 import org.lovagevale.gateway.fleet.SlotClient;
@@ -116,6 +117,8 @@
 
 	private final CatalogUpdater catalogUpdater;
 
+	private final RegionLoadExchange regionLoads;
+
 	private final SlotClient slotClient;
 
 	private final BackendConnectionPool connectionPool;
@@ -216,6 +219,9 @@
 		this.serversTask = new PeriodicTask(this.healthChecks::tick);
 		this.callersTask = new PeriodicTask(this.frontend::tick);
 		this.peers.setMessageHandlers(this.slotClient, this.catalogUpdater);
+		this.regionLoads = new RegionLoadExchange(clock, this.roster, contacts, this.peers,
+				this.slotClient.dispatcher(), this.catalogUpdater, this.metrics);
+		this.peers.onRegionLoad(this.regionLoads::handle);
 		this.catalogUpdater.onChange(this::handleCatalogChange);
 	}
 
@@ -294,6 +300,7 @@
 	private void tick() {
 		this.peers.tick();
 		this.catalogUpdater.tick();
+		this.regionLoads.tick();
 		if (!this.ready && this.roster.self().phase() == RosterPhase.STARTING && canServe()) {
 			this.ready = true;
 			this.roster.enterPhase(RosterPhase.SERVING);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.NetUtil;
@@ -28,6 +29,7 @@
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionLoad;
 import org.lovagevale.core.message.RegionMessage;
 import org.lovagevale.core.message.RosterBeat;
 import org.lovagevale.core.message.RosterEntry;
@@ -149,6 +151,9 @@
 
 	private @Nullable CatalogUpdater catalogUpdater;
 
+	private BiConsumer<VmName, RegionLoad> regionLoadHandler = (from, load) -> {
+	};
+
 	/** {@link Long#MIN_VALUE} if the seeds are to be contacted at the next tick. */
 	private long lastSeedContactAt = Long.MIN_VALUE;
 
@@ -207,6 +212,14 @@
 		this.catalogUpdater = updater;
 	}
 
+	/**
+	 * Sets the handler of reports about the capacity of other regions.
+	 * @param handler receives the sender and the report
+	 */
+	public void onRegionLoad(BiConsumer<VmName, RegionLoad> handler) {
+		this.regionLoadHandler = handler;
+	}
+
 	/**
 	 * Starts accepting connections of other entry processes.
 	 * @param address the address to listen on
@@ -421,6 +434,7 @@
 				case SlotCancelled cancelled -> client.dispatcher().cancel(new SlotId(from, cancelled.number()));
 				case SlotReturned returned -> client.handleRelease(from, returned);
 				case ServerLeaving leaving -> client.handleServerLeaving(from, leaving);
+				case RegionLoad load -> this.regionLoadHandler.accept(from, load);
 			}
 		}
 		catch (IllegalArgumentException ex) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.base.ServiceName;
 import org.lovagevale.base.VmName;
@@ -371,6 +372,10 @@
 		PendingRequest pendingRequest = this.pending.get(refused.number());
 		if (pendingRequest != null && from.equals(pendingRequest.dispatcherVm)) {
 			this.pending.remove(refused.number());
+			if (!refused.region().isEmpty()) {
+				pendingRequest.listener.moved(new Region(refused.region()));
+				return;
+			}
 			pendingRequest.listener.refused(causeOf(from, refused), refused.retryAfterMs());
 		}
 	}
@@ -429,6 +434,18 @@
 		}
 	}
 
+	@Override
+	public void moved(SlotId id, Region region) {
+		if (!isSelf(id.vm())) {
+			send(id.vm(), new SlotRefused(id.number(), RefusalCause.OTHER_REGION.name(), 0, region.value()));
+			return;
+		}
+		PendingRequest pendingRequest = this.pending.remove(id.number());
+		if (pendingRequest != null) {
+			pendingRequest.listener.moved(region);
+		}
+	}
+
 	@Override
 	public void loadWanted(ServerName server) {
 		this.loadListener.accept(server);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway.fleet;
 
+import org.lovagevale.base.Region;
 import org.lovagevale.core.placing.RefusalCause;
 
 /**
@@ -23,4 +24,12 @@
 	 */
 	void refused(RefusalCause cause, int retryAfterMs);
 
+	/**
+	 * Called when another region has free capacity for the request.
+	 * @param region the region
+	 */
+	default void moved(Region region) {
+		refused(RefusalCause.OTHER_REGION, 0);
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -22,6 +22,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.LogLine;
+import org.lovagevale.base.Region;
 import org.lovagevale.base.ServerName;
 import org.lovagevale.core.catalog.BackendInstance;
 import org.lovagevale.core.catalog.RequestKind;
@@ -299,10 +300,38 @@
 			return false;
 		}
 		this.relayAttempts.started(entry.region());
+		relayTo(entry);
+		return true;
+	}
+
+	private void relayTo(BackendInstance entry) {
 		SendAttempt newAttempt = new SendAttempt(this, null, entry, this.services.responseMemory(), now());
 		this.attempt = newAttempt;
 		this.services.connectionPool().acquireEntryVm(entry, maxIdleMs(), newAttempt);
-		return true;
+	}
+
+	@Override
+	public void moved(Region region) {
+		this.pendingSlotId = null;
+		this.services.metrics().countRefusal(this.request.service().value(), RefusalCause.OTHER_REGION.name());
+		if (this.done) {
+			return;
+		}
+		this.relayAttempts.moved(region);
+		BackendInstance entry = isFinishable() ? this.services.relay().findEntryVmIn(this.request, region) : null;
+		if (entry != null) {
+			relayTo(entry);
+		}
+		else {
+			place();
+		}
+	}
+
+	private Set<Region> overflowRegions() {
+		boolean movable = this.policy.totalSends() == 0 && this.content.isReplayable()
+				&& !this.relayAttempts.isExhausted();
+		return movable ? this.services.relay().overflowRegions(this.request, this.relayAttempts.triedRegions())
+				: Set.of();
 	}
 
 	// This process itself places a request on a server of another region only if no entry
@@ -325,8 +354,8 @@
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(), Set.of()),
-					this);
+					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(),
+					overflowRegions()), this);
 	}
 
 	// Other entry VMs may go on using these servers, so their dispatcher does not know.
@@ -431,15 +460,13 @@
 	}
 
 	/**
-	 * Tells whether a request for which this region has no capacity may be relayed.
+	 * Tells whether a request for which this region has no server may be relayed.
 	 * @param cause the reason for which no slot was granted
 	 * @return {@code true} if another region may serve the request
 	 */
 	private boolean mayOverflow(RefusalCause cause) {
-		boolean noCapacity = cause == RefusalCause.NO_SERVER
-				|| cause == RefusalCause.OVERLOAD && this.request.route().kind() != RequestKind.DOWNLOAD;
-		return noCapacity && this.policy.sends() == 0 && !this.services.relay().isOutsideHomeRegions(this.request)
-				&& this.content.isReplayable();
+		return cause == RefusalCause.NO_SERVER && this.policy.sends() == 0
+				&& !this.services.relay().isOutsideHomeRegions(this.request) && this.content.isReplayable();
 	}
 
 	/**
@@ -610,7 +637,7 @@
 			this.relayAttempts.unreachable(current.server().region());
 			endAttempt(current, SlotOutcome.UNREACHABLE, ServerLoad.UNKNOWN);
 			this.lastFailure = reason;
-			if (!tryRelay()) {
+			if (this.relayAttempts.isMovedTo(current.server().region()) || !tryRelay()) {
 				requestSlot();
 			}
 			return;
@@ -854,7 +881,10 @@
 		this.relayAttempts.rejected(this.services.protocol().retryAfterMs(response.headers()));
 		this.services.relay().rejected(current.server().region());
 		this.lastFailure = reason;
-		if (!this.content.isReplayable() || !tryRelay()) {
+		if (this.relayAttempts.isMovedTo(current.server().region()) && this.content.isReplayable()) {
+			place();
+		}
+		else if (!this.content.isReplayable() || !tryRelay()) {
 			respondLocally(SERVICE_UNAVAILABLE, reason, this.relayAttempts.retryAfterMs(DEFAULT_RETRY_AFTER_MS));
 		}
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RegionRelay.java
@@ -116,6 +116,37 @@
 		return (member != null) ? toServer(member, request) : null;
 	}
 
+	/**
+	 * Returns the regions to which the dispatcher of the service may move a request.
+	 * @param request the request
+	 * @param tried the regions to which the request was already relayed
+	 * @return the regions; empty if the request must be placed in this region or was
+	 * relayed by another entry VM
+	 */
+	Set<Region> overflowRegions(CallerRequest request, Set<Region> tried) {
+		if (request.relayed() || isOutsideHomeRegions(request)) {
+			return Set.of();
+		}
+		long now = this.clock.millis();
+		Set<Region> regions = new HashSet<>(this.contacts.regions());
+		regions.removeAll(tried);
+		regions.removeIf((region) -> !request.route().isAllowedIn(region)
+				|| now - this.rejectedAt.getOrDefault(region, NEVER) < REJECTION_BACKOFF_MS);
+		return regions;
+	}
+
+	/**
+	 * Finds the entry VM that takes over a request in a given region.
+	 * @param request the request
+	 * @param region the region
+	 * @return the entry VM, represented as a backend server, or {@code null} if none is
+	 * known
+	 */
+	@Nullable BackendInstance findEntryVmIn(CallerRequest request, Region region) {
+		RosterMember member = this.contacts.contactIn(region);
+		return (member != null) ? toServer(member, request) : null;
+	}
+
 	private static BackendInstance toServer(RosterMember member, CallerRequest request) {
 		return new BackendInstance(new ServerName(member.vm().value()), request.service(), member.host(),
 				member.callerPort(), member.domain(), member.region(), 1, false, 0, 0);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RelayAttempts.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RelayAttempts.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Region;
 import org.lovagevale.core.placing.SlotOutcome;
 
@@ -31,6 +32,8 @@
 
 	private final Set<Region> triedRegions = new HashSet<>();
 
+	private @Nullable Region movedTo;
+
 	private int unreachable;
 
 	private int rejections;
@@ -55,6 +58,20 @@
 		this.triedRegions.add(region);
 	}
 
+	/**
+	 * Records that the dispatcher moved the request to a region. If that does not take it
+	 * over, the request returns to the dispatcher.
+	 * @param region the region
+	 */
+	void moved(Region region) {
+		this.triedRegions.add(region);
+		this.movedTo = region;
+	}
+
+	boolean isMovedTo(Region region) {
+		return region.equals(this.movedTo);
+	}
+
 	void unreachable(Region region) {
 		this.unreachable++;
 		this.triedRegions.remove(region);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -160,10 +160,15 @@
 		return publishServer(id, port, 1);
 	}
 
-	synchronized TestGateway publishServer(String id, int port, long startedAtEpochMs) {
+	TestGateway publishServer(String id, int port, long startedAtEpochMs) {
+		return publishServer(id, port, DOMAIN, REGION, startedAtEpochMs);
+	}
+
+	synchronized TestGateway publishServer(String id, int port, FailureDomain domain, Region region,
+			long startedAtEpochMs) {
 		this.revision++;
 		this.published.put(id, new CatalogItem.ListedServer(new BackendInstance(new ServerName(id), SERVICE,
-				"127.0.0.1", port, DOMAIN, REGION, 3, false, 0, startedAtEpochMs), 1));
+				"127.0.0.1", port, domain, region, 3, false, 0, startedAtEpochMs), 1));
 		return this;
 	}
 
