--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -51,6 +51,10 @@
 		.description("Requests without a server by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> regionLoads = Counter.builder("lovagevale.gateway.region.loads")
+		.description("Reports of the capacity of a service between regions, by direction")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> hedges = Counter.builder("lovagevale.gateway.hedges")
 		.description("Hedged requests by event")
 		.withRegistry(this.registry);
@@ -218,6 +222,15 @@
 		this.relays.withTags(SERVICE_TAG, service, "outcome", outcome).increment();
 	}
 
+	/**
+	 * Counts a report of the capacity of a service.
+	 * @param service the name of the service
+	 * @param direction {@code sent} to another region or {@code received} from it
+	 */
+	public void countRegionLoad(String service, String direction) {
+		this.regionLoads.withTags(SERVICE_TAG, service, "direction", direction).increment();
+	}
+
 	/**
 	 * Counts a request sent to a backend server.
 	 * @param service the name of the service
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotListener.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway.fleet;
 
+import org.lovagevale.base.Region;
 import org.lovagevale.core.placing.RefusalCause;
 
 /**
@@ -34,4 +35,12 @@
 		return false;
 	}
 
+	/**
+	 * Called when another region has free capacity for the request.
+	 * @param region the region
+	 */
+	default void moved(Region region) {
+		refused(RefusalCause.OTHER_REGION, 0);
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -120,7 +120,7 @@
 	void relayUnreachable(Region region, String reason) {
 		this.relayAttempts.unreachable(region);
 		this.lastFailure = reason;
-		if (!tryRelay()) {
+		if (this.relayAttempts.isMovedTo(region) || !tryRelay()) {
 			requestSlot();
 		}
 	}
@@ -136,6 +136,10 @@
 		this.relayAttempts.rejected(retryAfterMs);
 		this.services.relay().rejected(region);
 		this.lastFailure = reason;
+		if (this.relayAttempts.isMovedTo(region) && this.content.isReplayable()) {
+			place();
+			return true;
+		}
 		return this.content.isReplayable() && tryRelay();
 	}
 
@@ -163,6 +167,30 @@
 		return true;
 	}
 
+	private Set<Region> overflowRegions() {
+		boolean movable = this.policy.totalSends() == 0 && this.content.isReplayable()
+				&& !this.relayAttempts.isExhausted();
+		return movable ? this.services.relay().overflowRegions(this.request, this.relayAttempts.triedRegions())
+				: Set.of();
+	}
+
+	@Override
+	public void moved(Region region) {
+		this.pendingSlotId = null;
+		this.services.metrics().countRefusal(this.request.service().value(), RefusalCause.OTHER_REGION.name());
+		if (this.listener.isDone()) {
+			return;
+		}
+		this.relayAttempts.moved(region);
+		BackendInstance entry = isFinishable() ? this.services.relay().findEntryVmIn(this.request, region) : null;
+		if (entry != null) {
+			this.listener.placed(null, entry);
+		}
+		else {
+			place();
+		}
+	}
+
 	// This process itself places a request on a server of another region only if no entry
 	// VM of that region can place it.
 	private boolean isLocalOnly() {
@@ -183,8 +211,8 @@
 					this.request.route().homeRegions(), isLocalOnly(), this.request.route().priority(),
 					this.request.route().kind() == RequestKind.DOWNLOAD, this.policy.nextPurpose(), workMs,
 					(int) (this.request.targetAt() - now), (int) (this.request.timeoutAt() - now), excluded,
-					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(), Set.of(),
-					isHedgeable(now)), this);
+					this.content.fingerprint(), this.request.route().name(), (int) this.content.size(),
+					overflowRegions(), isHedgeable(now)), this);
 	}
 
 	// The transfer of a large response takes longer than the work that is hedged.
@@ -314,15 +342,13 @@
 	}
 
 	/**
-	 * Tells whether a request for which this region has no capacity may be relayed.
+	 * Tells whether a request for which this region has no server may be relayed.
 	 * @param cause the reason for which no slot was granted
 	 * @return {@code true} if another region may serve the request
 	 */
 	private boolean mayOverflow(RefusalCause cause) {
-		boolean noCapacity = cause == RefusalCause.NO_SERVER
-				|| cause == RefusalCause.OVERLOAD && this.request.route().kind() != RequestKind.DOWNLOAD;
-		return noCapacity && this.policy.sends() == 0 && !this.services.relay().isOutsideHomeRegions(this.request)
-				&& this.content.isReplayable();
+		return cause == RefusalCause.NO_SERVER && this.policy.sends() == 0
+				&& !this.services.relay().isOutsideHomeRegions(this.request) && this.content.isReplayable();
 	}
 
 	/**
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerMessageType.java
@@ -12,6 +12,7 @@
 import org.lovagevale.core.message.OutcomeAnswer;
 import org.lovagevale.core.message.OutcomeQuery;
 import org.lovagevale.core.message.PeerMessage;
+import org.lovagevale.core.message.RegionLoad;
 import org.lovagevale.core.message.RosterBeat;
 import org.lovagevale.core.message.RosterList;
 import org.lovagevale.core.message.RosterRequest;
@@ -87,7 +88,9 @@
 
 	ACCOUNT_DEMAND(25, AccountDemand.class),
 
-	SLOT_OFFERED(26, SlotOffered.class);
+	SLOT_OFFERED(26, SlotOffered.class),
+
+	REGION_LOAD(27, RegionLoad.class);
 
 	private final int code;
 
@@ -126,6 +129,7 @@
 			case AccountGrant grant -> ACCOUNT_GRANT;
 			case AccountDemand demand -> ACCOUNT_DEMAND;
 			case SlotOffered offered -> SLOT_OFFERED;
+			case RegionLoad load -> REGION_LOAD;
 		};
 	}
 
