Publish the home regions of the overflow test at both processes

Each process may be the reader whose catalog both use, so a configuration that only one publishes may never be adopted. Before this change the test saw version 1 still in force. RegionOverflowProcessTests, RegionRelayTests and RelayStopTests pass.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionOverflowProcessTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionOverflowProcessTests.java
@@ -109,7 +109,9 @@
 
 	@Test
 	void requestsStayInTheirHomeRegions() throws Exception {
+		// Each of them may be the reader whose catalog both use.
 		this.west.setHomeRegions(WEST).publishConfiguration(4_000);
+		this.east.setHomeRegions(WEST).publishConfiguration(4_000);
 		Thread.sleep(EXCHANGE_MS / 2);
 		sendTogether();
 		assertThat(requests(this.westServer)).isPositive();
