Move requests to other regions only if operators ask for it

Without it a request is relayed after a rejection, as before.

Tests: RegionOverflowProcessTests with it, RegionRelayTests without it, ProgramArgumentsTests, SettingsReferenceTests.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PlacingLimits.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PlacingLimits.java
@@ -15,9 +15,11 @@
  * @param coldSlack the requests per second that a cold server may get in addition
  * @param secondSendShare the permitted hedged requests per first attempt of a service, 0
  * for none
+ * @param regionOverflow whether dispatchers move requests to other regions before their
+ * own region is full
  */
 public record PlacingLimits(double retryRatio, long retryWindowMs, double retryExtra, int regions, double coldFactor,
-		double coldSlack, double secondSendShare) {
+		double coldSlack, double secondSendShare, boolean regionOverflow) {
 
 	/** Maximum of the permitted hedged requests per first attempt. */
 	public static final double MAX_SECOND_SEND_SHARE = 0.2;
@@ -33,7 +35,7 @@
 	}
 
 	/**
-	 * Creates limits that permit no hedged requests.
+	 * Creates limits that permit neither hedged requests nor overflow between regions.
 	 * @param retryRatio the permitted retries per first send
 	 * @param retryWindowMs the sliding window in which sends are counted, in milliseconds
 	 * @param retryExtra the retries permitted per window in addition to the ratio
@@ -43,7 +45,7 @@
 	 */
 	public PlacingLimits(double retryRatio, long retryWindowMs, double retryExtra, int regions, double coldFactor,
 			double coldSlack) {
-		this(retryRatio, retryWindowMs, retryExtra, regions, coldFactor, coldSlack, 0);
+		this(retryRatio, retryWindowMs, retryExtra, regions, coldFactor, coldSlack, 0, false);
 	}
 
 	/**
@@ -53,7 +55,17 @@
 	 */
 	public PlacingLimits withSecondSendShare(double share) {
 		return new PlacingLimits(this.retryRatio, this.retryWindowMs, this.retryExtra, this.regions, this.coldFactor,
-				this.coldSlack, share);
+				this.coldSlack, share, this.regionOverflow);
+	}
+
+	/**
+	 * Returns these limits with another rule on overflow between regions.
+	 * @param enabled whether dispatchers move requests to other regions
+	 * @return the new limits
+	 */
+	public PlacingLimits withRegionOverflow(boolean enabled) {
+		return new PlacingLimits(this.retryRatio, this.retryWindowMs, this.retryExtra, this.regions, this.coldFactor,
+				this.coldSlack, this.secondSendShare, enabled);
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -284,6 +284,7 @@
 					.with("peers", this.settings.peerAddress())
 					.with("seeds", this.settings.seeds())
 					.with("secondSendShare", this.settings.limits().secondSendShare())
+					.with("regionOverflow", this.settings.limits().regionOverflow())
 					.with("transport", Epoll.isAvailable() ? "epoll" : "nio")
 					.with("incarnation", this.roster.self().incarnation()));
 	}
@@ -318,7 +319,9 @@
 		this.peers.tick();
 		this.catalogUpdater.tick();
 		this.limitClient.tick();
-		this.regionLoads.tick();
+		if (this.settings.limits().regionOverflow()) {
+			this.regionLoads.tick();
+		}
 		if (!this.ready && this.roster.self().phase() == RosterPhase.STARTING && canServe()) {
 			this.ready = true;
 			this.roster.enterPhase(RosterPhase.SERVING);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -168,8 +168,8 @@
 	}
 
 	private Set<Region> overflowRegions() {
-		boolean movable = this.policy.totalSends() == 0 && this.content.isReplayable()
-				&& !this.relayAttempts.isExhausted();
+		boolean movable = this.services.settings().limits().regionOverflow() && this.policy.totalSends() == 0
+				&& this.content.isReplayable() && !this.relayAttempts.isExhausted();
 		return movable ? this.services.relay().overflowRegions(this.request, this.relayAttempts.triedRegions())
 				: Set.of();
 	}
@@ -342,12 +342,15 @@
 	}
 
 	/**
-	 * Tells whether a request for which this region has no server may be relayed.
+	 * Tells whether a request for which this region has no capacity may be relayed. If
+	 * dispatchers move requests to other regions, a rejection for overload is final.
 	 * @param cause the reason for which no slot was granted
 	 * @return {@code true} if another region may serve the request
 	 */
 	private boolean mayOverflow(RefusalCause cause) {
-		return cause == RefusalCause.NO_SERVER && this.policy.sends() == 0
+		boolean overload = cause == RefusalCause.OVERLOAD && !this.services.settings().limits().regionOverflow()
+				&& this.request.route().kind() != RequestKind.DOWNLOAD;
+		return (overload || cause == RefusalCause.NO_SERVER) && this.policy.sends() == 0
 				&& !this.services.relay().isOutsideHomeRegions(this.request) && this.content.isReplayable();
 	}
 
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionOverflowProcessTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionOverflowProcessTests.java
@@ -45,8 +45,11 @@
 	void start() throws Exception {
 		this.westServer = new TestServer(RegionOverflowProcessTests::respondSlowly);
 		this.eastServer = new TestServer(RegionOverflowProcessTests::respondSlowly);
-		this.west = publish(new TestGateway(List.of())).start();
-		this.east = publish(new TestGateway(TestAddresses.host(2), EAST_DOMAIN, EAST, List.of(this.west.peerAddress())))
+		this.west = publish(TestGateway.withRegionOverflow(TestAddresses.host(1), TestGateway.DOMAIN,
+				TestGateway.REGION, List.of()))
+			.start();
+		this.east = publish(TestGateway.withRegionOverflow(TestAddresses.host(2), EAST_DOMAIN, EAST,
+				List.of(this.west.peerAddress())))
 			.start();
 		Thread.sleep(EXCHANGE_MS);
 	}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -42,9 +42,9 @@
 
 	static final ServiceName SERVICE = new ServiceName("balances");
 
-	private static final FailureDomain DOMAIN = new FailureDomain("west-1");
+	static final FailureDomain DOMAIN = new FailureDomain("west-1");
 
-	private static final Region REGION = new Region("west");
+	static final Region REGION = new Region("west");
 
 	private static final long STOP_MS = 3_000;
 
@@ -102,14 +102,19 @@
 
 	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
 			MemoryLimits memoryLimits, double secondSendShare) throws GatewayException {
+		this(host, domain, region, seeds, stopMs, memoryLimits, secondSendShare, false);
+	}
+
+	private TestGateway(String host, FailureDomain domain, Region region, List<HostPort> seeds, long stopMs,
+			MemoryLimits memoryLimits, double secondSendShare, boolean regionOverflow) throws GatewayException {
 		this.callerAddress = TestAddresses.next(host);
 		this.peerAddress = TestAddresses.next(host);
 		// The part of the retry budget that is earned by time alone would delay the first
 		// hedged request.
 		double retryExtra = (secondSendShare > 0) ? 0 : 60;
 		GatewaySettings settings = new GatewaySettings("test", domain, region, 100, this.callerAddress,
-				this.peerAddress, seeds, new PlacingLimits(0.2, 10_000, retryExtra, 1, 1.5, 5, secondSendShare), stopMs,
-				1_000);
+				this.peerAddress, seeds,
+				new PlacingLimits(0.2, 10_000, retryExtra, 1, 1.5, 5, secondSendShare, regionOverflow), stopMs, 1_000);
 		this.process = new GatewayProcess(settings, new SystemClock(), new SeededRandom(1), this.loops,
 				(silenceMs) -> Mono.fromSupplier(this::readCatalog), (item) -> this.published.get(item.key()),
 				new TestProtocol(), memoryLimits);
@@ -125,6 +130,20 @@
 		return withSecondSendShare(share, TestAddresses.host(1), List.of());
 	}
 
+	/**
+	 * Creates a gateway whose dispatchers move requests to other regions.
+	 * @param host the IP address
+	 * @param domain the failure domain
+	 * @param region the region
+	 * @param seeds the seeds
+	 * @return the gateway
+	 * @throws GatewayException if it cannot be created
+	 */
+	static TestGateway withRegionOverflow(String host, FailureDomain domain, Region region, List<HostPort> seeds)
+			throws GatewayException {
+		return new TestGateway(host, domain, region, seeds, STOP_MS, MemoryLimits.forThisJvm(), 0, true);
+	}
+
 	static TestGateway withSecondSendShare(double share, String host, List<HostPort> seeds) throws GatewayException {
 		return new TestGateway(host, DOMAIN, REGION, seeds, STOP_MS, MemoryLimits.forThisJvm(), share);
 	}
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
@@ -34,6 +34,7 @@
 			| name | type | unit | range | default | meaning |
 			| --- | --- | --- | --- | --- | --- |
 			| `--second-send-share` | a number | - | 0 to 0.2 | 0 | The permitted hedged requests per first attempt of a service, 0 for none. |
+			| `--region-overflow` | true or false | - | - | false | Whether dispatchers move requests to other regions before their own region is full. |
 			""";
 
 	private SettingsReference() {
