--- a/review/lab-2/Lab.java
+++ b/review/lab-2/Lab.java
@@ -717,9 +717,9 @@
 				long endNanos) throws IOException {
 			if ("chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
 				while (true) {
-					int size = Integer.parseInt(readLine(in).trim(), 16);
+					int size = Integer.parseInt(readWholeLine(in).trim(), 16);
 					copy(in, body, size, endNanos);
-					readLine(in);
+					readWholeLine(in);
 					if (size == 0) {
 						return;
 					}
@@ -779,12 +779,24 @@
 			}
 		}
 
+		private static String readWholeLine(InputStream in) throws IOException {
+			String line = readLine(in);
+			if (line == null) {
+				throw new EOFException("closed within the body");
+			}
+			return line;
+		}
+
+		/** Reads a line; {@code null} at the end of the stream. */
 		private static String readLine(InputStream in) throws IOException {
 			StringBuilder line = new StringBuilder();
 			while (true) {
 				int next = in.read();
 				if (next < 0) {
-					return (line.length() == 0) ? null : line.toString();
+					if (line.length() > 0) {
+						throw new EOFException("closed within a line");
+					}
+					return null;
 				}
 				if (next == '\n') {
 					return line.toString();
