--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,9 +1,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Half of the servers answer with a sound head and a body without end.
+ * Three of five servers answer one in twenty requests with a sound head and a body without
+ * end, three times for 5 s.
  */
 final class Case10 {
 
@@ -13,7 +15,15 @@
 
 	private static final long CLIENT_MS = 4_000;
 
-	private static final int REQUESTS = 400;
+	private static final int REQUESTS = 800;
+
+	private static final int ONE_IN = 20;
+
+	private static final long FAULTY_MS = 5_000;
+
+	private static final long PAUSE_MS = 500;
+
+	private static volatile long begin = Long.MAX_VALUE;
 
 	private static final ConcurrentHashMap<String, String> ENDLESS = new ConcurrentHashMap<>();
 
@@ -30,15 +40,18 @@
 						List.of(Lab.service("balances")), Lab.LIMITS));
 		lab.addGateway("edge-1", "a-1");
 		lab.addGateway("edge-2", "a-2");
-		for (int i = 1; i <= 6; i++) {
+		for (int i = 1; i <= 5; i++) {
+			AtomicInteger answers = new AtomicInteger();
 			Lab.Server server = lab.addServer("i-" + i, "balances", "a-" + (i % 2 + 1), 3);
 			if (i <= 3) {
-				server.behaviour = (request, out, socket) -> sendsWithoutEnd(server, request, out);
+				server.behaviour = (request, out, socket) -> isFaulty(lab, answers)
+						&& sendsWithoutEnd(server, request, out);
 			}
 			server.publish();
 		}
 		lab.startGateways();
 		Thread.sleep(5_000);
+		begin = lab.now();
 		List<Thread> calls = new ArrayList<>();
 		List<String> late = new ArrayList<>();
 		List<String> overdue = new ArrayList<>();
@@ -62,22 +75,26 @@
 					}
 				}
 			}));
-			Thread.sleep(25);
+			Thread.sleep(20);
 		}
 		for (Thread call : calls) {
 			call.join();
 		}
-		lab.say(REQUESTS + " requests, " + ENDLESS.size() + " reached a faulty server, " + late.size()
+		lab.say(REQUESTS + " requests, " + ENDLESS.size() + " got a body without end, " + late.size()
 				+ " unanswered at the Timeout of the route, " + overdue.size()
 				+ " of these without a final answer half a second later: " + overdue);
 		return overdue.size() >= 8 && overdue.size() * 2 > late.size();
 	}
 
+	private static boolean isFaulty(Lab lab, AtomicInteger answers) {
+		long period = FAULTY_MS + PAUSE_MS;
+		long sinceMs = lab.now() - begin;
+		return Lab.TROUBLE && sinceMs >= 0 && sinceMs < 3 * period && sinceMs % period < FAULTY_MS
+				&& answers.incrementAndGet() % ONE_IN == 0;
+	}
+
 	private static boolean sendsWithoutEnd(Lab.Server server, Lab.Http.Request request, java.io.OutputStream out)
 			throws java.io.IOException {
-		if (!Lab.TROUBLE) {
-			return false;
-		}
 		String id = request.header("x-lovagevale-attempt-id");
 		ENDLESS.put(id, server.id);
 		out.write(("HTTP/1.1 200 OK\r\nX-Lovagevale-Attempt-Id: " + id + "\r\nX-Lovagevale-Server-Signature: sig\r\n"
