Log what an unsuccessful response states about its request

Callers of review/7 get a 503 for requests that have run. Two hypotheses could not be told apart in the log: that the server states that it did not run the request, or that the entry process passes on a status which only looks so. event=request.unsuccessful now says whether the response is signed and whether it states that the request was not run.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -564,14 +564,18 @@
 			return;
 		}
 		HttpResponse response = current.response();
-		LOGGER.info("{}",
-				LogLine.event("request.unsuccessful")
-					.with("id", this.request.id())
-					.with("send", this.policy.sends())
-					.with("server", current.server().id())
-					.with("outcome", outcome)
-					.with("status", (response != null) ? response.status().code() : 0)
-					.with("tookMs", now() - current.startedAt()));
+		LogLine line = LogLine.event("request.unsuccessful")
+			.with("id", this.request.id())
+			.with("send", this.policy.sends())
+			.with("server", current.server().id())
+			.with("outcome", outcome)
+			.with("status", (response != null) ? response.status().code() : 0);
+		if (response != null) {
+			line = line.with("signed", this.services.protocol().isSigned(response.headers()))
+				.with("notExecuted",
+						this.services.protocol().isNotExecuted(response.status().code(), response.headers()));
+		}
+		LOGGER.info("{}", line.with("tookMs", now() - current.startedAt()));
 	}
 
 	// The other entry VM has already made all attempts that are allowed, so the
