End a response without end shortly after the timeout of its request

Cause: from the timeout on, Exchange.endIfStalled tested for silence only. A server that sends anything every 200 ms was never late. When the caller or the VM that relays left first, the send counted as abandoned, so its server never failed.

Ruled out: the decoder (a length of 1 GB and no length do the same), a lost timer (a stalled response is ended).

Change: core.response.ResponseTimer gives a late response that still arrives 450 ms, with blocks of a slow caller and pauses of the process not charged, and ends what a slow caller takes 450 ms after its own deadline. An incomplete response counts as a failure of its server at the timeout, also if its caller leaves then. New metric lovagevale.gateway.responses.late.

--- /dev/null
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/response/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lovagevale.core.response;
+
+import org.jspecify.annotations.NullMarked;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -63,6 +63,10 @@
 		.description("Requests that were late because of their server and were not hedged, by cause")
 		.withRegistry(this.registry);
 
+	private final Meter.MeterProvider<Counter> lateResponses = Counter.builder("lovagevale.gateway.responses.late")
+		.description("Responses ended before their end after the timeout of the request, by cause")
+		.withRegistry(this.registry);
+
 	private final Meter.MeterProvider<Counter> denials = Counter.builder("lovagevale.gateway.accounts.denials")
 		.description("Requests denied because of their credential or client account by cause")
 		.withRegistry(this.registry);
@@ -268,6 +272,15 @@
 		this.hedgeRefusals.withTags(SERVICE_TAG, service.value(), "cause", cause.name()).increment();
 	}
 
+	/**
+	 * Counts a response that was ended before its end because it was late.
+	 * @param service the name of the service
+	 * @param cause why it was ended
+	 */
+	public void countLateResponse(String service, String cause) {
+		this.lateResponses.withTags(SERVICE_TAG, service, "cause", cause).increment();
+	}
+
 	/**
 	 * Counts a request that was denied because of its credential or client account.
 	 * @param account the name of the account, empty if it is not known
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/CallerRequest.java
@@ -26,12 +26,16 @@
  * @param caller the address of the caller
  * @param relayed whether an entry VM of another region relayed the request
  * @param arrivedAt the monotonic time at which the head was received, in milliseconds
- * @param deadlineAt the monotonic time at which the caller stops waiting, in milliseconds
+ * @param deadlineAt the monotonic time at which the caller stops waiting, in
+ * milliseconds; {@link #NO_DEADLINE} if the caller states none
  */
 record CallerRequest(HttpRequest head, RequestSize size, String id, Route route, @Nullable AccountName account,
 		ServiceName service, LimitDecision limitDecision, RequestLimits limits, long configurationVersion,
 		String caller, boolean relayed, long arrivedAt, long deadlineAt) {
 
+	/** The deadline of a caller that states none. */
+	static final long NO_DEADLINE = Long.MAX_VALUE;
+
 	/**
 	 * Returns when the request times out, by its deadline or by the timeout of its route.
 	 * @return the monotonic time in milliseconds
@@ -40,6 +44,16 @@
 		return Math.min(this.deadlineAt, this.arrivedAt + this.route.timeoutMs());
 	}
 
+	/**
+	 * Returns until when the caller takes a response that has been started. An entry VM
+	 * that relays a request states the timeout in place of the deadline of the caller,
+	 * which it enforces itself.
+	 * @return the monotonic time in milliseconds, or {@link #NO_DEADLINE}
+	 */
+	long callerWaitsUntil() {
+		return this.relayed ? NO_DEADLINE : this.deadlineAt;
+	}
+
 	/**
 	 * Returns when the latency target of the route is exceeded.
 	 * @return the monotonic time in milliseconds
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -18,6 +18,10 @@
 import org.lovagevale.core.placing.NextStep;
 import org.lovagevale.core.placing.ServerLoad;
 import org.lovagevale.core.placing.SlotOutcome;
+import org.lovagevale.core.response.LateResponseCause;
+import org.lovagevale.core.response.LateResponseStep.AwaitMore;
+import org.lovagevale.core.response.LateResponseStep.EndResponse;
+import org.lovagevale.core.response.ResponseTimer;
 import org.lovagevale.gateway.fleet.SlotGrant;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -140,7 +144,8 @@
 				head.method() + " " + head.headers().get(HttpHeaderNames.HOST) + head.uri() + " " + request.caller());
 		this.placing = new RequestPlacing(services, request, this.policy, this.content, this);
 		this.sending = new RequestSending(services, caller, request, this.content);
-		this.delivery = new ResponseDelivery(services.clock(), caller, head.method().name().equals("HEAD"));
+		this.delivery = new ResponseDelivery(services.clock(), caller, head.method().name().equals("HEAD"),
+				new ResponseTimer(request.timeoutAt(), request.callerWaitsUntil()));
 		this.classifier = new ResponseClassifier(services.protocol());
 	}
 
@@ -469,9 +474,9 @@
 
 	private void abandon(SendAttempt current) {
 		if (!current.isEnded()) {
-			boolean silent = isSilent(current);
+			boolean failed = isSilent(current) || isOverdue(current);
 			current.cancel();
-			endAttempt(current, silent ? SlotOutcome.FAILED : SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
+			endAttempt(current, failed ? SlotOutcome.FAILED : SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
 		}
 	}
 
@@ -482,6 +487,12 @@
 				&& now() - current.startedAt() >= (long) MIN_SILENCE_FACTOR * grant.request().workMs();
 	}
 
+	// Callers, and the entry VMs that relay for them, often leave before the response is
+	// ended here.
+	private boolean isOverdue(SendAttempt current) {
+		return current.response() != null && this.delivery.isServerOverdue();
+	}
+
 	void responseReadComplete(SendAttempt current) {
 		if (this.done) {
 			return;
@@ -646,7 +657,7 @@
 			return;
 		}
 		if (this.delivery.isStarted()) {
-			endIfStalled();
+			endIfOverdue();
 			return;
 		}
 		this.timedOutAtServer = connection() != null;
@@ -661,23 +672,27 @@
 	}
 
 	/**
-	 * Ends a response that is late and no longer arrives. One that does is passed on to
-	 * its end.
+	 * Ends a late response that stalls or goes on without end. One that still arrives has
+	 * a short time in which it may end.
 	 */
-	private void endIfStalled() {
+	private void endIfOverdue() {
 		SendAttempt current = this.attempt;
 		if (this.done || current == null) {
 			return;
 		}
-		if (!this.delivery.isStalled()) {
-			this.timeoutTimer = this.services.loop()
-				.schedule(this::endIfStalled, ResponseDelivery.STALL_MS, TimeUnit.MILLISECONDS);
-			return;
+		switch (this.delivery.nextStep()) {
+			case AwaitMore step -> this.timeoutTimer = this.services.loop()
+				.schedule(this::endIfOverdue, step.delayMs(), TimeUnit.MILLISECONDS);
+			case EndResponse step -> endLate(current, step.cause());
 		}
+	}
+
+	private void endLate(SendAttempt current, LateResponseCause cause) {
 		current.cancel();
-		endAttempt(current, SlotOutcome.FAILED, ServerLoad.UNKNOWN);
-		this.delivery.abort("response stalled");
-		complete(0, "entry", "response stalled");
+		endAttempt(current, cause.isServerFailure() ? SlotOutcome.FAILED : SlotOutcome.ABANDONED, ServerLoad.UNKNOWN);
+		this.services.metrics().countLateResponse(this.request.service().value(), cause.name());
+		this.delivery.abort(cause.description());
+		complete(0, "entry", cause.description());
 	}
 
 	/**
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestRouter.java
@@ -360,7 +360,7 @@
 		Route route = admitted.route();
 		ClientAccount account = admitted.account();
 		long callerTimeMs = this.services.protocol().callerTimeoutMs(head.headers());
-		long deadline = arrivedAt + ((callerTimeMs == ServerProtocol.NO_TIME) ? route.timeoutMs() : callerTimeMs);
+		long deadline = (callerTimeMs != ServerProtocol.NO_TIME) ? arrivedAt + callerTimeMs : CallerRequest.NO_DEADLINE;
 		String id = String.valueOf(this.services.protocol().requestId(head.headers()));
 		String relayedFor = this.services.protocol().relayedCaller(head.headers());
 		return new CallerRequest(head, size, id, route, (account != null) ? account.name() : null, serviceOf(route),
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ResponseDelivery.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/ResponseDelivery.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.Clock;
+import org.lovagevale.core.response.LateResponseStep;
+import org.lovagevale.core.response.ResponseTimer;
 
 /**
  * The responding phase of an exchange: passes the response of one attempt on to the
@@ -20,30 +22,28 @@
  */
 final class ResponseDelivery {
 
-	/**
-	 * Time without further data after which a response that is late counts as stalled, in
-	 * milliseconds.
-	 */
-	static final long STALL_MS = 200;
-
 	private final Clock clock;
 
 	private final CallerConnection caller;
 
 	private final boolean headRequest;
 
-	private boolean started;
+	private final ResponseTimer timer;
 
-	/** Whether the response is not read because the caller does not take it. */
-	private boolean paused;
-
-	/** Monotonic time in milliseconds of the last part of a response. */
-	private long lastContentAt;
+	private boolean started;
 
-	ResponseDelivery(Clock clock, CallerConnection caller, boolean headRequest) {
+	/**
+	 * Creates the delivery of a response that is not started.
+	 * @param clock the clock
+	 * @param caller the connection to the caller
+	 * @param headRequest whether the response has no body
+	 * @param timer decides when a late response is ended
+	 */
+	ResponseDelivery(Clock clock, CallerConnection caller, boolean headRequest, ResponseTimer timer) {
 		this.clock = clock;
 		this.caller = caller;
 		this.headRequest = headRequest;
+		this.timer = timer;
 	}
 
 	boolean isStarted() {
@@ -51,7 +51,7 @@
 	}
 
 	void recordContent() {
-		this.lastContentAt = this.clock.millis();
+		this.timer.recordContent(this.clock.millis());
 	}
 
 	/**
@@ -84,7 +84,7 @@
 		this.caller.flush();
 		BackendConnection connection = attempt.connection();
 		if (connection != null && !this.caller.isWritable()) {
-			this.paused = true;
+			this.timer.recordBlocked(this.clock.millis());
 			connection.setReading(false);
 		}
 	}
@@ -139,12 +139,23 @@
 	}
 
 	/**
-	 * Tells whether the started response no longer arrives.
-	 * @return {@code false} if data arrived recently, the caller does not take it or it
-	 * is not read
+	 * Decides what follows for the started response after the timeout.
+	 * @return the next step
+	 */
+	LateResponseStep nextStep() {
+		long now = this.clock.millis();
+		if (!this.caller.isWritable()) {
+			this.timer.recordBlocked(now);
+		}
+		return this.timer.next(now);
+	}
+
+	/**
+	 * Tells whether the server is the reason that the response is not complete.
+	 * @return {@code true} if it has had all the time of the request
 	 */
-	boolean isStalled() {
-		return !this.paused && this.caller.isWritable() && this.clock.millis() - this.lastContentAt >= STALL_MS;
+	boolean isServerOverdue() {
+		return this.timer.isServerOverdue(this.clock.millis());
 	}
 
 	/**
@@ -153,9 +164,7 @@
 	 * @param connection the connection that the response is read from
 	 */
 	void callerWritable(@Nullable BackendConnection connection) {
-		if (this.paused && this.caller.isWritable()) {
-			// While the caller took no data, none was read from the server.
-			recordContent();
+		if (this.timer.isBlocked() && this.caller.isWritable()) {
 			resumeReading(connection);
 		}
 	}
@@ -165,7 +174,7 @@
 	 * @param connection the connection that the response is read from
 	 */
 	void resumeReading(@Nullable BackendConnection connection) {
-		this.paused = false;
+		this.timer.recordUnblocked(this.clock.millis());
 		if (connection != null) {
 			connection.setReading(true);
 		}
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestGateway.java
@@ -1,5 +1,6 @@
 package org.lovagevale.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -35,6 +36,8 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 /**
  * An entry process on loopback that reads its catalog from memory.
  */
@@ -46,6 +49,8 @@
 
 	static final Region REGION = new Region("west");
 
+	private static final int MAX_KEPT_BYTES = 1_000_000;
+
 	private static final long STOP_MS = 3_000;
 
 	/**
@@ -330,6 +335,25 @@
 		return text + new String(body, StandardCharsets.ISO_8859_1);
 	}
 
+	/**
+	 * Reads until the connection is closed.
+	 * @param socket the connection
+	 * @param maxMs the time within which it must be closed, in milliseconds
+	 * @return the first {@value #MAX_KEPT_BYTES} bytes of what was received
+	 * @throws IOException if the connection fails
+	 */
+	static String readToEnd(Socket socket, long maxMs) throws IOException {
+		long startedAt = System.nanoTime();
+		ByteArrayOutputStream received = new ByteArrayOutputStream();
+		byte[] part = new byte[65_536];
+		for (int read = 0; read >= 0; read = socket.getInputStream().read(part)) {
+			received.write(part, 0, Math.min(read, MAX_KEPT_BYTES - received.size()));
+			assertThat(System.nanoTime() - startedAt).as("time until the connection is closed")
+				.isLessThan(Duration.ofMillis(maxMs).toNanos());
+		}
+		return received.toString(StandardCharsets.ISO_8859_1);
+	}
+
 	@Override
 	public void close() {
 		this.loops.disposeLater(QUIET_PERIOD, Duration.ofSeconds(1)).block();
