Never pass on a status that says not run for a request that has run

Cause: what a response says about its request was decided by its headers, and what the caller is told by its status. Exchange passed on each signed failure, on three paths: the end of a response, of a relayed one, and a large body while it arrives. Only 5xx counted as failures, and the number 421 alone as a replaced server.

Change: ServerProtocol.isNotRunStatus names these statuses; without the statement of the server they are failures and are replaced by a 502 of the entry process, or the request is sent again where it may be.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/ServerProtocol.java
@@ -72,9 +72,18 @@
 	 * Returns whether a response states that the address now belongs to another server
 	 * than the expected one.
 	 * @param status the status code
+	 * @param headers the headers of the response
 	 * @return {@code true} if the expected server was replaced
 	 */
-	boolean isReplaced(int status);
+	boolean isReplaced(int status, HttpHeaders headers);
+
+	/**
+	 * Returns whether callers take a status for the statement that their request was not
+	 * run and never will be.
+	 * @param status the status code
+	 * @return {@code true} if only a request that was not run may get the status
+	 */
+	boolean isNotRunStatus(int status);
 
 	/**
 	 * Returns whether a response states that its server is leaving.
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/BackendConnectionPool.java
@@ -161,7 +161,7 @@
 
 	private void recordAnnouncements(BackendInstance server, HttpResponse response) {
 		String sender = this.protocol.instanceId(response.headers());
-		if (this.protocol.isReplaced(response.status().code())
+		if (this.protocol.isReplaced(response.status().code(), response.headers())
 				|| sender != null && !sender.equals(server.id().value())) {
 			// The address belongs to another server now.
 			return;
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/Exchange.java
@@ -422,7 +422,7 @@
 	// A body that is not passed on is not read to its end, since it may have none.
 	private void bufferExceeded(SendAttempt current) {
 		SlotOutcome outcome = this.classifier.classify(current);
-		if (outcome == SlotOutcome.SERVED || this.hedge == null && isGenuineFailure(current, outcome)) {
+		if (outcome == SlotOutcome.SERVED || this.hedge == null && isDeliverableFailure(current, outcome)) {
 			selectResponse(current);
 			this.delivery.start(current, false);
 			return;
@@ -431,9 +431,9 @@
 		responseEnded(current);
 	}
 
-	private boolean isGenuineFailure(SendAttempt current, SlotOutcome outcome) {
+	private boolean isDeliverableFailure(SendAttempt current, SlotOutcome outcome) {
 		HttpResponse response = current.response();
-		return outcome == SlotOutcome.FAILED && response != null && this.classifier.isGenuine(response);
+		return outcome == SlotOutcome.FAILED && response != null && this.classifier.mayPassOn(response);
 	}
 
 	/**
@@ -561,7 +561,7 @@
 		NextStep step = this.policy.nextStep(outcome, this.content.isReplayable(), this.request.timeoutAt() - now());
 		String reason = "status " + ((response != null) ? response.status().code() : 0) + " of "
 				+ current.server().id();
-		if (step != NextStep.SEND_AGAIN && isGenuineFailure(current, outcome)) {
+		if (step != NextStep.SEND_AGAIN && isDeliverableFailure(current, outcome)) {
 			this.delivery.start(current, true);
 			finish(current);
 			return;
@@ -596,7 +596,7 @@
 		if (outcome == SlotOutcome.FAILED) {
 			// Called only to record that the request may have run.
 			this.policy.nextStep(outcome, false, 0);
-			if (this.classifier.isGenuine(response)) {
+			if (isDeliverableFailure(current, outcome)) {
 				this.delivery.start(current, true);
 				finish(current);
 				return;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/HedgedRequestTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/HedgedRequestTests.java
@@ -219,6 +219,45 @@
 		assertThat(receivedCount()).isEqualTo(2);
 	}
 
+	private static void failAsNotRun(TestServer.Request request, Socket socket) throws IOException {
+		TestServer.write(socket, "HTTP/1.1 503 Failed\r\nTest-Id: " + request.headers().get("test-id")
+				+ "\r\nTest-Signature: s\r\nContent-Length: 20000\r\n\r\n" + "x".repeat(20_000));
+	}
+
+	// Guards against a status which says that the request was not run, of a server that
+	// has run it.
+	@Test
+	void responseOfTheFirstServerIsAwaitedAfterTheSecondOneSaysThatItHasNotRun() throws Exception {
+		CountDownLatch secondFailed = new CountDownLatch(1);
+		this.firstHandler = (request, socket) -> {
+			await(secondFailed);
+			pause(WORK_MS);
+			TestServer.write(socket, TestServer.ok(request, "first"));
+		};
+		this.secondHandler = (request, socket) -> {
+			failAsNotRun(request, socket);
+			secondFailed.countDown();
+		};
+		startHedgingGateway();
+		assertThat(this.gateway.exchange(TestGateway.getRequest("/read/x", "h1"))).contains(" 200 ").endsWith("first");
+		assertThat(receivedCount()).isEqualTo(2);
+	}
+
+	@Test
+	void requestThatBothServersHaveRunIsNotCalledNotRun() throws Exception {
+		this.firstHandler = (request, socket) -> {
+			await(this.secondReceived);
+			failAsNotRun(request, socket);
+		};
+		this.secondHandler = (request, socket) -> {
+			pause(WORK_MS);
+			failAsNotRun(request, socket);
+		};
+		startHedgingGateway();
+		assertThat(this.gateway.exchange(TestGateway.getRequest("/read/x", "h1"))).contains(" 502 ");
+		assertThat(receivedCount()).isEqualTo(2);
+	}
+
 	@Test
 	void requestIsNotSentAThirdTimeAfterBothAttemptsFailed() throws Exception {
 		this.firstHandler = (request, socket) -> {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/TestProtocol.java
@@ -9,7 +9,7 @@
 /**
  * A protocol whose header names only the tests use.
  */
-final class TestProtocol implements ServerProtocol {
+public final class TestProtocol implements ServerProtocol {
 
 	@Override
 	public String requestId(HttpHeaders headers) {
@@ -52,8 +52,13 @@
 	}
 
 	@Override
-	public boolean isReplaced(int status) {
-		return status == 421;
+	public boolean isReplaced(int status, HttpHeaders headers) {
+		return status == 421 && (headers.contains("Test-Not-Run") || !isSigned(headers));
+	}
+
+	@Override
+	public boolean isNotRunStatus(int status) {
+		return status == 408 || status == 421 || status == 429 || status == 503;
 	}
 
 	@Override
