Charge a delay of the event loop to a late response unless it is a pause

Now a delay changes nothing until the 450 ms are used, and only after them what has arrived meanwhile is read for 100 ms.

Measured: ResponseTimerTests (a property over delays up to 250 ms) and LateResponseTests pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/response/ResponseTimer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/response/ResponseTimer.java
@@ -11,9 +11,9 @@
  * A response that still arrives is passed on for a short time, since its end is usually
  * near; one without end is cut off then. Invariants: the server gets at most
  * {@link #MAX_OVERRUN_MS} beyond the timeout, not counting the time for which a slow
- * caller blocks the response or this process was paused; nothing is passed on for more
- * than that time after the deadline of the caller. All times are monotonic, in
- * milliseconds. Not thread-safe.
+ * caller blocks the response, or {@link #READ_AFTER_PAUSE_MS} after a pause of this
+ * process; nothing is passed on for more than the former time after the deadline of the
+ * caller. All times are monotonic, in milliseconds. Not thread-safe.
  */
 public final class ResponseTimer {
 
@@ -42,11 +42,14 @@
 	 */
 	static final long MIN_BLOCK_MS = 30;
 
+	/** Delay of a decision from which this process counts as paused, in milliseconds. */
+	static final long MIN_PAUSE_MS = 100;
+
 	/**
-	 * Delay of a decision from which this process counts as paused, in milliseconds. What
-	 * has arrived meanwhile is read after it.
+	 * Time after a pause in milliseconds in which the response is read that has arrived
+	 * meanwhile.
 	 */
-	static final long MIN_PAUSE_MS = 100;
+	static final long READ_AFTER_PAUSE_MS = 100;
 
 	/** A time in the far future from which times can be subtracted without overflow. */
 	private static final long NO_DEADLINE = Long.MAX_VALUE / 2;
@@ -71,6 +74,9 @@
 	/** When the next decision is due. */
 	private long decisionAt;
 
+	/** Until when the response is read at least, after the last pause. */
+	private long readUntil;
+
 	/**
 	 * Creates a timer.
 	 * @param timeoutAt the time at which the request times out
@@ -84,6 +90,7 @@
 		}
 		this.timeoutAt = timeoutAt;
 		this.decisionAt = timeoutAt;
+		this.readUntil = timeoutAt;
 		this.callerDeadlineAt = Math.min(callerDeadlineAt, NO_DEADLINE);
 	}
 
@@ -155,10 +162,10 @@
 	 * @return the next step
 	 */
 	public LateResponseStep next(long now) {
-		excusePause(now);
+		recordPause(now);
 		long callerLeftMs = this.callerDeadlineAt + MAX_OVERRUN_MS - now;
 		long untilSlowMs = MIN_BLOCK_MS - blockMs(now);
-		long leftMs = MAX_OVERRUN_MS - (lateMs(now) - this.excusedMs);
+		long leftMs = Math.max(MAX_OVERRUN_MS - (lateMs(now) - this.excusedMs), this.readUntil - now);
 		if (untilSlowMs > 0 && leftMs <= (this.blocked ? -MIN_BLOCK_MS : 0)) {
 			return new EndResponse(LateResponseCause.OVERLONG);
 		}
@@ -181,10 +188,9 @@
 		return new AwaitMore(delayMs);
 	}
 
-	private void excusePause(long now) {
-		long delayMs = now - this.decisionAt;
-		if (delayMs >= MIN_PAUSE_MS && !this.blocked) {
-			this.excusedMs += delayMs;
+	private void recordPause(long now) {
+		if (now - this.decisionAt >= MIN_PAUSE_MS && !this.blocked) {
+			this.readUntil = now + READ_AFTER_PAUSE_MS;
 			this.progressAt = now;
 		}
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/response/ResponseTimerTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/response/ResponseTimerTests.java
@@ -130,10 +130,24 @@
 	// Guards against a response that arrived while this process was paused and is ended
 	// unread.
 	@Test
-	void pauseOfTheProcessIsNotCharged() {
+	void responseIsReadAfterAPauseOfTheProcess() {
 		this.timer.recordContent(TIMEOUT_AT - 500);
-		assertThat(this.timer.next(TIMEOUT_AT + 1_000)).isEqualTo(new AwaitMore(ResponseTimer.STALL_MS));
-		assertThat(this.timer.next(TIMEOUT_AT + 1_200)).isEqualTo(STALLED);
+		assertThat(this.timer.next(TIMEOUT_AT + 1_000)).isEqualTo(new AwaitMore(ResponseTimer.READ_AFTER_PAUSE_MS));
+		this.timer.recordContent(TIMEOUT_AT + 1_090);
+		assertThat(this.timer.next(TIMEOUT_AT + 1_100)).isEqualTo(OVERLONG);
+	}
+
+	// Guards against a response without end that is awaited longer since the event loop
+	// was a little late.
+	@Property(seed = "20261207", tries = 200)
+	void shortDelaysDoNotProlongAResponseWithoutEnd(@ForAll @IntRange(min = 0, max = 250) int delayMs) {
+		long at = TIMEOUT_AT + 40 + delayMs;
+		this.timer.recordContent(at);
+		while (this.timer.next(at) instanceof AwaitMore step) {
+			at += step.delayMs();
+			this.timer.recordContent(at);
+		}
+		assertThat(at).isEqualTo(TIMEOUT_AT + ResponseTimer.MAX_OVERRUN_MS);
 	}
 
 	// Guards against a server that is not held responsible since its caller left, and
