--- a/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
+++ b/lovagevale-node/src/test/java/org/lovagevale/node/http/CallerServerTests.java
@@ -121,6 +121,32 @@
 		}
 	}
 
+	// Guards against a response without end that is passed on for as long as it arrives.
+	@Test
+	void responseWithoutEndIsEndedAtTheTimeout() throws Exception {
+		long timeoutMs = 800;
+		RawServer.RequestHandler handler = (head, in, connection) -> {
+			connection.getOutputStream().write(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+			while (true) {
+				connection.getOutputStream().write(ascii("400\r\n" + "x".repeat(1_024) + "\r\n"));
+				pause(10);
+			}
+		};
+		try (RawServer server = new RawServer(handler);
+				HttpFixture fixture = new HttpFixture(server.port(),
+						(event) -> (event instanceof PrefixArrived prefix)
+								? List.of(ScriptedLogic.dispatch(prefix.id(), 1, server.port(), timeoutMs)) : null);
+				RawCaller caller = new RawCaller(fixture.callerPort)) {
+			long startedAt = System.nanoTime();
+			caller.send(GET_REQUEST);
+			assertThat(readUntilClosed(caller)).startsWith("HTTP/1.1 200").doesNotContain("\r\n0\r\n");
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)).isBetween(timeoutMs,
+					timeoutMs + 500);
+			await(() -> !fixture.logic.events(AttemptFailed.class).isEmpty());
+			assertThat(failureKinds(fixture)).containsExactly(FailureKind.LOST_IN_BODY);
+		}
+	}
+
 	// Guards against sending the late response of a cancelled attempt to the next
 	// request.
 	@Test
