Tell a store that was away from a VM that was cut off

A VM whose state was older than 3 s took that for an outage of the store and kept the servers that the next state lacked; nothing ended the time for which it did.

The age of the own state says that a VM heard nothing, not why. Processes now tell each other since when the store has been answering (StoreContact); once that has lasted for 2.2 s, a missing server is gone, whoever was away. Until then it is retained with a deadline of its own, which travels with it, and a state that holds such servers is no longer passed on as complete. MessageDelays keeps news that waited on a cut link from looking like contact. An evacuation that a restored store lacks had the same fault and gets a deadline too. A change that does not name a server which was missing after its base for a moment is not applied; the server stayed away for good before.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/catalog/DepartedServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/catalog/DepartedServer.java
@@ -12,6 +12,15 @@
  */
 record DepartedServer(ReportOrder order, long removedIn, long removedAt) {
 
+	/**
+	 * Returns whether an item of this server was published before it left.
+	 * @param itemRevision the revision of the item
+	 * @return {@code true} if it was
+	 */
+	boolean isAfter(long itemRevision) {
+		return itemRevision <= this.removedIn;
+	}
+
 	/**
 	 * Returns whether an item of this server may come from a copy of the store that was
 	 * made before it left.
--- a/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogTests.java
@@ -177,9 +177,9 @@
 	void changeRequiresItsBaseRevision() {
 		this.catalog.replace(List.of(item("c", 5, "version 1")), 5, 0);
 		CatalogChange change = new CatalogChange(List.of(item("c", 8, "version 2")), List.of());
-		assertThat(this.catalog.applyChange(7, change, 8, 10)).isNull();
+		assertThat(this.catalog.applyChange(7, change, Observation.ofRead(8, 10, 10))).isNull();
 		assertThat(version()).isEqualTo(1);
-		assertThat(this.catalog.applyChange(5, change, 8, 10)).isNotNull();
+		assertThat(this.catalog.applyChange(5, change, Observation.ofRead(8, 10, 10))).isNotNull();
 		assertThat(version()).isEqualTo(2);
 	}
 
@@ -257,10 +257,11 @@
 		read(0, 100, 0, item("s", 99, "server 1000 9 ready"));
 		CatalogChange change = new CatalogChange(
 				List.of(item("s", CatalogRevision.of(1, 41), "server 1000 10 draining")), List.of());
-		this.catalog.applyChange(CatalogRevision.of(0, 100), change, CatalogRevision.of(1, 41), 700);
+		long restored = CatalogRevision.of(1, 41);
+		this.catalog.applyChange(CatalogRevision.of(0, 100), change, Observation.ofRead(restored, 700, 700));
 		assertThat(server().draining()).isTrue();
-		assertThat(
-				this.catalog.applyChange(CatalogRevision.of(2, 3), CatalogChange.NONE, CatalogRevision.of(2, 5), 800))
+		assertThat(this.catalog.applyChange(CatalogRevision.of(2, 3), CatalogChange.NONE,
+				Observation.ofRead(CatalogRevision.of(2, 5), 800, 800)))
 			.isNull();
 	}
 
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
@@ -16,10 +17,13 @@
 import org.lovagevale.core.catalog.CatalogChange;
 import org.lovagevale.core.catalog.CatalogDecoder;
 import org.lovagevale.core.catalog.CatalogRevision;
+import org.lovagevale.core.catalog.Observation;
 import org.lovagevale.core.catalog.PublishedItem;
 import org.lovagevale.core.catalog.ServingConfiguration;
+import org.lovagevale.core.catalog.StoreContact;
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
+import org.lovagevale.core.roster.MessageDelays;
 import org.lovagevale.core.roster.ReadSchedule;
 import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
@@ -45,7 +49,7 @@
 
 	/**
 	 * Time for which the same message with the complete catalog is sent to processes that
-	 * request it, in milliseconds. Its stated age is too low by up to this time.
+	 * request it, in milliseconds. It seems to have waited for up to this time.
 	 */
 	private static final long COMPLETE_NEWS_REUSE_MS = 50;
 
@@ -78,6 +82,8 @@
 
 	private final ReadSchedule schedule;
 
+	private final MessageDelays delays = new MessageDelays();
+
 	/** When the former configuration was requested, {@link Long#MIN_VALUE} if never. */
 	private long requestedAt = Long.MIN_VALUE;
 
@@ -176,6 +182,7 @@
 	public void tick() {
 		long now = this.clock.millis();
 		long ageMs = this.catalog.ageMs(now);
+		removeExpired(now);
 		if (ageMs == Long.MAX_VALUE && this.schedule.mayRequestState()) {
 			requestInitialCatalog(now);
 		}
@@ -185,6 +192,13 @@
 		}
 	}
 
+	private void removeExpired(long now) {
+		if (this.catalog.isRetaining()) {
+			boolean isolated = this.schedule.failures() > 0 && this.roster.alive().size() <= 1;
+			handleChange(this.catalog.removeExpired(now, isolated), "retention");
+		}
+	}
+
 	private void requestInitialCatalog(long now) {
 		List<RosterMember> serving = this.roster.serving()
 			.stream()
@@ -238,13 +252,12 @@
 		this.metrics.countPlatformRead(true);
 		this.schedule.recordSuccess();
 		long baseRevision = this.catalog.revision();
-		CatalogChange change = this.catalog.replace(state.items(), state.asOf(), startedAt);
+		long now = this.clock.millis();
+		CatalogChange change = this.catalog.replace(state.items(), Observation.ofRead(state.asOf(), startedAt, now));
 		logRestore(baseRevision, "platform");
 		handleChange(change, "platform");
-		long ageMs = this.clock.millis() - startedAt;
-		boolean complete = baseRevision == 0;
-		List<PublishedItem> items = complete ? List.copyOf(this.catalog.items()) : change.changed();
-		CatalogNews news = new CatalogNews(complete, baseRevision, state.asOf(), ageMs, items, change.removed());
+		CatalogNews news = (baseRevision == 0) ? CatalogNews.ofState(this.catalog, now)
+				: CatalogNews.ofChange(this.catalog, baseRevision, change, now);
 		// Sent even without a change, because it confirms that the catalog is current.
 		sendToRegion(news);
 		this.roster.serving()
@@ -308,11 +321,12 @@
 			this.schedule.recordRequestFailed();
 			return;
 		}
-		long observedAt = this.clock.millis() - news.ageMs();
+		long now = this.clock.millis();
 		long knownRevision = this.catalog.revision();
-		CatalogChange change = news.complete() ? this.catalog.replace(news.items(), news.asOf(), observedAt)
-				: this.catalog.applyChange(news.baseRevision(), new CatalogChange(news.items(), news.removed()),
-						news.asOf(), observedAt);
+		boolean reader = this.schedule.isReader();
+		OptionalLong delay = (news.sentAtMs() != 0) ? this.delays.record(from, news.sentAtMs(), now)
+				: OptionalLong.empty();
+		CatalogChange change = news.applyTo(this.catalog, now - delay.orElse(0), delay.isPresent());
 		if (change == null) {
 			this.sender.send(from, new CatalogRequest(this.catalog.revision()));
 			return;
@@ -328,8 +342,19 @@
 		}
 		handleChange(change, from.value());
 		if (isFromOtherRegion(from) && !news.complete()) {
-			sendToRegion(
-					new CatalogNews(false, news.baseRevision(), news.asOf(), ageMs(), news.items(), news.removed()));
+			sendToRegion(news.forwardedBy(this.catalog, now));
+		}
+		if (reader && news.isUncertain()) {
+			confirmIfContactIsOlder(from, news, now);
+		}
+	}
+
+	// The sender may become the reader, and would not learn then that the store had been
+	// well for longer than it knows.
+	private void confirmIfContactIsOlder(VmName to, CatalogNews news, long now) {
+		CatalogNews confirmation = CatalogNews.ofChange(this.catalog, this.catalog.revision(), CatalogChange.NONE, now);
+		if (confirmation.contactMs() > news.contactMs()) {
+			this.sender.send(to, confirmation);
 		}
 	}
 
@@ -352,8 +377,7 @@
 				&& now - this.completeNewsAt < COMPLETE_NEWS_REUSE_MS) {
 			return known;
 		}
-		CatalogNews news = new CatalogNews(true, 0, this.catalog.revision(), ageMs(), List.copyOf(this.catalog.items()),
-				List.of());
+		CatalogNews news = CatalogNews.ofState(this.catalog, now);
 		this.completeNews = news;
 		this.completeNewsAt = now;
 		return news;
@@ -375,6 +399,7 @@
 		if (change.isEmpty()) {
 			return;
 		}
+		this.completeNews = null;
 		this.servers = Map.copyOf(this.catalog.servers());
 		ServingConfiguration configuration = this.catalog.configuration();
 		LOGGER.info("{}",
@@ -386,10 +411,18 @@
 					.with("servers", this.servers.size())
 					.with("evacuated", this.catalog.evacuated().stream().limit(MAX_LOGGED_KEYS).toList())
 					.with("changed", loggedKeys(change))
-					.with("removed", change.removed().stream().limit(MAX_LOGGED_KEYS).toList()));
+					.with("removed", change.removed().stream().limit(MAX_LOGGED_KEYS).toList())
+					.with("missing", change.missing().stream().limit(MAX_LOGGED_KEYS).toList())
+					.with("contactMs", contactMs()));
 		this.changeListener.run();
 	}
 
+	// Tells an outage of the store from a time in which this process was cut off.
+	private long contactMs() {
+		StoreContact contact = this.catalog.contact();
+		return (contact != null) ? Math.max(0, this.clock.millis() - contact.since()) : 0;
+	}
+
 	private static List<String> loggedKeys(CatalogChange change) {
 		return change.changed().stream().map(PublishedItem::key).limit(MAX_LOGGED_KEYS).toList();
 	}
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.RetainedItem;
 import org.lovagevale.core.message.DemandEntry;
 import org.lovagevale.core.message.HeardReport;
 import org.lovagevale.core.message.MemberEntry;
@@ -27,10 +28,11 @@
  * <p>
  * A message is encoded as an array of two elements: its type code and an array of the
  * components of its record in order of declaration. Large messages are compressed.
- * Components appended by a newer version are ignored, so that processes of different
- * versions can communicate during an upgrade. Invariant: {@link #decode(byte[])} either
- * returns a message without null components or throws {@link PeerException}; it allocates
- * no more than a small multiple of the input. Thread-safe.
+ * Components appended by a newer version are ignored and those that an older version
+ * lacks have defaults, so that processes of different versions can communicate during an
+ * upgrade. Invariant: {@link #decode(byte[])} either returns a message without null
+ * components or throws {@link PeerException}; it allocates no more than a small multiple
+ * of the input. Thread-safe.
  */
 public final class PeerCodec {
 
@@ -69,6 +71,7 @@
 		useArrayFormat(SuspectEntry.class);
 		useArrayFormat(RosterEntry.class);
 		useArrayFormat(PublishedItem.class);
+		useArrayFormat(RetainedItem.class);
 		useArrayFormat(HeardReport.class);
 		useArrayFormat(DemandEntry.class);
 	}
@@ -112,8 +115,9 @@
 	 * @throws PeerException if the bytes are not exactly one message of a known type
 	 */
 	public PeerMessage decode(byte[] bytes) throws PeerException {
-		byte[] encoded = MessageCompression.decompress(bytes);
-		MessagePackValidator.validate(encoded);
+		byte[] received = MessageCompression.decompress(bytes);
+		MessagePackValidator.validate(received);
+		byte[] encoded = AppendedComponents.complete(received);
 		try (JsonParser parser = this.mapper.createParser(encoded)) {
 			expect(parser.nextToken() == JsonToken.START_ARRAY, "array");
 			expect(parser.nextToken() == JsonToken.VALUE_NUMBER_INT, "type code");
--- a/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
+++ b/lovagevale-peer/src/test/java/org/lovagevale/peer/PeerCodecTests.java
@@ -9,6 +9,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.lovagevale.core.catalog.PublishedItem;
+import org.lovagevale.core.catalog.RetainedItem;
+import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.Digest;
 import org.lovagevale.core.message.Hello;
 import org.lovagevale.core.message.KeyArchive;
@@ -38,6 +41,10 @@
 
 	private static final SuspectEntry SUSPECT = new SuspectEntry("ab12", 1, 20, 0, List.of("lk-west"), 1);
 
+	private static final CatalogNews NEWS = new CatalogNews(true, 0, 9, 40,
+			List.of(new PublishedItem("servers/a", 7, "{}")), List.of(), 5_000, 40, List.of("servers/b"),
+			List.of(new RetainedItem(new PublishedItem("servers/b", 6, "{}"), 2_000)), 77);
+
 	private final PeerCodec codec = new PeerCodec();
 
 	static List<PeerMessage> messages() {
@@ -47,7 +54,7 @@
 				new SettingsRequest(3), new SettingsBody(4, 0, "{ /* ä */ }"), new SuspectNotice(9, SUSPECT),
 				new SuspectNoticeAck(9), new OutcomeQuery(5, "k", List.of()), new OutcomeAnswer(5, "k", "NOT_RUN"),
 				new RegionLoad("lk-west", "transfers", 3, 9, 1_200, 30),
-				new SlotRefused(7, "OTHER_REGION", 0, "lk-west"),
+				new SlotRefused(7, "OTHER_REGION", 0, "lk-west"), NEWS,
 				new KeyArchive("entry-01", "1a-2", List.of("a"), List.of("b"), 5, List.of()));
 	}
 
@@ -75,6 +82,25 @@
 		assertThat(this.codec.decode(extended)).isEqualTo(new SettingsRequest(1));
 	}
 
+	// Guards against news that are lost while processes of two versions run beside each
+	// other.
+	@Test
+	void completesCatalogNewsOfAnOlderVersion() throws PeerException {
+		byte[] former = { (byte) 0x92, 12, (byte) 0x96, (byte) 0xc2, 3, 5, 40, (byte) 0x91, (byte) 0x93, (byte) 0xa1,
+				'a', 5, (byte) 0xa1, 'v', (byte) 0x91, (byte) 0xa1, 'b' };
+		assertThat(this.codec.decode(former)).isEqualTo(new CatalogNews(false, 3, 5, 40,
+				List.of(new PublishedItem("a", 5, "v")), List.of("b"), 0, 0, List.of(), List.of(), 0));
+	}
+
+	@Test
+	void rejectsCatalogNewsWithANegativeTime() {
+		byte[] negativeAge = { (byte) 0x92, 12, (byte) 0x96, (byte) 0xc2, 3, 5, (byte) 0xff, (byte) 0x90, (byte) 0x90 };
+		byte[] negativeContact = { (byte) 0x92, 12, (byte) 0x9b, (byte) 0xc2, 3, 5, 40, (byte) 0x90, (byte) 0x90,
+				(byte) 0xff, 0, (byte) 0x90, (byte) 0x90, 0 };
+		assertThatExceptionOfType(PeerException.class).isThrownBy(() -> this.codec.decode(negativeAge));
+		assertThatExceptionOfType(PeerException.class).isThrownBy(() -> this.codec.decode(negativeContact));
+	}
+
 	@ParameterizedTest
 	@MethodSource("malformedInputs")
 	void rejectsMalformedInputWithoutLargeAllocations(byte[] bytes) {
