Do not take the end of a cut for isolation

A VM that came back from a cut heard from held news of live servers whose entries had expired, and dropped them at once: its roster was still empty, its last read had failed, and their deadline had passed. It now counts as isolated only if no news have arrived for as long as a heartbeat is awaited.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -87,6 +87,9 @@
 	/** When the former configuration was requested, {@link Long#MIN_VALUE} if never. */
 	private long requestedAt = Long.MIN_VALUE;
 
+	/** When news arrived last, however old. */
+	private long newsArrivedAt;
+
 	private Runnable changeListener = () -> {
 	};
 
@@ -124,6 +127,7 @@
 		this.catalog = new Catalog(decoder);
 		this.metrics = metrics;
 		this.schedule = new ReadSchedule(clock.millis(), roster.self().capacity());
+		this.newsArrivedAt = clock.millis();
 	}
 
 	/**
@@ -194,7 +198,9 @@
 
 	private void removeExpired(long now) {
 		if (this.catalog.isRetaining()) {
-			boolean isolated = this.schedule.failures() > 0 && this.roster.alive().size() <= 1;
+			boolean heardNothing = now - this.newsArrivedAt >= Roster.HEARTBEAT_TIMEOUT_MS
+					&& this.roster.alive().size() <= 1;
+			boolean isolated = heardNothing && this.schedule.failures() > 0;
 			handleChange(this.catalog.removeExpired(now, isolated), "retention");
 		}
 	}
@@ -322,6 +328,7 @@
 			return;
 		}
 		long now = this.clock.millis();
+		this.newsArrivedAt = now;
 		long knownRevision = this.catalog.revision();
 		boolean reader = this.schedule.isReader();
 		OptionalLong delay = (news.sentAtMs() != 0) ? this.delays.record(from, news.sentAtMs(), now)
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
@@ -86,6 +86,18 @@
 		run(20_000);
 	}
 
+	// Guards against a VM that takes the end of its own cut for isolation while news that
+	// were held tell it of servers whose deadline has passed meanwhile.
+	@Test
+	void liveServersStayWhenHeldNewsArriveAfterTheirDeadline() {
+		this.fleet = fleet(true);
+		this.observer = new CatalogObserver(this.fleet);
+		this.fleet.store.takeDown(7_769);
+		run(6_950);
+		this.fleet.vm("w2").cut(7_594);
+		run(24_000);
+	}
+
 	// Guards against servers that come back through the catalog of a VM that was cut off.
 	@Test
 	void processThatStartsAfterACutDoesNotListServersThatHadLeft() {
