Do not take a suspended clock for a delay of each message

The smallest difference between the clocks of two processes was kept for up to four minutes. After a suspension of a VM, during which its monotonic clock may stand still, all its news would have seemed old for that long, and each receiver would have read the store itself.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/MessageDelays.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/MessageDelays.java
@@ -12,12 +12,13 @@
  *
  * <p>
  * Each message states the monotonic time of its sender. The difference to the own one is
- * constant but for the delay, so the smallest difference of the last minutes stands for
- * messages without delay. The first messages of a sender may all have waited; those that
- * waited for the same event arrive together, so their differences are unequal. The delay
- * is unknown until two messages with {@link #MIN_SPACING_MS} between them had nearly the
- * same difference. Invariant: there are at most {@link #MAX_SENDERS} senders. Not
- * thread-safe.
+ * constant but for the delay, so the smallest difference stands for messages without
+ * delay. Messages that waited for the same event arrive together, so their differences
+ * are unequal. Two messages with {@link #MIN_SPACING_MS} between them and nearly the same
+ * difference therefore show that of the clocks: before there were such, the delay is
+ * unknown, and if theirs is greater than the smallest one, a clock was suspended. A
+ * constant delay that sets in later is taken for that after two messages. Invariant:
+ * there are at most {@link #MAX_SENDERS} senders. Not thread-safe.
  */
 public final class MessageDelays {
 
@@ -30,15 +31,14 @@
 	/** Greatest deviation between these two messages, in milliseconds. */
 	static final long MAX_DEVIATION_MS = 100;
 
-	/**
-	 * Time after which the smallest difference is measured anew, in milliseconds; clocks
-	 * drift by a few milliseconds meanwhile.
-	 */
-	static final long WINDOW_MS = 120_000;
-
 	/** Maximum number of senders; more than send regularly. */
 	static final int MAX_SENDERS = 1_000;
 
+	/**
+	 * Time after which a sender that is not heard may be forgotten, in milliseconds.
+	 */
+	static final long FORGET_MS = 120_000;
+
 	private final Map<VmName, Sender> senders = new HashMap<>();
 
 	/**
@@ -51,15 +51,14 @@
 	 */
 	public OptionalLong record(VmName from, long sentAt, long now) {
 		Sender known = this.senders.get(from);
-		if (known == null || sentAt < known.lastSentAt) {
-			// A clock that goes back belongs to another run of the VM.
-			if (known == null && this.senders.size() >= MAX_SENDERS) {
-				this.senders.values().removeIf((sender) -> now - sender.heardAt > WINDOW_MS);
-				if (this.senders.size() >= MAX_SENDERS) {
-					return OptionalLong.empty();
-				}
+		if (known == null) {
+			if (this.senders.size() >= MAX_SENDERS) {
+				this.senders.values().removeIf((sender) -> now - sender.heardAt > FORGET_MS);
 			}
-			known = new Sender(now);
+			if (this.senders.size() >= MAX_SENDERS) {
+				return OptionalLong.empty();
+			}
+			known = new Sender();
 			this.senders.put(from, known);
 		}
 		return known.record(sentAt, now);
@@ -68,47 +67,47 @@
 	/** The differences between the clocks of a sender and of this process. */
 	private static final class Sender {
 
-		private boolean familiar;
-
 		private long heardAt;
 
 		private long lastSentAt = Long.MIN_VALUE;
 
-		private long lastDifference;
+		/** Time of sending and difference of the last message that was compared. */
+		private long comparedSentAt;
 
-		private long windowStartedAt;
+		private long comparedDifference;
 
-		private long smallest = Long.MAX_VALUE;
+		private long smallest;
 
-		private long formerSmallest = Long.MAX_VALUE;
-
-		private Sender(long now) {
-			this.windowStartedAt = now;
-		}
+		private boolean known;
 
 		private OptionalLong record(long sentAt, long now) {
-			if (now - this.windowStartedAt >= WINDOW_MS) {
-				this.windowStartedAt = now;
-				this.formerSmallest = this.smallest;
-				this.smallest = Long.MAX_VALUE;
-			}
 			long difference = now - sentAt;
-			this.smallest = Math.min(this.smallest, difference);
-			boolean spaced = this.lastSentAt == Long.MIN_VALUE || sentAt - this.lastSentAt >= MIN_SPACING_MS;
-			if (!this.familiar && spaced) {
-				this.familiar = this.lastSentAt != Long.MIN_VALUE
-						&& Math.abs(difference - this.lastDifference) <= MAX_DEVIATION_MS;
-				this.lastSentAt = sentAt;
-				this.lastDifference = difference;
+			// A clock that goes back belongs to another run of the VM.
+			if (sentAt < this.lastSentAt || this.lastSentAt == Long.MIN_VALUE) {
+				this.known = false;
+				this.smallest = difference;
+				this.comparedSentAt = sentAt;
+				this.comparedDifference = difference;
 			}
-			else if (this.familiar) {
-				this.lastSentAt = sentAt;
+			else if (sentAt - this.comparedSentAt >= MIN_SPACING_MS) {
+				compare(difference);
+				this.comparedSentAt = sentAt;
+				this.comparedDifference = difference;
 			}
+			this.smallest = Math.min(this.smallest, difference);
+			this.lastSentAt = sentAt;
 			this.heardAt = now;
-			if (!this.familiar) {
-				return OptionalLong.empty();
+			return this.known ? OptionalLong.of(difference - this.smallest) : OptionalLong.empty();
+		}
+
+		private void compare(long difference) {
+			if (Math.abs(difference - this.comparedDifference) <= MAX_DEVIATION_MS) {
+				this.known = true;
+				long common = Math.min(difference, this.comparedDifference);
+				if (common - this.smallest > MAX_DEVIATION_MS) {
+					this.smallest = common;
+				}
 			}
-			return OptionalLong.of(difference - Math.min(this.smallest, this.formerSmallest));
 		}
 
 	}
