Do not take reads that failed in an earlier outage for isolation

What callers could have seen: requests refused although live servers ran. A VM whose reads had failed during an outage of the store, and that was cut off from its peers (not from the store) within a second of the store's return, dropped live servers whose entries had expired: after 1.3 s without a message it took itself for isolated, since the failures of the outage were still counted, and did not wait for its own read, which was due 0.2 to 0.8 s later.

Now only a read that was started after the last message and failed shows that the store cannot be reached.

On the new test liveServersStayAtAVmThatIsCutOffFromItsPeersAfterAnOutage failed in 1 of 4 cases ("live server was dropped, w3 and s0 at 114350"); with this change all 4 pass.

--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -90,6 +90,9 @@
 	/** When news arrived last, however old. */
 	private long newsArrivedAt;
 
+	/** Whether the last read that was started since then failed. */
+	private boolean readFailedSinceNews;
+
 	private Runnable changeListener = () -> {
 	};
 
@@ -200,8 +203,7 @@
 		if (this.catalog.isRetaining()) {
 			boolean heardNothing = now - this.newsArrivedAt >= Roster.HEARTBEAT_TIMEOUT_MS
 					&& this.roster.alive().size() <= 1;
-			boolean isolated = heardNothing && this.schedule.failures() > 0;
-			handleChange(this.catalog.removeExpired(now, isolated), "retention");
+			handleChange(this.catalog.removeExpired(now, heardNothing && this.readFailedSinceNews), "retention");
 		}
 	}
 
@@ -257,6 +259,7 @@
 		}
 		this.metrics.countPlatformRead(true);
 		this.schedule.recordSuccess();
+		this.readFailedSinceNews = false;
 		long baseRevision = this.catalog.revision();
 		long now = this.clock.millis();
 		CatalogChange change = this.catalog.replace(state.items(), Observation.ofRead(state.asOf(), startedAt, now));
@@ -307,6 +310,7 @@
 	private void handleReadFailure(Throwable error, long startedAt) {
 		this.metrics.countPlatformRead(false);
 		this.schedule.recordFailure();
+		this.readFailedSinceNews |= startedAt >= this.newsArrivedAt;
 		LOGGER.info("{}",
 				LogLine.event("platform.read-failed")
 					.with("failures", this.schedule.failures())
@@ -329,6 +333,7 @@
 		}
 		long now = this.clock.millis();
 		this.newsArrivedAt = now;
+		this.readFailedSinceNews = false;
 		long knownRevision = this.catalog.revision();
 		boolean reader = this.schedule.isReader();
 		OptionalLong delay = (news.sentAtMs() != 0) ? this.delays.record(from, news.sentAtMs(), now)
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
@@ -98,6 +98,18 @@
 		run(24_000);
 	}
 
+	// Guards against a VM that takes failed reads of an outage that is over for its own
+	// isolation when it is cut off from its peers.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 300, 600, 900 })
+	void liveServersStayAtAVmThatIsCutOffFromItsPeersAfterAnOutage(long returnedMs) {
+		this.fleet.store.takeDown(6_000);
+		run(6_000 + returnedMs);
+		SimulatedCatalogFleet.Vm vm = this.fleet.vm("w3");
+		vm.cutFromPeersUntil = this.fleet.clock.millis() + 4_000;
+		run(20_000);
+	}
+
 	// Guards against servers that come back through the catalog of a VM that was cut off.
 	@Test
 	void processThatStartsAfterACutDoesNotListServersThatHadLeft() {
