Measure the delay of messages with heartbeats, too

What callers could have seen: requests on servers that had left, for up to 1 s longer than the bound of 4 s after the return of the store or the end of a cut. If the reader was cut off itself, its successor knew the delay of its messages only if it had had two of its news before, which a new reader had not sent to all. With an unknown delay news prove no contact that lasts, so the period began anew with the successor.

Heartbeats now state the monotonic time of their sender, so that the delay is known of all processes of the region that exchange them. Heartbeats of an older version are completed without a time; processes of an older version ignore it. A heartbeat has 5 bytes more, up to an uptime of 49 days of the VM, later 9.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/message/RosterBeat.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/message/RosterBeat.java
@@ -7,6 +7,8 @@
  * Immutable and thread-safe.
  *
  * @param self the entry of the sender
+ * @param sentAtMs the monotonic time of the sender, in milliseconds; 0 if not stated, as
+ * by a process of an older version
  */
-public record RosterBeat(RosterEntry self) implements RegionMessage {
+public record RosterBeat(RosterEntry self, long sentAtMs) implements RegionMessage {
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -336,8 +336,7 @@
 		this.readFailedSinceNews = false;
 		long knownRevision = this.catalog.revision();
 		boolean reader = this.schedule.isReader();
-		OptionalLong delay = (news.sentAtMs() != 0) ? this.delays.record(from, news.sentAtMs(), now)
-				: OptionalLong.empty();
+		OptionalLong delay = recordDelay(from, news.sentAtMs());
 		CatalogChange change = news.applyTo(this.catalog, now - delay.orElse(0), delay.isPresent());
 		if (change == null) {
 			this.sender.send(from, new CatalogRequest(this.catalog.revision()));
@@ -361,6 +360,17 @@
 		}
 	}
 
+	/**
+	 * Records how long a message waited on its way. Heartbeats are recorded as well as
+	 * news, so that the delay is known already when the sender becomes the reader.
+	 * @param from the VM of the sender
+	 * @param sentAtMs the monotonic time of the sender, in milliseconds; 0 if not stated
+	 * @return the delay in milliseconds, empty if it is not known
+	 */
+	public OptionalLong recordDelay(VmName from, long sentAtMs) {
+		return (sentAtMs != 0) ? this.delays.record(from, sentAtMs, this.clock.millis()) : OptionalLong.empty();
+	}
+
 	// The sender may become the reader, and would not learn then that the store had been
 	// well for longer than it knows.
 	private void confirmIfContactIsOlder(VmName to, CatalogNews news, long now) {
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -320,7 +320,7 @@
 	 * Sends a heartbeat with the current phase of this process immediately.
 	 */
 	public void sendHeartbeat() {
-		RosterBeat beat = new RosterBeat(toEntry(this.roster.nextBeat()));
+		RosterBeat beat = nextBeat();
 		Set<VmName> maintained = new HashSet<>();
 		for (RosterMember member : this.roster.heartbeatTargets()) {
 			// One connection between two processes is enough. The VM with the lower name
@@ -334,6 +334,10 @@
 		this.transport.keepLinks(maintained);
 	}
 
+	private RosterBeat nextBeat() {
+		return new RosterBeat(toEntry(this.roster.nextBeat()), this.clock.millis());
+	}
+
 	// Processes other than hubs receive heartbeats of hubs only, so the first hub sends
 	// them the names of the serving VMs.
 	private void sendSummaryIfDue(long now) {
@@ -369,7 +373,7 @@
 	}
 
 	private void contactSeeds() {
-		RosterBeat beat = new RosterBeat(toEntry(this.roster.nextBeat()));
+		RosterBeat beat = nextBeat();
 		for (HostPort seed : this.seeds) {
 			VmName vm = vmNameOf(seed.host());
 			if (!vm.equals(this.roster.self().vm()) && !this.roster.isAlive(vm)) {
@@ -403,8 +407,7 @@
 
 	private void handleEvent(Event event) {
 		switch (event) {
-			case PeerConnected connected ->
-				this.transport.send(connected.peer(), new RosterBeat(toEntry(this.roster.nextBeat())));
+			case PeerConnected connected -> this.transport.send(connected.peer(), nextBeat());
 			case PeerLost lost -> handleConnectionLost(lost.peer());
 			case PeerRefused refused -> handleConnectionLost(refused.peer());
 			case PeerMessageReceived received -> handleMessage(received.from(), received.message());
@@ -438,7 +441,10 @@
 		}
 		try {
 			switch (regionMessage) {
-				case RosterBeat beat -> handleHeartbeat(from, beat);
+				case RosterBeat beat -> {
+					handleHeartbeat(from, beat);
+					updater.recordDelay(from, beat.sentAtMs());
+				}
 				case RosterList list -> list.entries().forEach(this::handleRosterEntry);
 				case RosterSummary summary -> handleSummary(from, summary);
 				case RosterRequest request -> handleRosterRequest(from);
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
@@ -110,6 +110,20 @@
 		run(20_000);
 	}
 
+	// Guards against a period of contact that begins anew with a reader which had news of
+	// its predecessor only once.
+	@Test
+	void serverThatLeavesBeforeAnOutageIsDroppedWhenTheReaderIsCutOff() {
+		this.fleet = fleet(true);
+		this.observer = new CatalogObserver(this.fleet);
+		this.fleet.vm("e1").cut(200);
+		run(50);
+		this.fleet.store.leave("s0");
+		this.fleet.store.takeDown(2_401);
+		this.fleet.vm("e3").cut(5_401);
+		run(16_000);
+	}
+
 	// Guards against servers that come back through the catalog of a VM that was cut off.
 	@Test
 	void processThatStartsAfterACutDoesNotListServersThatHadLeft() {
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/AppendedComponents.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/AppendedComponents.java
@@ -2,20 +2,26 @@
 
 import java.util.Arrays;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Completes messages of an older version whose record has got further components since.
  *
  * <p>
  * The components of a message are the last part of its encoded form, so the defaults of
- * the appended ones can follow them. Only {@code CATALOG_NEWS} has appended components: a
- * contact that begins and ends now, no missing and no retained items, and no time of
- * sending. Stateless and thread-safe.
+ * the appended ones can follow them. Stateless and thread-safe.
  */
-final class AppendedComponents {
+enum AppendedComponents {
 
-	private static final int CATALOG_NEWS_COMPONENTS = 6;
+	/** No time of sending. */
+	ROSTER_BEAT(PeerMessageType.ROSTER_BEAT, 1, 0),
 
-	private static final byte[] CATALOG_NEWS_DEFAULTS = { 0, 0, (byte) 0x90, (byte) 0x90, 0 };
+	/**
+	 * A contact that begins and ends now, no missing and no retained items, and no time
+	 * of sending.
+	 */
+	CATALOG_NEWS(PeerMessageType.CATALOG_NEWS, 6, 0, 0, AppendedComponents.SHORT_ARRAY, AppendedComponents.SHORT_ARRAY,
+			0);
 
 	private static final int CODE_INDEX = 1;
 
@@ -26,7 +32,20 @@
 	 */
 	private static final int SHORT_ARRAY = 0x90;
 
-	private AppendedComponents() {
+	private final PeerMessageType type;
+
+	private final int formerComponents;
+
+	/** The encoded defaults, of one byte each. */
+	private final byte[] defaults;
+
+	AppendedComponents(PeerMessageType type, int formerComponents, int... defaults) {
+		this.type = type;
+		this.formerComponents = formerComponents;
+		this.defaults = new byte[defaults.length];
+		for (int i = 0; i < defaults.length; i++) {
+			this.defaults[i] = (byte) defaults[i];
+		}
 	}
 
 	/**
@@ -35,14 +54,27 @@
 	 * @return the message itself unless its sender has an older version
 	 */
 	static byte[] complete(byte[] encoded) {
-		if (encoded.length <= COMPONENTS_INDEX || encoded[CODE_INDEX] != PeerMessageType.CATALOG_NEWS.code()
-				|| encoded[COMPONENTS_INDEX] != (byte) (SHORT_ARRAY | CATALOG_NEWS_COMPONENTS)) {
+		if (encoded.length <= COMPONENTS_INDEX) {
+			return encoded;
+		}
+		AppendedComponents appended = find(encoded[CODE_INDEX], encoded[COMPONENTS_INDEX]);
+		if (appended == null) {
 			return encoded;
 		}
-		byte[] completed = Arrays.copyOf(encoded, encoded.length + CATALOG_NEWS_DEFAULTS.length);
-		System.arraycopy(CATALOG_NEWS_DEFAULTS, 0, completed, encoded.length, CATALOG_NEWS_DEFAULTS.length);
-		completed[COMPONENTS_INDEX] = (byte) (SHORT_ARRAY | CATALOG_NEWS_COMPONENTS + CATALOG_NEWS_DEFAULTS.length);
+		int count = appended.defaults.length;
+		byte[] completed = Arrays.copyOf(encoded, encoded.length + count);
+		System.arraycopy(appended.defaults, 0, completed, encoded.length, count);
+		completed[COMPONENTS_INDEX] += (byte) count;
 		return completed;
 	}
 
+	private static @Nullable AppendedComponents find(byte code, byte components) {
+		for (AppendedComponents appended : values()) {
+			if (code == appended.type.code() && components == (byte) (SHORT_ARRAY | appended.formerComponents)) {
+				return appended;
+			}
+		}
+		return null;
+	}
+
 }
