Do not move readers back for reads that failed in a common outage

A process whose last read failed waits 600 ms longer before it replaces the reader, since it may be unable to reach the store. After an outage that holds for all of them, so a reader that was cut off soon after the return of the store was replaced late, and servers that were missing for good were used longer than 4 s after the return.

A failed read that was started before the known period of contact began is explained by the outage, and no longer moves the process back.

Without this change the new test serverThatCrashedInAnOutageIsDroppedWhenTheReaderIsCutOffAfterIt fails ("server that has left is listed, w1 and s0 at 114150"), with it all of PartitionedCatalogTests pass.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/roster/ReadSchedule.java
@@ -83,6 +83,9 @@
 
 	private int failures;
 
+	/** Whether these failures move this process back in the order of readers. */
+	private boolean movedBack;
+
 	private long startedAt = Long.MIN_VALUE;
 
 	private boolean reading;
@@ -124,7 +127,7 @@
 		if (this.reader) {
 			return ageMs >= INTERVAL_MS;
 		}
-		int effectiveRank = Math.min(MAX_RANK, rank + ((this.failures > 0) ? FAILURE_RANK_PENALTY : 0));
+		int effectiveRank = Math.min(MAX_RANK, rank + (this.movedBack ? FAILURE_RANK_PENALTY : 0));
 		return ageMs >= TAKEOVER_AGE_MS + effectiveRank * RANK_DELAY_MS;
 	}
 
@@ -189,6 +192,7 @@
 	public void recordSuccess() {
 		this.reading = false;
 		this.failures = 0;
+		this.movedBack = false;
 		this.reader = true;
 	}
 
@@ -200,9 +204,21 @@
 		this.stateRequested = false;
 		this.reading = false;
 		this.failures++;
+		this.movedBack = true;
 		this.reader = false;
 	}
 
+	/**
+	 * Records since when the store has been answering other processes. A read that was
+	 * started earlier failed because of its outage, and does not move this process back.
+	 * @param since the monotonic time in milliseconds
+	 */
+	public void recordStoreContact(long since) {
+		if (since > this.startedAt) {
+			this.movedBack = false;
+		}
+	}
+
 	/**
 	 * Records that another process passed on a newer state. This process is no longer the
 	 * reader.
--- a/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/roster/ReadScheduleTests.java
@@ -99,4 +99,15 @@
 		assertThat(this.schedule.isDue(5_000, 0, 100)).isFalse();
 	}
 
+	// Guards against a late change of the reader after an outage that all processes saw.
+	@Test
+	void readThatFailedInAnOutageDoesNotRankAProcessBehindOthersAfterIt() {
+		this.schedule.recordStart(1_000);
+		this.schedule.recordFailure();
+		this.schedule.recordStoreContact(900);
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_AGE_MS, 0, 2_000)).isFalse();
+		this.schedule.recordStoreContact(1_200);
+		assertThat(this.schedule.isDue(ReadSchedule.TAKEOVER_AGE_MS, 0, 2_000)).isTrue();
+	}
+
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/CatalogUpdater.java
@@ -338,6 +338,10 @@
 		boolean reader = this.schedule.isReader();
 		OptionalLong delay = recordDelay(from, news.sentAtMs());
 		CatalogChange change = news.applyTo(this.catalog, now - delay.orElse(0), delay.isPresent());
+		StoreContact contact = this.catalog.contact();
+		if (contact != null) {
+			this.schedule.recordStoreContact(contact.since());
+		}
 		if (change == null) {
 			this.sender.send(from, new CatalogRequest(this.catalog.revision()));
 			return;
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
@@ -110,6 +110,34 @@
 		run(20_000);
 	}
 
+	// Guards against a reader that is replaced late since its successors could not read
+	// the store during the outage either.
+	@Test
+	void serverThatCrashedInAnOutageIsDroppedWhenTheReaderIsCutOffAfterIt() {
+		this.fleet = fleet(true);
+		this.observer = new CatalogObserver(this.fleet);
+		this.fleet.store.takeDown(4_101);
+		this.fleet.vm("e1").cut(200);
+		run(1_450);
+		this.fleet.vm("w2").restart();
+		run(100);
+		this.fleet.vm("e1").cut(200);
+		run(100);
+		this.fleet.store.crash("s0");
+		run(50);
+		this.fleet.vm("w2").cutFromPeersUntil = this.fleet.clock.millis() + 234;
+		run(100);
+		this.fleet.vm("w1").restart();
+		this.fleet.vm("e1").cutFromStoreUntil = this.fleet.clock.millis() + 214;
+		run(4_650);
+		long until = this.fleet.clock.millis() + 5_844;
+		this.fleet.vmsOf("east").forEach((vm) -> {
+			vm.cutFromStoreUntil = until;
+			vm.cutFromRegionsUntil = until;
+		});
+		run(16_000);
+	}
+
 	// Guards against a period of contact that begins anew with a reader which had news of
 	// its predecessor only once.
 	@Test
