Share the two regions of the relay tests

RelayedLateResponseTests, RegionRelayTests and RelayStopTests each repeated their set-up of a server and two entry processes; TestRegions has it once. Timeouts, times to exchange contacts and checks are unchanged.

--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RegionRelayTests.java
@@ -1,14 +1,11 @@
 package org.lovagevale.gateway;
 
 import java.net.Socket;
-import java.util.List;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.lovagevale.base.FailureDomain;
-import org.lovagevale.base.Region;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,69 +16,51 @@
 @Timeout(30)
 class RegionRelayTests {
 
-	private static final Region WEST = new Region("west");
-
 	/** Time for two heartbeats to a seed, after which each process knows the other. */
 	private static final long CONTACT_EXCHANGE_MS = 2_500;
 
 	/** Time within which both processes read a new configuration. */
 	private static final long CONFIGURATION_READ_MS = 1_500;
 
-	private TestServer server;
-
-	private TestGateway homeGateway;
-
-	private TestGateway remoteGateway;
+	private TestRegions regions;
 
 	@BeforeEach
 	void start() throws Exception {
-		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
-		this.homeGateway = new TestGateway(List.of()).setHomeRegions(WEST)
-			.publishConfiguration(2_000)
-			.publishServer("a", this.server.port())
-			.start();
-		this.remoteGateway = new TestGateway(TestAddresses.host(2), new FailureDomain("east-1"), new Region("east"),
-				List.of(this.homeGateway.peerAddress()))
-			.setHomeRegions(WEST)
-			.publishConfiguration(2_000)
-			.publishServer("a", this.server.port())
-			.start();
-		Thread.sleep(CONTACT_EXCHANGE_MS);
+		this.regions = new TestRegions(2_000, CONTACT_EXCHANGE_MS);
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		this.remoteGateway.close();
-		this.homeGateway.close();
-		this.server.close();
+		this.regions.close();
 	}
 
 	@Test
 	void requestIsPlacedByAnEntryVmOfItsHomeRegion() throws Exception {
-		String response = this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "0123456789"));
+		String response = this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "0123456789"));
 		assertThat(response).startsWith("HTTP/1.1 200 OK").contains("Test-Signature: s").endsWith("hello");
-		assertThat(this.server.requests()).hasSize(1);
-		TestServer.Request received = this.server.requests().getFirst();
+		assertThat(this.regions.server().requests()).hasSize(1);
+		TestServer.Request received = this.regions.server().requests().getFirst();
 		assertThat(received.body()).isEqualTo("0123456789");
 		assertThat(received.headers()).containsEntry("test-server", "a").doesNotContainKey("test-caller");
-		assertThat(this.homeGateway.process().metrics().scrape()).contains("lovagevale_gateway_sends_total");
-		assertThat(this.remoteGateway.process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
+		assertThat(this.regions.home().process().metrics().scrape()).contains("lovagevale_gateway_sends_total");
+		assertThat(this.regions.remote().process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
 			.doesNotContain("lovagevale_gateway_sends_total");
 	}
 
 	@Test
 	void requestThatFailedAfterItWasSentIsNotSentAgain() throws Exception {
-		this.server.setHandler((request, socket) -> socket.close());
-		String response = this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
+		this.regions.server().setHandler((request, socket) -> socket.close());
+		String response = this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
 		assertThat(response).startsWith("HTTP/1.1 502");
-		assertThat(this.server.requests()).hasSize(1);
+		assertThat(this.regions.server().requests()).hasSize(1);
 	}
 
 	@Test
 	void rejectionByTheHomeRegionIsForwardedWithRetryAfter() throws Exception {
-		this.server.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
-				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
-		String response = this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
+					+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+		String response = this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
 		assertThat(response).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after: ");
 	}
 
@@ -89,18 +68,20 @@
 	// queued.
 	@Test
 	void requestThatWaitsInItsHomeRegionIsCancelledWhenItsCallerLeaves() throws Exception {
-		this.server.setHandler((request, socket) -> TestServer.write(socket,
-				"HTTP/1.1 503 Busy\r\nTest-Id: " + request.headers().get("test-id")
-						+ "\r\nTest-Not-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"));
-		this.homeGateway.exchange(TestGateway.postRequest("/write/1", "first", "x"));
-		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
-		try (Socket socket = this.remoteGateway.connect()) {
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket,
+					"HTTP/1.1 503 Busy\r\nTest-Id: " + request.headers().get("test-id")
+							+ "\r\nTest-Not-Run: 1\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"));
+		this.regions.home().exchange(TestGateway.postRequest("/write/1", "first", "x"));
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		try (Socket socket = this.regions.remote().connect()) {
 			TestServer.write(socket, TestGateway.postRequest("/write/2", "left", "x"));
 			sleep(200);
 			assertThat(socket.getInputStream().available()).isZero();
 		}
 		sleep(1_500);
-		assertThat(this.server.requests()).extracting((request) -> request.headers().get("test-id"))
+		assertThat(this.regions.server().requests()).extracting((request) -> request.headers().get("test-id"))
 			.containsExactly("first");
 	}
 
@@ -108,16 +89,18 @@
 	// a limit.
 	@Test
 	void relayedRequestThatReachedAServerBeforeCountsAsRetry() throws Exception {
-		this.server.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
-				+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
-		String first = this.homeGateway.exchange(relayed("/write/1", "first", 0));
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket, "HTTP/1.1 503 Busy\r\nTest-Id: "
+					+ request.headers().get("test-id") + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+		String first = this.regions.home().exchange(relayed("/write/1", "first", 0));
 		assertThat(first).startsWith("HTTP/1.1 503").contains("Test-Earlier-Sends: 1");
-		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
 		int retries = 100;
 		for (int i = 0; i < retries; i++) {
-			this.homeGateway.exchange(relayed("/write/1", "retry-" + i, 1));
+			this.regions.home().exchange(relayed("/write/1", "retry-" + i, 1));
 		}
-		assertThat(this.server.requests()).hasSizeLessThan(retries);
+		assertThat(this.regions.server().requests()).hasSizeLessThan(retries);
 	}
 
 	private static String relayed(String path, String id, int earlierSends) {
@@ -136,20 +119,20 @@
 
 	@Test
 	void requestIsPlacedHereIfNoEntryVmOfTheHomeRegionCanBeReached() throws Exception {
-		this.homeGateway.close();
-		String response = this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
+		this.regions.home().close();
+		String response = this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "x"));
 		assertThat(response).startsWith("HTTP/1.1 200 OK");
-		assertThat(this.server.requests()).hasSize(1);
+		assertThat(this.regions.server().requests()).hasSize(1);
 	}
 
 	@Test
 	void requestWithoutAServerInItsRegionIsRelayed() throws Exception {
-		this.remoteGateway.setHomeRegions().publishConfiguration(2_000);
-		this.homeGateway.setHomeRegions().publishConfiguration(2_000);
+		this.regions.remote().setHomeRegions().publishConfiguration(2_000);
+		this.regions.home().setHomeRegions().publishConfiguration(2_000);
 		Thread.sleep(CONFIGURATION_READ_MS);
-		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
+		assertThat(this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
 			.startsWith("HTTP/1.1 200 OK");
-		assertThat(this.remoteGateway.process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
+		assertThat(this.regions.remote().process().metrics().scrape()).contains("lovagevale_gateway_relays_total")
 			.doesNotContain("lovagevale_gateway_sends_total");
 	}
 
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayStopTests.java
@@ -15,8 +15,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.lovagevale.base.FailureDomain;
-import org.lovagevale.base.Region;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,8 +25,6 @@
 @Timeout(60)
 class RelayStopTests {
 
-	private static final Region WEST = new Region("west");
-
 	private static final long CONTACT_EXCHANGE_MS = 800;
 
 	private static final int CALLERS = 12;
@@ -39,43 +35,26 @@
 
 	private final AtomicInteger failed = new AtomicInteger();
 
-	private TestServer server;
-
-	private TestGateway homeGateway;
-
-	private TestGateway remoteGateway;
+	private TestRegions regions;
 
 	private volatile boolean ended;
 
 	@BeforeEach
 	void start() throws Exception {
-		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
-		this.homeGateway = new TestGateway(List.of()).setHomeRegions(WEST)
-			.publishConfiguration(1_000)
-			.publishServer("a", this.server.port())
-			.start();
-		this.remoteGateway = new TestGateway(TestAddresses.host(2), new FailureDomain("east-1"), new Region("east"),
-				List.of(this.homeGateway.peerAddress()))
-			.setHomeRegions(WEST)
-			.publishConfiguration(1_000)
-			.publishServer("a", this.server.port())
-			.start();
-		Thread.sleep(CONTACT_EXCHANGE_MS);
+		this.regions = new TestRegions(1_000, CONTACT_EXCHANGE_MS);
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		this.remoteGateway.close();
-		this.homeGateway.close();
-		this.server.close();
+		this.regions.close();
 	}
 
 	@Test
 	void requestsRelayedToAnEntryVmThatStopsAreAnswered() throws Exception {
 		List<Thread> callers = startCallers();
 		Thread.sleep(300);
-		this.homeGateway.process().stop();
-		this.homeGateway.close();
+		this.regions.home().process().stop();
+		this.regions.home().close();
 		Thread.sleep(300);
 		this.ended = true;
 		verifyEachIsAnsweredAndRunOnce(callers);
@@ -86,7 +65,7 @@
 	void requestsRelayedByAnEntryVmThatStopsAreAnswered() throws Exception {
 		List<Thread> callers = startCallers();
 		Thread.sleep(300);
-		this.remoteGateway.process().stop();
+		this.regions.remote().process().stop();
 		this.ended = true;
 		verifyEachIsAnsweredAndRunOnce(callers);
 		assertThat(this.failed.get()).as("responses 502").isZero();
@@ -97,14 +76,14 @@
 	@Test
 	void nonIdempotentRequestIsNotRelayedOnAConnectionThatWasIdleForLong() throws Exception {
 		AcceptCounter accepted = new AcceptCounter();
-		this.homeGateway.listening().pipeline().addFirst(accepted);
+		this.regions.home().listening().pipeline().addFirst(accepted);
 		// A handler is called only once the event loop has added it.
-		this.homeGateway.process().loop().submit(() -> {
+		this.regions.home().process().loop().submit(() -> {
 		}).syncUninterruptibly();
-		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
+		assertThat(this.regions.remote().exchange(TestGateway.postRequest("/write/1", "id-1", "x")))
 			.startsWith("HTTP/1.1 200");
 		Thread.sleep(2_400);
-		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/2", "id-2", "x")))
+		assertThat(this.regions.remote().exchange(TestGateway.postRequest("/write/2", "id-2", "x")))
 			.startsWith("HTTP/1.1 200");
 		assertThat(accepted.count.get()).as("connections").isEqualTo(2);
 	}
@@ -125,13 +104,13 @@
 		}
 		assertThat(this.served.get()).isPositive();
 		assertThat(this.unanswered).isEmpty();
-		assertThat(this.server.requests()).extracting((request) -> request.headers().get("test-id"))
+		assertThat(this.regions.server().requests()).extracting((request) -> request.headers().get("test-id"))
 			.doesNotHaveDuplicates();
 	}
 
 	private void sendRequests(String name, boolean kept) {
 		for (int i = 0; !this.ended; i++) {
-			try (Socket socket = this.remoteGateway.connect()) {
+			try (Socket socket = this.regions.remote().connect()) {
 				sendRequests(socket, name + "-" + i, kept);
 			}
 			catch (ConnectException ex) {
--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayedLateResponseTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/RelayedLateResponseTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -12,8 +11,6 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.lovagevale.base.FailureDomain;
-import org.lovagevale.base.Region;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,8 +21,6 @@
 @Timeout(30)
 class RelayedLateResponseTests {
 
-	private static final Region WEST = new Region("west");
-
 	/** Time for two heartbeats to a seed, after which each process knows the other. */
 	private static final long CONTACT_EXCHANGE_MS = 2_500;
 
@@ -36,53 +31,37 @@
 
 	private final CountDownLatch closedByGateway = new CountDownLatch(1);
 
-	private TestServer server;
-
-	private TestGateway homeGateway;
-
-	private TestGateway remoteGateway;
+	private TestRegions regions;
 
 	@BeforeEach
 	void start() throws Exception {
-		this.server = new TestServer((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
-		this.homeGateway = new TestGateway(List.of()).setHomeRegions(WEST)
-			.publishConfiguration(TIMEOUT_MS)
-			.publishServer("a", this.server.port())
-			.start();
-		this.remoteGateway = new TestGateway(TestAddresses.host(2), new FailureDomain("east-1"), new Region("east"),
-				List.of(this.homeGateway.peerAddress()))
-			.setHomeRegions(WEST)
-			.publishConfiguration(TIMEOUT_MS)
-			.publishServer("a", this.server.port())
-			.start();
-		Thread.sleep(CONTACT_EXCHANGE_MS);
+		this.regions = new TestRegions(TIMEOUT_MS, CONTACT_EXCHANGE_MS);
 	}
 
 	@AfterEach
 	void stop() throws Exception {
-		this.remoteGateway.close();
-		this.homeGateway.close();
-		this.server.close();
+		this.regions.close();
 	}
 
 	@ParameterizedTest
 	@CsvSource({ "CHUNKED,GET /read/1", "LENGTH,GET /read/1", "SINGLE_BYTES,GET /read/1", "CHUNKED,POST /write/1" })
 	void responseWithoutEndIsEndedAndItsServerHasFailed(EndlessBody form, String target) throws Exception {
-		this.server.setHandler((request, socket) -> form.send(request, socket, this.closedByGateway));
+		this.regions.server().setHandler((request, socket) -> form.send(request, socket, this.closedByGateway));
 		long startedAt = System.nanoTime();
-		try (Socket socket = this.remoteGateway.connect()) {
+		try (Socket socket = this.regions.remote().connect()) {
 			TestServer.write(socket, TestGateway.postRequest("/write/1", "i", "x").replace("POST /write/1", target));
 			assertThat(TestGateway.readToEnd(socket, TIMEOUT_MS + FINAL_AFTER_MS)).startsWith("HTTP/1.1 200")
 				.contains("x");
 		}
 		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)).isGreaterThan(TIMEOUT_MS);
 		assertThat(this.closedByGateway.await(500, TimeUnit.MILLISECONDS)).as("closed at the server").isTrue();
-		this.server.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
+		this.regions.server()
+			.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "hello")));
 		// A server that reports no load gets one request at a time.
-		assertThat(this.remoteGateway.exchange(TestGateway.postRequest("/write/1", "sound", "x")))
+		assertThat(this.regions.remote().exchange(TestGateway.postRequest("/write/1", "sound", "x")))
 			.startsWith("HTTP/1.1 200")
 			.endsWith("hello");
-		assertThat(this.homeGateway.process().metrics().scrape().lines())
+		assertThat(this.regions.home().process().metrics().scrape().lines())
 			.anyMatch((line) -> line.startsWith("lovagevale_gateway_sends_total") && line.contains("FAILED"));
 	}
 
@@ -91,9 +70,9 @@
 	@Test
 	void soundResponseToASlowCallerIsDelivered() throws Exception {
 		int bytes = 12_000_000;
-		this.server
+		this.regions.server()
 			.setHandler((request, socket) -> TestServer.write(socket, TestServer.ok(request, "x".repeat(bytes))));
-		try (Socket socket = this.remoteGateway.connect()) {
+		try (Socket socket = this.regions.remote().connect()) {
 			TestServer.write(socket, TestGateway.getRequest("/read/1", "i"));
 			assertThat(readSlowly(socket, bytes, TIMEOUT_MS + 1_000)).isGreaterThanOrEqualTo(bytes);
 		}
