--- a/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
+++ b/lovagevale-gateway/src/test/java/org/lovagevale/gateway/fleet/PartitionedCatalogTests.java
@@ -26,17 +26,25 @@
 
 	private static final int SERVERS = 6;
 
-	private SimulatedCatalogFleet fleet = fleet(false);
+	private SimulatedCatalogFleet fleet;
 
-	private CatalogObserver observer = new CatalogObserver(this.fleet);
+	private CatalogObserver observer;
 
-	private static SimulatedCatalogFleet fleet(boolean holding) {
-		SimulatedCatalogFleet fleet = new SimulatedCatalogFleet(holding, "w1", "w2", "w3", "w4", "e1", "e2", "e3");
+	PartitionedCatalogTests() {
+		start(false);
+	}
+
+	/**
+	 * Starts the fleet and its servers.
+	 * @param holding whether messages on a cut link are held in place of lost
+	 */
+	private void start(boolean holding) {
+		this.fleet = new SimulatedCatalogFleet(holding, "w1", "w2", "w3", "w4", "e1", "e2", "e3");
+		this.observer = new CatalogObserver(this.fleet);
 		for (int server = 0; server < SERVERS; server++) {
-			fleet.store.start("s" + server);
+			this.fleet.store.start("s" + server);
 		}
-		fleet.run(6_000);
-		return fleet;
+		this.fleet.run(6_000);
 	}
 
 	private void run(long durationMs) {
@@ -90,8 +98,7 @@
 	// were held tell it of servers whose deadline has passed meanwhile.
 	@Test
 	void liveServersStayWhenHeldNewsArriveAfterTheirDeadline() {
-		this.fleet = fleet(true);
-		this.observer = new CatalogObserver(this.fleet);
+		start(true);
 		this.fleet.store.takeDown(7_769);
 		run(6_950);
 		this.fleet.vm("w2").cut(7_594);
@@ -114,8 +121,7 @@
 	// the store during the outage either.
 	@Test
 	void serverThatCrashedInAnOutageIsDroppedWhenTheReaderIsCutOffAfterIt() {
-		this.fleet = fleet(true);
-		this.observer = new CatalogObserver(this.fleet);
+		start(true);
 		this.fleet.store.takeDown(4_101);
 		this.fleet.vm("e1").cut(200);
 		run(1_450);
@@ -142,8 +148,7 @@
 	// its predecessor only once.
 	@Test
 	void serverThatLeavesBeforeAnOutageIsDroppedWhenTheReaderIsCutOff() {
-		this.fleet = fleet(true);
-		this.observer = new CatalogObserver(this.fleet);
+		start(true);
 		this.fleet.vm("e1").cut(200);
 		run(50);
 		this.fleet.store.leave("s0");
@@ -180,8 +185,7 @@
 	@Property(seed = "20261207", tries = 150, shrinking = ShrinkingMode.BOUNDED)
 	void allVmsListTheSameServersAfterAnySequenceOfFaults(@ForAll boolean holding,
 			@ForAll("sequences") List<Step> steps) {
-		this.fleet = fleet(holding);
-		this.observer = new CatalogObserver(this.fleet);
+		start(holding);
 		steps.forEach(this::play);
 		run(16_000);
 		for (SimulatedCatalogFleet.Vm vm : this.fleet.vms.values()) {
