--- a/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogRetentionTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/catalog/CatalogRetentionTests.java
@@ -112,9 +112,8 @@
 		assertThat(names(this.cutOff)).containsExactly("a");
 	}
 
-	// Guards against a process that drops a live server which has registered again
-	// without
-	// any new content.
+	// Guards against a process that drops a live server which has registered again, but
+	// without any new content.
 	@Test
 	void serverThatRegistersAgainUnchangedIsPassedOn() {
 		cutOffWhileAServerLeaves();
@@ -167,8 +166,7 @@
 	}
 
 	// Guards against a live server that is missing for good at a process which learned
-	// from
-	// one reader that its entry had expired, and from another one nothing.
+	// that its entry had expired from one reader, and nothing from another one.
 	@Test
 	void changeThatDoesNotNameAServerWhichWasMissingAfterItsBaseIsNotApplied() {
 		read(this.connected, 10, 0, both());
