Let requests wait for the first answer of a server with free slots

Cause: a server that has not answered yet grants a third of its slots. The next request was admitted by the expected work of all its slots, as if they were taken: with the first estimate of 0.4 of the target, 0.25 of the target for three slots, more than the 0.24 that are left. Nothing asked the server for its answer before the tick of the health checks, up to 100 ms later.

Change: requests up to the number of slots that the first answers free are queued if 25 ms of waiting leave time before the timeout, and the servers are asked at once. Only servers of this region that are neither cold nor full count, within the quota of this process, and only while no callers are expected to return.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/Admission.java
@@ -72,16 +72,17 @@
 		if (slots == 0) {
 			return new Verdict(false, RefusalCause.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
 		}
-		return decideReturned(request, expectedWaitMs(workAheadMs, request.workMs(), slots));
+		return decideByTimeout(request, expectedWaitMs(workAheadMs, request.workMs(), slots));
 	}
 
 	/**
-	 * Decides whether the request of a caller that was rejected before may be queued.
+	 * Decides whether a request that may miss its target, but not its timeout, may be
+	 * queued.
 	 * @param request the request
 	 * @param waitMs the expected wait in milliseconds
 	 * @return the verdict
 	 */
-	static Verdict decideReturned(SlotRequest request, double waitMs) {
+	static Verdict decideByTimeout(SlotRequest request, double waitMs) {
 		boolean admitted = waitMs <= request.timeLeftMs() - request.workMs() * BUSY_FACTOR;
 		return new Verdict(admitted, RefusalCause.OVERLOAD, admitted ? 0 : Math.max(MIN_RETRY_AFTER_MS, (int) waitMs));
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -59,7 +59,6 @@
 
 	private long loadReportedAt = Long.MIN_VALUE;
 
-	/** Whether the server has answered a request or a health check. */
 	private boolean hasAnswered;
 
 	private int otherRequests;
@@ -155,6 +154,14 @@
 		return this.hasAnswered ? slots() : (slots() + UNKNOWN_SLOTS_DIVISOR - 1) / UNKNOWN_SLOTS_DIVISOR;
 	}
 
+	/**
+	 * Tells whether the server has answered a request or a health check.
+	 * @return {@code true} if it has
+	 */
+	boolean hasAnswered() {
+		return this.hasAnswered;
+	}
+
 	void recordAnswer() {
 		this.hasAnswered = true;
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
@@ -162,6 +162,34 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the servers of this region that grant more slots to the request as soon as
+	 * they have answered for the first time.
+	 * @param request the request
+	 * @param servers the servers of its service
+	 * @param evacuated failure domains that get no requests
+	 * @param now the monotonic time in milliseconds
+	 * @return the servers
+	 */
+	List<PooledServer> serversAwaitingAnswer(SlotRequest request, Collection<PooledServer> servers,
+			Set<FailureDomain> evacuated, long now) {
+		return servers.stream()
+			.filter((server) -> !server.hasAnswered() && isLocal(server) && isUsable(request, server, evacuated, now))
+			.filter((server) -> !server.isCold(now) && !server.isFull(now))
+			.filter((server) -> maxRequests(server) > server.grantableSlots())
+			.toList();
+	}
+
+	/**
+	 * Returns the number of requests that this process may place on a server that has
+	 * answered.
+	 * @param server the server
+	 * @return the number of its slots within the quota
+	 */
+	int maxRequests(PooledServer server) {
+		return Math.min(server.slots(), this.quota.maxRequests(server.instance(), server.slots()));
+	}
+
 	private static Candidate cheaper(@Nullable Candidate best, PooledServer server, double cost) {
 		return (best != null && best.costMs() <= cost) ? best : new Candidate(server, cost);
 	}
@@ -218,8 +246,7 @@
 			return false;
 		}
 		boolean local = isLocal(server);
-		int maxRequests = Math.min(server.grantableSlots(), this.quota.maxRequests(server.instance(), server.slots()));
-		if (server.grantCount() >= maxRequests) {
+		if (server.grantCount() >= Math.min(server.grantableSlots(), maxRequests(server))) {
 			return false;
 		}
 		if (server.isCold(now)) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServicePool.java
@@ -194,6 +194,9 @@
 		long workAheadMs = this.queue.workAheadMs(request.priority());
 		boolean planned = callerReturn == CallerReturn.PLANNED;
 		long plannedMs = planned ? 0 : this.returns.plannedWorkMs(request.priority(), now);
+		if (plannedMs == 0 && isServedAfterAnswers(request, selector, evacuated, now)) {
+			return new Admission.Verdict(true, RefusalCause.OVERLOAD, 0);
+		}
 		Admission.Verdict verdict = (callerReturn == CallerReturn.NONE)
 				? Admission.decide(request, workAheadMs + plannedMs, slots)
 				: Admission.decideReturned(request, workAheadMs + plannedMs, slots);
@@ -205,7 +208,18 @@
 		}
 		double waitMs = this.division.expectedWaitMs(request, workAheadMs + plannedMs, slots, now);
 		return (callerReturn == CallerReturn.NONE) ? Admission.decide(request, waitMs)
-				: Admission.decideReturned(request, waitMs);
+				: Admission.decideByTimeout(request, waitMs);
+	}
+
+	// A refused caller would return later than the servers answer.
+	private boolean isServedAfterAnswers(SlotRequest request, ServerSelector selector, Set<FailureDomain> evacuated,
+			long now) {
+		int slots = 0;
+		for (PooledServer server : selector.serversAwaitingAnswer(request, this.servers.values(), evacuated, now)) {
+			slots += Math.max(0, Math.min(usableSlots(server), selector.maxRequests(server)) - server.grantableSlots());
+		}
+		return this.queue.countAhead(request.priority()) < slots
+				&& Admission.decideByTimeout(request, SlownessEstimate.MAX_FRESH_LOAD_WAIT_MS).admitted();
 	}
 
 	private int usableSlots(SlotRequest request, ServerSelector selector, Set<FailureDomain> evacuated, long now) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -202,6 +202,8 @@
 		if (verdict.admitted()) {
 			pool.queue().add(queued);
 			this.replies.queued(request.id());
+			this.selector.serversAwaitingAnswer(request, pool.servers(), this.evacuated, now)
+				.forEach((server) -> this.replies.loadWanted(server.instance().id()));
 			return;
 		}
 		if (request.purpose() == SendPurpose.RETRY) {
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingQueue.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/WaitingQueue.java
@@ -60,6 +60,15 @@
 		return work;
 	}
 
+	/**
+	 * Counts the requests that are served before a new request.
+	 * @param priority the priority of the new request
+	 * @return the number of requests
+	 */
+	int countAhead(int priority) {
+		return (int) this.waiting.stream().filter((queued) -> queued.request().priority() <= priority).count();
+	}
+
 	@Nullable QueuedRequest first(long now) {
 		return this.waiting.stream().min(order(now)).orElse(null);
 	}
--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SlotDispatcherTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -44,6 +45,40 @@
 		assertThat(this.fixture.granted).containsKey(second);
 	}
 
+	// Guards against refusals for lack of slots that a health check frees at once.
+	@Test
+	void requestsWaitForTheFirstAnswerOfAServerWithFreeSlots() {
+		this.fixture.addServer("a").publishCatalog();
+		List<Long> requested = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			requested.add(this.fixture.requestSlot(this.fixture.slotRequest(1, true, 240, 600, 1_500)));
+		}
+		assertThat(this.fixture.granted).containsOnlyKeys(requested.get(0));
+		assertThat(this.fixture.queued).containsExactly(requested.get(1), requested.get(2));
+		assertThat(this.fixture.refused).containsOnly(Map.entry(requested.get(3), RefusalCause.OVERLOAD));
+		assertThat(this.fixture.requestedLoads).containsExactly(new ServerName("a"));
+		this.fixture.dispatcher.recordHealthCheck(new ServerName("a"), ServerLoad.UNKNOWN, -1);
+		assertThat(this.fixture.granted).containsOnlyKeys(requested.subList(0, 3));
+	}
+
+	@Test
+	void requestsDoNotWaitForTheFirstAnswerOfAServerOfAnotherRegion() {
+		this.fixture.addServer("a", new FailureDomain("east-1"), new Region("east"), 6, false, 0, 1).publishCatalog();
+		for (int i = 0; i < 2; i++) {
+			this.fixture.requestSlot(this.fixture.slotRequest(1, true, 240, 600, 1_500));
+		}
+		long third = this.fixture.requestSlot(this.fixture.slotRequest(1, true, 240, 600, 1_500));
+		assertThat(this.fixture.refused).containsOnly(Map.entry(third, RefusalCause.OVERLOAD));
+	}
+
+	@Test
+	void requestDoesNotWaitForTheFirstAnswerBeyondItsTimeout() {
+		this.fixture.addServer("a").publishCatalog();
+		this.fixture.requestSlot(this.fixture.slotRequest(1, true, 240, 400, 470));
+		long second = this.fixture.requestSlot(this.fixture.slotRequest(1, true, 240, 400, 470));
+		assertThat(this.fixture.refused).containsOnly(Map.entry(second, RefusalCause.OVERLOAD));
+	}
+
 	@Test
 	void higherPriorityIsServedFirst() {
 		this.fixture.addServer("a", DispatcherFixture.DOMAIN, DispatcherFixture.WEST, 1, false, 0, 1).publishCatalog();
