Share crash suspects between all entry VMs and try them ever more seldom

Cause: each dispatcher had a table of its own, which forgot a request 60 s after its last strike and then began at strike 1 of 2.

Change: strikes have the identity of their slot request and are merged between all processes through RosterList, so that the tables of all regions, of a new dispatcher and of a restarted process agree. A trial counts as a strike from its beginning, runs alone on its server, and begins in the turn of its region only.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -61,7 +61,9 @@
 
 	private final HedgePlanner hedging;
 
-	private final CrashSuspects suspects = new CrashSuspects();
+	private final CrashSuspects suspects;
+
+	private final SuspectReports suspectReports;
 
 	private final Predicate<ServiceName> isSoleOwner;
 
@@ -80,7 +82,8 @@
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
 			Predicate<ServiceName> isSoleOwner, ServerAnnouncements announcements, SlotReplies replies) {
-		this(clock, random, region, limits, isSoleOwner, ServerQuota.UNLIMITED, announcements, replies);
+		this(clock, random, region, limits, isSoleOwner, ServerQuota.UNLIMITED, announcements,
+				new CrashSuspects(TrialOrder.ONLY_REGION, Set.of(), clock.millis()), replies);
 	}
 
 	/**
@@ -94,11 +97,12 @@
 	 * @param quota limits the requests on a server while other processes may place
 	 * requests on it too
 	 * @param announcements the announcements of servers to this process
+	 * @param suspects the requests that may crash servers
 	 * @param replies receives the replies
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
 			Predicate<ServiceName> isSoleOwner, ServerQuota quota, ServerAnnouncements announcements,
-			SlotReplies replies) {
+			CrashSuspects suspects, SlotReplies replies) {
 		this.clock = clock;
 		this.random = random;
 		this.limits = limits;
@@ -107,6 +111,8 @@
 		this.announcements = announcements;
 		this.leavingReports = new LeavingReports(announcements);
 		this.selector = new ServerSelector(region, random, announcements, quota);
+		this.suspects = suspects;
+		this.suspectReports = new SuspectReports(suspects);
 		this.hedging = new HedgePlanner(this.selector, isSoleOwner, replies);
 	}
 
@@ -152,8 +158,9 @@
 		long now = this.clock.millis();
 		ServicePool pool = pool(request.service());
 		pool.recordRequest(now);
-		if (this.suspects.isQuarantined(request.fingerprint(), now)) {
-			this.replies.refused(request.id(), RefusalCause.QUARANTINED, (int) CrashSuspects.QUARANTINE_MS);
+		int quarantineLeftMs = quarantineLeftMs(request, now);
+		if (quarantineLeftMs > 0) {
+			this.replies.refused(request.id(), RefusalCause.QUARANTINED, quarantineLeftMs);
 			return;
 		}
 		pool.budget().observeOwnership(this.isSoleOwner.test(request.service()), now);
@@ -184,6 +191,13 @@
 		enqueue(pool, queued, now);
 	}
 
+	private int quarantineLeftMs(SlotRequest request, long now) {
+		if (!this.suspects.isQuarantined(request.fingerprint())) {
+			return 0;
+		}
+		return this.suspects.quarantineLeftMs(request.fingerprint(), this.isSoleOwner.test(request.service()), now);
+	}
+
 	private void adjustOverflow(ServicePool pool, long now) {
 		if (pool.overflow().isDue(now)) {
 			pool.overflow()
@@ -239,12 +253,7 @@
 			recordOutcome(pool, server, grant, release, now);
 			this.hedging.released(pool, release.id(), release.server());
 		}
-		if (release.outcome() == SlotOutcome.LOST) {
-			this.suspects.strike(release.fingerprint(), now);
-		}
-		else if (release.outcome() == SlotOutcome.SERVED) {
-			this.suspects.clear(release.fingerprint());
-		}
+		this.suspects.recordOutcome(release.fingerprint(), release.id(), release.outcome(), now);
 		if (pool != null) {
 			serveQueue(pool, now);
 			reportLoad(pool, server, release.load(), now);
@@ -366,6 +375,22 @@
 		return this.leavingReports;
 	}
 
+	/**
+	 * Returns the requests that may crash servers.
+	 * @return the suspects
+	 */
+	public CrashSuspects suspects() {
+		return this.suspects;
+	}
+
+	/**
+	 * Returns the reports about them to other entry VMs.
+	 * @return the reports
+	 */
+	public SuspectReports suspectReports() {
+		return this.suspectReports;
+	}
+
 	/**
 	 * Records that a health check could not reach a server.
 	 * @param id the server
@@ -383,6 +408,7 @@
 	 */
 	public void removeVm(VmName vm) {
 		this.leavingReports.forget(vm);
+		this.suspectReports.forget(vm);
 		for (ServicePool pool : this.pools.values()) {
 			pool.servers().forEach((server) -> server.releaseAllOf(vm));
 			this.hedging.removeVm(pool, vm);
@@ -508,6 +534,13 @@
 		}
 		List<QueuedRequest> order = pool.queue().inOrder(now);
 		for (QueuedRequest queued : order) {
+			// Another request with this fingerprint may have lost its connection
+			// meanwhile.
+			int quarantineLeftMs = quarantineLeftMs(queued.request(), now);
+			if (quarantineLeftMs > 0) {
+				refuseQuarantined(pool, queued, quarantineLeftMs, now);
+				continue;
+			}
 			ServerSelector.Candidate found = choose(pool, queued.request(), queued.enqueuedAt(), now);
 			// The receiver of a grant may release the slot at once, and that nested call
 			// may already have served this request.
@@ -517,6 +550,17 @@
 		}
 	}
 
+	private void refuseQuarantined(ServicePool pool, QueuedRequest queued, int quarantineLeftMs, long now) {
+		SlotRequest request = queued.request();
+		if (!pool.queue().remove(request.id())) {
+			return;
+		}
+		if (request.purpose() == SendPurpose.RETRY) {
+			pool.recordUnused(SendPurpose.RETRY, now);
+		}
+		this.replies.refused(request.id(), RefusalCause.QUARANTINED, quarantineLeftMs);
+	}
+
 	private ServerSelector.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long since, long now) {
 		SelectionCriteria criteria = criteria(pool, request, since, now);
 		ServerSelector.Candidate found = this.selector.choose(request, pool, this.evacuated, criteria, now);
@@ -532,7 +576,8 @@
 		double coldRate = this.isSoleOwner.test(request.service()) ? pool.coldRequestsPerSecond() : 0;
 		long waited = now - since;
 		return new SelectionCriteria(coldRate, waited < SlownessEstimate.MAX_WAIT_MS,
-				pool.slowness().maxLoadAgeMs(waited), request.timeLeftMs() - waited);
+				pool.slowness().maxLoadAgeMs(waited), request.timeLeftMs() - waited,
+				this.suspects.isSuspect(request.fingerprint()));
 	}
 
 	private void grant(ServicePool pool, QueuedRequest queued, ServerSelector.Candidate found, long now) {
@@ -548,8 +593,9 @@
 		if (request.purpose() == SendPurpose.RETRY) {
 			why += " retriesLeft=" + (int) pool.budget().left();
 		}
+		boolean trial = this.suspects.recordSend(request.fingerprint(), request.id(), now);
 		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
-				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
+				server.isLastSlot(now), request.purpose(), queued.enqueuedAt(), trial));
 		pool.division().recordGrant(request, now);
 		if (!this.suspects.isSuspect(request.fingerprint())) {
 			this.hedging.attemptGranted(pool, request, server, now);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewaySettings.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.lovagevale.gateway;
 
 import java.util.List;
+import java.util.Set;
 
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.Region;
@@ -25,20 +26,24 @@
  * @param stopMs the maximum duration of a planned stop, in milliseconds
  * @param addressTtlMs the time for which callers may cache addresses, in milliseconds
  * @param accountPolicy the rules for client accounts
+ * @param releasedSuspects the fingerprints of requests that are no longer to be
+ * quarantined for what happened before the start of the process
  */
 public record GatewaySettings(String name, FailureDomain domain, Region region, int capacity, HostPort callerAddress,
 		HostPort peerAddress, List<HostPort> seeds, PlacingLimits limits, long stopMs, long addressTtlMs,
-		AccountPolicy accountPolicy) {
+		AccountPolicy accountPolicy, Set<Long> releasedSuspects) {
 
 	/**
-	 * Creates settings with a copy of the seeds.
+	 * Copies the collections.
 	 */
 	public GatewaySettings {
 		seeds = List.copyOf(seeds);
+		releasedSuspects = Set.copyOf(releasedSuspects);
 	}
 
 	/**
-	 * Creates settings with the default rules for client accounts.
+	 * Creates settings with the default rules for client accounts and no released
+	 * suspects.
 	 * @param name the name that operators use for the VM
 	 * @param domain the failure domain of the VM
 	 * @param region the region of the VM
@@ -54,7 +59,7 @@
 	public GatewaySettings(String name, FailureDomain domain, Region region, int capacity, HostPort callerAddress,
 			HostPort peerAddress, List<HostPort> seeds, PlacingLimits limits, long stopMs, long addressTtlMs) {
 		this(name, domain, region, capacity, callerAddress, peerAddress, seeds, limits, stopMs, addressTtlMs,
-				AccountPolicy.DEFAULT);
+				AccountPolicy.DEFAULT, Set.of());
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -278,6 +278,7 @@
 	 */
 	public void handleConnectionLost(VmName vm) {
 		this.dispatcher.leavingReports().forget(vm);
+		this.dispatcher.suspectReports().forget(vm);
 		// Decides the requests sent to this VM at once, instead of at the next tick.
 		tick();
 	}
