Keep the cost of a full table of crash suspects low

Cause, by reading: with 2,000 suspects each strike of another request counted all strikes of all suspects, each tick looked at all of them for each receiver, and each suspect of a message counted the whole table for the metrics. A contact that was not usable for a moment got the whole table again.

Change: a suspect keeps its number of strikes, the table is in the order of the last changes, the metrics are read once a tick, and usable contacts keep what they were told.

Result: CrashSuspectsTests, SuspectFleetTests, SuspectExchangeTests, SlotDispatcherTests and SlotClientTests pass. No timing was measured.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspect.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspect.java
@@ -19,6 +19,9 @@
 	/** Maximum number of strikes; more make no difference. */
 	static final int MAX_STRIKES = 8;
 
+	/** A time that can be subtracted from any other without overflow. */
+	private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
 	private final long fingerprint;
 
 	private final Map<SlotId, CrashStrike> strikes = new HashMap<>();
@@ -26,8 +29,14 @@
 	/** The version of the table at the last change, by its source. */
 	private final long[] changedIn = new long[SuspectSource.values().length];
 
+	private long lastChange;
+
 	private long changedAt;
 
+	private int count;
+
+	private long lastAt = LONG_AGO;
+
 	CrashSuspect(long fingerprint) {
 		this.fingerprint = fingerprint;
 	}
@@ -37,11 +46,11 @@
 	}
 
 	/**
-	 * Counts the strikes that are not cleared.
+	 * Returns the number of strikes that are not cleared.
 	 * @return the number of strikes
 	 */
 	int count() {
-		return (int) this.strikes.values().stream().filter((strike) -> !strike.cleared()).count();
+		return this.count;
 	}
 
 	/**
@@ -49,12 +58,19 @@
 	 * @return the monotonic time in milliseconds, far in the past if there is none
 	 */
 	long lastAt() {
-		return this.strikes.values()
-			.stream()
-			.filter((strike) -> !strike.cleared())
-			.mapToLong(CrashStrike::at)
-			.max()
-			.orElse(Long.MIN_VALUE / 2);
+		return this.lastAt;
+	}
+
+	private void put(CrashStrike strike) {
+		this.strikes.put(strike.id(), strike);
+		this.count = 0;
+		this.lastAt = LONG_AGO;
+		for (CrashStrike each : this.strikes.values()) {
+			if (!each.cleared()) {
+				this.count++;
+				this.lastAt = Math.max(this.lastAt, each.at());
+			}
+		}
 	}
 
 	Collection<CrashStrike> strikes() {
@@ -72,7 +88,7 @@
 			return false;
 		}
 		CrashStrike merged = (known != null) ? known.merge(strike) : strike;
-		this.strikes.put(strike.id(), merged);
+		put(merged);
 		return known == null || known.cleared() != merged.cleared();
 	}
 
@@ -99,7 +115,7 @@
 		if (known == null || known.cleared()) {
 			return false;
 		}
-		this.strikes.put(id, known.clear());
+		put(known.clear());
 		return true;
 	}
 
@@ -108,13 +124,14 @@
 	 * @return {@code true} if any counted until now
 	 */
 	boolean clearAll() {
-		boolean changed = count() > 0;
-		this.strikes.replaceAll((id, strike) -> strike.clear());
+		boolean changed = this.count > 0;
+		strikes().forEach((strike) -> put(strike.clear()));
 		return changed;
 	}
 
 	void recordChange(SuspectSource source, long version, long now) {
 		this.changedIn[source.ordinal()] = version;
+		this.lastChange = version;
 		this.changedAt = now;
 	}
 
@@ -122,6 +139,14 @@
 		return this.changedIn[source.ordinal()];
 	}
 
+	/**
+	 * Returns the version of the table at the last change from any source.
+	 * @return the version
+	 */
+	long lastChange() {
+		return this.lastChange;
+	}
+
 	long changedAt() {
 		return this.changedAt;
 	}
@@ -129,7 +154,7 @@
 	@Nullable SlotId lastStrikeId() {
 		return this.strikes.values()
 			.stream()
-			.filter((strike) -> !strike.cleared() && strike.at() == lastAt())
+			.filter((strike) -> !strike.cleared() && strike.at() == this.lastAt)
 			.map(CrashStrike::id)
 			.findFirst()
 			.orElse(null);
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspects.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/CrashSuspects.java
@@ -2,12 +2,12 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.base.VmName;
@@ -75,7 +75,8 @@
 
 	private final long createdAt;
 
-	private final Map<Long, CrashSuspect> byFingerprint = new HashMap<>();
+	/** The suspects by the order of their last changes. */
+	private final LinkedHashMap<Long, CrashSuspect> byFingerprint = new LinkedHashMap<>();
 
 	/** The running trials with the fingerprints of their requests. */
 	private final Map<SlotId, Long> trials = new LinkedHashMap<>();
@@ -235,7 +236,6 @@
 		if (!changed || known == null && !makeRoom(suspect)) {
 			return false;
 		}
-		this.byFingerprint.put(fingerprint, suspect);
 		recordChange(suspect, source, now);
 		if (releasedHere) {
 			recordChange(suspect, SuspectSource.LOCAL, now);
@@ -261,6 +261,7 @@
 
 	private void recordChange(CrashSuspect suspect, SuspectSource source, long now) {
 		suspect.recordChange(source, ++this.version, now);
+		this.byFingerprint.putLast(suspect.fingerprint(), suspect);
 		if (source == SuspectSource.LOCAL) {
 			this.ownChanges.add(suspect.fingerprint());
 		}
@@ -360,8 +361,16 @@
 		return this.version;
 	}
 
-	Collection<CrashSuspect> all() {
-		return this.byFingerprint.values();
+	/**
+	 * Returns the suspects that changed after a version of this table.
+	 * @param since the version
+	 * @return the suspects, the last change first
+	 */
+	Stream<CrashSuspect> changedSince(long since) {
+		return this.byFingerprint.sequencedValues()
+			.reversed()
+			.stream()
+			.takeWhile((suspect) -> suspect.lastChange() > since);
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SuspectReports.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SuspectReports.java
@@ -76,8 +76,7 @@
 			return List.of();
 		}
 		Receiver to = receiver;
-		List<CrashSuspect> due = this.suspects.all()
-			.stream()
+		List<CrashSuspect> due = this.suspects.changedSince(to.reported)
 			.filter((suspect) -> dueChange(suspect, sameRegion, to) > to.reported)
 			.sorted(Comparator.comparingLong((suspect) -> dueChange(suspect, sameRegion, to)))
 			.limit(MAX_SUSPECTS)
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SuspectExchange.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SuspectExchange.java
@@ -1,8 +1,10 @@
 package org.lovagevale.gateway.fleet;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.lovagevale.base.Clock;
 import org.lovagevale.base.LogLine;
@@ -52,6 +54,8 @@
 
 	private long removedAt;
 
+	private long recordedVersion;
+
 	/**
 	 * Creates an exchange that has sent nothing.
 	 * @param clock the clock
@@ -88,10 +92,14 @@
 		}
 		for (Long fingerprint : this.suspects.takeOwnChanges()) {
 			log("suspect.changed", fingerprint, this.roster.self().vm());
+		}
+		if (this.suspects.version() != this.recordedVersion) {
 			recordNumbers();
 		}
 		Map<VmName, Boolean> receivers = receivers();
-		this.reports.retain(receivers.keySet());
+		Set<VmName> present = new HashSet<>(receivers.keySet());
+		this.contacts.usable().forEach((contact) -> present.add(contact.vm()));
+		this.reports.retain(present);
 		boolean relays = this.roster.hubs().stream().anyMatch((hub) -> hub.vm().equals(this.roster.self().vm()));
 		receivers.forEach((vm, sameRegion) -> {
 			List<CrashSuspectEntry> due = this.reports.takeDue(vm, sameRegion, relays, now);
@@ -102,6 +110,7 @@
 	}
 
 	private void recordNumbers() {
+		this.recordedVersion = this.suspects.version();
 		this.metrics.recordSuspects(this.suspects.size(), this.suspects.quarantined(), this.suspects.trialCount());
 	}
 
@@ -149,7 +158,6 @@
 		for (CrashSuspectEntry entry : entries) {
 			if (this.suspects.merge(entry, sameRegion ? SuspectSource.REGION : SuspectSource.OTHER_REGION, now)) {
 				log("suspect.learned", entry.fingerprint(), from);
-				recordNumbers();
 			}
 		}
 	}
