Skip idle time in the simulation of crash suspects

Change: after 5 s without messages and requests the simulation goes on 5 s before the end of the pause. No event or check is left out.

--- a/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedSuspectFleet.java
+++ b/lovagevale-core/src/test/java/org/lovagevale/core/placing/SimulatedSuspectFleet.java
@@ -24,6 +24,11 @@
 
 	private static final long DELAY_MS = 30;
 
+	private static final long STEP_MS = 10;
+
+	/** Time after which each change has reached all VMs, in milliseconds. */
+	private static final long SETTLING_MS = 5_000;
+
 	private static final long RUN_MS = 300;
 
 	/** Time from the start of a VM until it is a dispatcher, in milliseconds. */
@@ -142,11 +147,14 @@
 	}
 
 	void run(long durationMs) {
-		long end = this.now + durationMs;
+		long begin = this.now;
+		long end = begin + durationMs;
 		while (this.now < end) {
-			long step = Math.min(10, end - this.now);
-			if (this.messages.isEmpty() && this.running.isEmpty() && end - this.now > 5_000) {
-				step = Math.min(end - this.now - 5_000, 1_000);
+			long step = Math.min(STEP_MS, end - this.now);
+			boolean settled = this.messages.isEmpty() && this.running.isEmpty() && this.now - begin >= SETTLING_MS;
+			if (settled && end - this.now > SETTLING_MS) {
+				// Nothing changes any more.
+				step = end - this.now - SETTLING_MS;
 			}
 			this.now += step;
 			endRequests();
