Take back the shared crash suspects

Cause: each lost connection was a strike, also of identical requests that were lost together, and six strikes refused a request until it was released by hand. A service whose servers all reset their connections for a moment would make its callers' repeated reads fail for good, where they failed for 60 s at most before. That is worse for callers than the fault that the change mends.

What held and can be used again: the merging of strikes by the identity of their slot request, the trials in turns, the reports by version, and their tests. What has to change: only a trial may raise the level beyond the first quarantine, and strikes of one moment or one server have to count once.

--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/HedgePlanner.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/HedgePlanner.java
@@ -155,7 +155,7 @@
 		second.grant(request.id(),
 				new PooledServer.Grant(
 						now + request.timeLeftMs() - attempt.ageMs(now) + SlotDispatcher.GRANT_EXPIRY_GRACE_MS, false,
-						SendPurpose.HEDGE, now, false));
+						SendPurpose.HEDGE, now));
 		this.replies.hedgeOffered(request, second.instance().id(), attempt.describe(now) + " outstanding="
 				+ second.outstanding(now) + "/" + second.slots() + " loadAgeMs=" + second.loadAgeMs(now));
 	}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/PooledServer.java
@@ -175,17 +175,7 @@
 	}
 
 	boolean isFull(long now) {
-		return now < this.fullUntil || outstanding(now) >= slots() || isTrialRunning();
-	}
-
-	// What else runs on a server is lost if a request crashes it.
-	private boolean isTrialRunning() {
-		for (Grant grant : this.grants.values()) {
-			if (grant.trial()) {
-				return true;
-			}
-		}
-		return false;
+		return now < this.fullUntil || outstanding(now) >= slots();
 	}
 
 	boolean isLastSlot(long now) {
@@ -268,10 +258,8 @@
 	 * @param purpose the purpose of the send for which the slot was granted
 	 * @param requestedAt the monotonic time at which the slot was requested, in
 	 * milliseconds
-	 * @param trial whether the request is quarantined, so that the server gets no other
-	 * requests meanwhile
 	 */
-	record Grant(long expiresAt, boolean lastSlot, SendPurpose purpose, long requestedAt, boolean trial) {
+	record Grant(long expiresAt, boolean lastSlot, SendPurpose purpose, long requestedAt) {
 	}
 
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SelectionCriteria.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SelectionCriteria.java
@@ -13,9 +13,6 @@
  * @param maxLoadAgeMs the maximum age of the load report of a server in this region, in
  * milliseconds
  * @param timeLeftMs the time left until the request times out, in milliseconds
- * @param avoidBusyServers whether the server with the fewest requests is preferred, since
- * the request may crash it
  */
-record SelectionCriteria(double coldRequestsPerSecond, boolean avoidSlowServers, long maxLoadAgeMs, long timeLeftMs,
-		boolean avoidBusyServers) {
+record SelectionCriteria(double coldRequestsPerSecond, boolean avoidSlowServers, long maxLoadAgeMs, long timeLeftMs) {
 }
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/ServerSelector.java
@@ -43,12 +43,6 @@
 	 */
 	private static final double UTILIZATION_FACTOR = 0.3;
 
-	/**
-	 * Cost of each request at a server that a request may crash, as equivalent waiting
-	 * time in milliseconds; more than any other cost.
-	 */
-	private static final double CRASHED_REQUEST_COST_MS = 100_000;
-
 	/** Processing time on a cold server, as a factor of the usual time. */
 	private static final double COLD_FACTOR = 2;
 
@@ -118,9 +112,6 @@
 			boolean takesLastSlot = server.isLastSlot(now);
 			double cost = expectedCostMs(request, server,
 					slowFactor * (takesLastSlot ? lastSlotPolicy.slowdownFactor() : 1), now);
-			if (criteria.avoidBusyServers()) {
-				cost += CRASHED_REQUEST_COST_MS * server.outstanding(now);
-			}
 			if (takesLastSlot && !lastSlotPolicy.isWorthUsing(server.slots())) {
 				bestLastSlot = cheaper(bestLastSlot, server, cost);
 			}
--- a/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
+++ b/lovagevale-core/src/main/java/org/lovagevale/core/placing/SlotDispatcher.java
@@ -61,9 +61,7 @@
 
 	private final HedgePlanner hedging;
 
-	private final CrashSuspects suspects;
-
-	private final SuspectReports suspectReports;
+	private final CrashSuspects suspects = new CrashSuspects();
 
 	private final Predicate<ServiceName> isSoleOwner;
 
@@ -82,8 +80,7 @@
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
 			Predicate<ServiceName> isSoleOwner, ServerAnnouncements announcements, SlotReplies replies) {
-		this(clock, random, region, limits, isSoleOwner, ServerQuota.UNLIMITED, announcements,
-				new CrashSuspects(TrialOrder.ONLY_REGION, Set.of(), clock.millis()), replies);
+		this(clock, random, region, limits, isSoleOwner, ServerQuota.UNLIMITED, announcements, replies);
 	}
 
 	/**
@@ -97,12 +94,11 @@
 	 * @param quota limits the requests on a server while other processes may place
 	 * requests on it too
 	 * @param announcements the announcements of servers to this process
-	 * @param suspects the requests that may crash servers
 	 * @param replies receives the replies
 	 */
 	public SlotDispatcher(Clock clock, RandomSource random, Region region, PlacingLimits limits,
 			Predicate<ServiceName> isSoleOwner, ServerQuota quota, ServerAnnouncements announcements,
-			CrashSuspects suspects, SlotReplies replies) {
+			SlotReplies replies) {
 		this.clock = clock;
 		this.random = random;
 		this.limits = limits;
@@ -111,8 +107,6 @@
 		this.announcements = announcements;
 		this.leavingReports = new LeavingReports(announcements);
 		this.selector = new ServerSelector(region, random, announcements, quota);
-		this.suspects = suspects;
-		this.suspectReports = new SuspectReports(suspects);
 		this.hedging = new HedgePlanner(this.selector, isSoleOwner, replies);
 	}
 
@@ -158,9 +152,8 @@
 		long now = this.clock.millis();
 		ServicePool pool = pool(request.service());
 		pool.recordRequest(now);
-		int quarantineLeftMs = quarantineLeftMs(request, now);
-		if (quarantineLeftMs > 0) {
-			this.replies.refused(request.id(), RefusalCause.QUARANTINED, quarantineLeftMs);
+		if (this.suspects.isQuarantined(request.fingerprint(), now)) {
+			this.replies.refused(request.id(), RefusalCause.QUARANTINED, (int) CrashSuspects.QUARANTINE_MS);
 			return;
 		}
 		pool.budget().observeOwnership(this.isSoleOwner.test(request.service()), now);
@@ -191,13 +184,6 @@
 		enqueue(pool, queued, now);
 	}
 
-	private int quarantineLeftMs(SlotRequest request, long now) {
-		if (!this.suspects.isQuarantined(request.fingerprint())) {
-			return 0;
-		}
-		return this.suspects.quarantineLeftMs(request.fingerprint(), this.isSoleOwner.test(request.service()), now);
-	}
-
 	private void adjustOverflow(ServicePool pool, long now) {
 		if (pool.overflow().isDue(now)) {
 			pool.overflow()
@@ -253,7 +239,12 @@
 			recordOutcome(pool, server, grant, release, now);
 			this.hedging.released(pool, release.id(), release.server());
 		}
-		this.suspects.recordOutcome(release.fingerprint(), release.id(), release.outcome(), now);
+		if (release.outcome() == SlotOutcome.LOST) {
+			this.suspects.strike(release.fingerprint(), now);
+		}
+		else if (release.outcome() == SlotOutcome.SERVED) {
+			this.suspects.clear(release.fingerprint());
+		}
 		if (pool != null) {
 			serveQueue(pool, now);
 			reportLoad(pool, server, release.load(), now);
@@ -375,22 +366,6 @@
 		return this.leavingReports;
 	}
 
-	/**
-	 * Returns the requests that may crash servers.
-	 * @return the suspects
-	 */
-	public CrashSuspects suspects() {
-		return this.suspects;
-	}
-
-	/**
-	 * Returns the reports about them to other entry VMs.
-	 * @return the reports
-	 */
-	public SuspectReports suspectReports() {
-		return this.suspectReports;
-	}
-
 	/**
 	 * Records that a health check could not reach a server.
 	 * @param id the server
@@ -408,7 +383,6 @@
 	 */
 	public void removeVm(VmName vm) {
 		this.leavingReports.forget(vm);
-		this.suspectReports.forget(vm);
 		for (ServicePool pool : this.pools.values()) {
 			pool.servers().forEach((server) -> server.releaseAllOf(vm));
 			this.hedging.removeVm(pool, vm);
@@ -534,13 +508,6 @@
 		}
 		List<QueuedRequest> order = pool.queue().inOrder(now);
 		for (QueuedRequest queued : order) {
-			// Another request with this fingerprint may have lost its connection
-			// meanwhile.
-			int quarantineLeftMs = quarantineLeftMs(queued.request(), now);
-			if (quarantineLeftMs > 0) {
-				refuseQuarantined(pool, queued, quarantineLeftMs, now);
-				continue;
-			}
 			ServerSelector.Candidate found = choose(pool, queued.request(), queued.enqueuedAt(), now);
 			// The receiver of a grant may release the slot at once, and that nested call
 			// may already have served this request.
@@ -550,17 +517,6 @@
 		}
 	}
 
-	private void refuseQuarantined(ServicePool pool, QueuedRequest queued, int quarantineLeftMs, long now) {
-		SlotRequest request = queued.request();
-		if (!pool.queue().remove(request.id())) {
-			return;
-		}
-		if (request.purpose() == SendPurpose.RETRY) {
-			pool.recordUnused(SendPurpose.RETRY, now);
-		}
-		this.replies.refused(request.id(), RefusalCause.QUARANTINED, quarantineLeftMs);
-	}
-
 	private ServerSelector.@Nullable Candidate choose(ServicePool pool, SlotRequest request, long since, long now) {
 		SelectionCriteria criteria = criteria(pool, request, since, now);
 		ServerSelector.Candidate found = this.selector.choose(request, pool, this.evacuated, criteria, now);
@@ -576,8 +532,7 @@
 		double coldRate = this.isSoleOwner.test(request.service()) ? pool.coldRequestsPerSecond() : 0;
 		long waited = now - since;
 		return new SelectionCriteria(coldRate, waited < SlownessEstimate.MAX_WAIT_MS,
-				pool.slowness().maxLoadAgeMs(waited), request.timeLeftMs() - waited,
-				this.suspects.isSuspect(request.fingerprint()));
+				pool.slowness().maxLoadAgeMs(waited), request.timeLeftMs() - waited);
 	}
 
 	private void grant(ServicePool pool, QueuedRequest queued, ServerSelector.Candidate found, long now) {
@@ -593,9 +548,8 @@
 		if (request.purpose() == SendPurpose.RETRY) {
 			why += " retriesLeft=" + (int) pool.budget().left();
 		}
-		boolean trial = this.suspects.recordSend(request.fingerprint(), request.id(), now);
 		server.grant(request.id(), new PooledServer.Grant(now + request.timeLeftMs() + GRANT_EXPIRY_GRACE_MS,
-				server.isLastSlot(now), request.purpose(), queued.enqueuedAt(), trial));
+				server.isLastSlot(now), request.purpose(), queued.enqueuedAt()));
 		pool.division().recordGrant(request, now);
 		if (!this.suspects.isSuspect(request.fingerprint())) {
 			this.hedging.attemptGranted(pool, request, server, now);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayMetrics.java
@@ -1,10 +1,8 @@
 package org.lovagevale.gateway;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.core.instrument.Counter;
-import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.Timer;
@@ -35,12 +33,6 @@
 			Duration.ofMillis(400), Duration.ofMillis(800), Duration.ofMillis(1_600), Duration.ofMillis(3_200),
 			Duration.ofMillis(6_400) };
 
-	private final AtomicLong suspects = new AtomicLong();
-
-	private final AtomicLong quarantinedSuspects = new AtomicLong();
-
-	private final AtomicLong suspectTrials = new AtomicLong();
-
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
 	private final Meter.MeterProvider<Counter> answers = Counter.builder("lovagevale.gateway.answers")
@@ -159,15 +151,6 @@
 	 * Creates metrics that are all zero.
 	 */
 	public GatewayMetrics() {
-		Gauge.builder("lovagevale.gateway.suspects", this.suspects, AtomicLong::get)
-			.description("Requests that may crash servers, with those whose strikes were cleared lately")
-			.register(this.registry);
-		Gauge.builder("lovagevale.gateway.suspects.quarantined", this.quarantinedSuspects, AtomicLong::get)
-			.description("Quarantined requests")
-			.register(this.registry);
-		FunctionCounter.builder("lovagevale.gateway.suspects.trials", this.suspectTrials, AtomicLong::get)
-			.description("Trials of quarantined requests that this process began")
-			.register(this.registry);
 		Gauge.builder("lovagevale.gateway.memory.direct", GatewayMetrics::directMemoryBytes)
 			.description("Direct memory reserved for the buffers of connections, in bytes")
 			.register(this.registry);
@@ -194,18 +177,6 @@
 			.register(this.registry);
 	}
 
-	/**
-	 * Records the requests that may crash servers.
-	 * @param known the number of known ones
-	 * @param quarantined the number of quarantined ones
-	 * @param trials the number of trials of quarantined ones since the start
-	 */
-	public void recordSuspects(long known, long quarantined, long trials) {
-		this.suspects.set(known);
-		this.quarantinedSuspects.set(quarantined);
-		this.suspectTrials.set(trials);
-	}
-
 	/**
 	 * Counts unfinished messages that were given up because the process was full.
 	 * @param account the name of the account that was full
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewayProcess.java
@@ -22,12 +22,10 @@
 import org.lovagevale.core.catalog.CatalogDecoder;
 import org.lovagevale.core.limit.LimitPlan;
 import org.lovagevale.core.memory.MemoryAccount;
-import org.lovagevale.core.placing.CrashSuspects;
 import org.lovagevale.core.placing.HomeRegionChooser;
 import org.lovagevale.core.placing.PlannedStop;
 import org.lovagevale.core.placing.ServerAnnouncements;
 import org.lovagevale.core.placing.SlotDispatcher;
-import org.lovagevale.core.placing.TrialOrder;
 import org.lovagevale.core.roster.RemoteContacts;
 import org.lovagevale.core.roster.Roster;
 import org.lovagevale.core.roster.RosterMember;
@@ -38,7 +36,6 @@
 import org.lovagevale.gateway.fleet.RegionPeers;
 import org.lovagevale.gateway.fleet.RegionQuota;
 import org.lovagevale.gateway.fleet.SlotClient;
-import org.lovagevale.gateway.fleet.SuspectExchange;
 import org.lovagevale.gateway.http.AccountLimits;
 import org.lovagevale.gateway.http.BackendConnectionPool;
 import org.lovagevale.gateway.http.ConnectionCounts;
@@ -125,8 +122,6 @@
 
 	private final RegionLoadExchange regionLoads;
 
-	private final SuspectExchange suspectExchange;
-
 	private final SlotClient slotClient;
 
 	private final AccountLimitClient limitClient;
@@ -208,11 +203,9 @@
 		this.catalogUpdater = new CatalogUpdater(this.loop, clock, this.roster, contacts, this.peers, source, decoder,
 				this.metrics);
 		ServerAnnouncements announcements = new ServerAnnouncements(clock);
-		CrashSuspects suspects = new CrashSuspects(TrialOrder.among(settings.region(), contacts::regions),
-				settings.releasedSuspects(), clock.millis());
 		this.slotClient = new SlotClient(clock, this.roster, this.peers,
 				(replies) -> new SlotDispatcher(clock, random, settings.region(), settings.limits(),
-						this::isSoleDispatcher, new RegionQuota(clock, this.roster), announcements, suspects, replies));
+						this::isSoleDispatcher, new RegionQuota(clock, this.roster), announcements, replies));
 		this.limitClient = new AccountLimitClient(clock, this.roster, contacts, this.peers, this.metrics,
 				new LimitPlan(settings.accountPolicy(), Math.max(1, settings.limits().regions())), random,
 				isOnlySeed(settings));
@@ -239,9 +232,6 @@
 		this.regionLoads = new RegionLoadExchange(clock, this.roster, contacts, this.peers,
 				this.slotClient.dispatcher(), this.catalogUpdater, this.metrics);
 		this.peers.onRegionLoad(this.regionLoads::handle);
-		this.suspectExchange = new SuspectExchange(clock, this.roster, contacts, this.peers,
-				this.slotClient.dispatcher(), this.metrics);
-		this.peers.onSuspects(this.suspectExchange::handle);
 		this.catalogUpdater.onChange(this::handleCatalogChange);
 	}
 
@@ -329,7 +319,6 @@
 		this.peers.tick();
 		this.catalogUpdater.tick();
 		this.limitClient.tick();
-		this.suspectExchange.tick();
 		if (this.settings.limits().regionOverflow()) {
 			this.regionLoads.tick();
 		}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewaySettings.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/GatewaySettings.java
@@ -1,7 +1,6 @@
 package org.lovagevale.gateway;
 
 import java.util.List;
-import java.util.Set;
 
 import org.lovagevale.base.FailureDomain;
 import org.lovagevale.base.Region;
@@ -26,24 +25,20 @@
  * @param stopMs the maximum duration of a planned stop, in milliseconds
  * @param addressTtlMs the time for which callers may cache addresses, in milliseconds
  * @param accountPolicy the rules for client accounts
- * @param releasedSuspects the fingerprints of requests that are no longer to be
- * quarantined for what happened before the start of the process
  */
 public record GatewaySettings(String name, FailureDomain domain, Region region, int capacity, HostPort callerAddress,
 		HostPort peerAddress, List<HostPort> seeds, PlacingLimits limits, long stopMs, long addressTtlMs,
-		AccountPolicy accountPolicy, Set<Long> releasedSuspects) {
+		AccountPolicy accountPolicy) {
 
 	/**
-	 * Copies the collections.
+	 * Creates settings with a copy of the seeds.
 	 */
 	public GatewaySettings {
 		seeds = List.copyOf(seeds);
-		releasedSuspects = Set.copyOf(releasedSuspects);
 	}
 
 	/**
-	 * Creates settings with the default rules for client accounts and no released
-	 * suspects.
+	 * Creates settings with the default rules for client accounts.
 	 * @param name the name that operators use for the VM
 	 * @param domain the failure domain of the VM
 	 * @param region the region of the VM
@@ -59,7 +54,7 @@
 	public GatewaySettings(String name, FailureDomain domain, Region region, int capacity, HostPort callerAddress,
 			HostPort peerAddress, List<HostPort> seeds, PlacingLimits limits, long stopMs, long addressTtlMs) {
 		this(name, domain, region, capacity, callerAddress, peerAddress, seeds, limits, stopMs, addressTtlMs,
-				AccountPolicy.DEFAULT, Set.of());
+				AccountPolicy.DEFAULT);
 	}
 
 }
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/RegionPeers.java
@@ -31,7 +31,6 @@
 import org.lovagevale.core.message.AccountGrant;
 import org.lovagevale.core.message.CatalogNews;
 import org.lovagevale.core.message.CatalogRequest;
-import org.lovagevale.core.message.CrashSuspectEntry;
 import org.lovagevale.core.message.PeerMessage;
 import org.lovagevale.core.message.RegionLoad;
 import org.lovagevale.core.message.RegionMessage;
@@ -161,9 +160,6 @@
 	private BiConsumer<VmName, RegionLoad> regionLoadHandler = (from, load) -> {
 	};
 
-	private BiConsumer<VmName, List<CrashSuspectEntry>> suspectHandler = (from, suspects) -> {
-	};
-
 	/** {@link Long#MIN_VALUE} if the seeds are to be contacted at the next tick. */
 	private long lastSeedContactAt = Long.MIN_VALUE;
 
@@ -232,14 +228,6 @@
 		this.regionLoadHandler = handler;
 	}
 
-	/**
-	 * Sets the handler of reported crash suspects.
-	 * @param handler receives the sender and the suspects
-	 */
-	public void onSuspects(BiConsumer<VmName, List<CrashSuspectEntry>> handler) {
-		this.suspectHandler = handler;
-	}
-
 	/**
 	 * Starts accepting connections of other entry processes.
 	 * @param address the address to listen on
@@ -457,10 +445,7 @@
 					handleHeartbeat(from, beat);
 					updater.recordDelay(from, beat.sentAtMs());
 				}
-				case RosterList list -> {
-					list.entries().forEach(this::handleRosterEntry);
-					this.suspectHandler.accept(from, list.suspects());
-				}
+				case RosterList list -> list.entries().forEach(this::handleRosterEntry);
 				case RosterSummary summary -> handleSummary(from, summary);
 				case RosterRequest request -> handleRosterRequest(from);
 				case CatalogNews news -> updater.handleNews(from, news);
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/fleet/SlotClient.java
@@ -278,7 +278,6 @@
 	 */
 	public void handleConnectionLost(VmName vm) {
 		this.dispatcher.leavingReports().forget(vm);
-		this.dispatcher.suspectReports().forget(vm);
 		// Decides the requests sent to this VM at once, instead of at the next tick.
 		tick();
 	}
--- a/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
+++ b/lovagevale-gateway/src/main/java/org/lovagevale/gateway/http/RequestPlacing.java
@@ -287,9 +287,6 @@
 		if (!this.listener.isDone()) {
 			String failure = this.lastFailure;
 			String reason = cause + ", retry after " + retryAfterMs + " ms";
-			if (cause == RefusalCause.QUARANTINED) {
-				reason += ", fingerprint " + Long.toHexString(this.content.fingerprint());
-			}
 			if (mayOverflow(cause)) {
 				this.relayAttempts.rejected(retryAfterMs);
 				this.lastFailure = reason;
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/AppendedComponents.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/AppendedComponents.java
@@ -13,9 +13,6 @@
  */
 enum AppendedComponents {
 
-	/** No suspects. */
-	ROSTER_LIST(PeerMessageType.ROSTER_LIST, 1, AppendedComponents.SHORT_ARRAY),
-
 	/** No time of sending. */
 	ROSTER_BEAT(PeerMessageType.ROSTER_BEAT, 1, 0),
 
--- a/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
+++ b/lovagevale-peer/src/main/java/org/lovagevale/peer/PeerCodec.java
@@ -13,8 +13,6 @@
 import org.jspecify.annotations.Nullable;
 import org.lovagevale.core.catalog.PublishedItem;
 import org.lovagevale.core.catalog.RetainedItem;
-import org.lovagevale.core.message.CrashStrikeEntry;
-import org.lovagevale.core.message.CrashSuspectEntry;
 import org.lovagevale.core.message.DemandEntry;
 import org.lovagevale.core.message.HeardReport;
 import org.lovagevale.core.message.MemberEntry;
@@ -76,8 +74,6 @@
 		useArrayFormat(RetainedItem.class);
 		useArrayFormat(HeardReport.class);
 		useArrayFormat(DemandEntry.class);
-		useArrayFormat(CrashSuspectEntry.class);
-		useArrayFormat(CrashStrikeEntry.class);
 	}
 
 	/**
--- a/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
+++ b/lovagevale-settings/src/main/java/org/lovagevale/settings/SettingsReference.java
@@ -35,7 +35,6 @@
 			| --- | --- | --- | --- | --- | --- |
 			| `--second-send-share` | a number | - | 0 to 0.2 | 0 | The permitted hedged requests per first attempt of a service, 0 for none. |
 			| `--region-overflow` | true or false | - | - | false | Whether dispatchers move requests to other regions before their own region is full. |
-			| `--release-suspects` | hexadecimal fingerprints, separated by commas | - | - | none | Requests that are no longer to be quarantined for what happened before the start of the process. |
 			""";
 
 	private SettingsReference() {
